--- /dev/null
+++ b/grebedeck-config/src/document.rs
@@ -0,0 +1,239 @@
+//! The operators' document: targets, groups, organisations and selector rules.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use grebedeck_core::digest::{Digest, digest};
+use grebedeck_core::{Fault, Faults, GroupName, HallName, OrganisationName, Rank, TargetName};
+use serde::{Deserialize, Serialize};
+
+use crate::label::{Labels, check_labels, is_label_text};
+use crate::selector::Selector;
+
+/// Label that names the service a target offers, and the service a request asks for.
+pub const SERVICE_LABEL: &str = "service";
+/// Implied label with a target's hall.
+pub const HALL_LABEL: &str = "hall";
+/// Implied label with a target's group.
+pub const GROUP_LABEL: &str = "group";
+/// Implied label with the name of a target or an organisation.
+pub const NAME_LABEL: &str = "name";
+
+/// A back end with an agent beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// The operators' labels.
+    #[serde(default)]
+    pub labels: Labels,
+    /// The data hall that the target stands in.
+    pub hall: HallName,
+    /// Where the target's agent takes streams.
+    pub agent_address: SocketAddr,
+    /// The group that the target's ranks belong to, for a model.
+    #[serde(default)]
+    pub group: Option<GroupName>,
+    /// The ranks of the group that run on this target.
+    #[serde(default)]
+    pub ranks: Vec<Rank>,
+    /// Whether the target itself refuses orders with an old fencing token.
+    #[serde(default)]
+    pub checks_orders: bool,
+}
+
+/// A group of ranks that advance in lock-step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    /// The operators' labels; the group's targets have them too.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// An organisation whose requests are served.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    /// The operators' labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// Says which traffic may reach which labelled capacity.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SelectorRule {
+    /// Selector over an organisation's labels and the request's `service`.
+    #[serde(default)]
+    pub traffic: String,
+    /// Selector over the labels of targets.
+    #[serde(default)]
+    pub capacity: String,
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Targets by name.
+    #[serde(default)]
+    pub targets: BTreeMap<TargetName, Target>,
+    /// Groups by name.
+    #[serde(default)]
+    pub groups: BTreeMap<GroupName, Group>,
+    /// Organisations by name.
+    #[serde(default)]
+    pub organisations: BTreeMap<OrganisationName, Organisation>,
+    /// Selector rules by name.
+    #[serde(default)]
+    pub selectors: BTreeMap<String, SelectorRule>,
+}
+
+impl Document {
+    /// Gets a target's own labels together with its group's and the implied ones.
+    pub fn target_labels(&self, name: &str, target: &Target) -> Labels {
+        let group = target.group.as_ref();
+        let inherited = group.and_then(|g| self.groups.get(g)).map(|g| g.labels.clone());
+
+        let mut labels = inherited.unwrap_or_default();
+        labels.extend(target.labels.clone());
+        labels.insert(HALL_LABEL.into(), target.hall.clone());
+        labels.insert(NAME_LABEL.into(), name.into());
+
+        if let Some(group) = group {
+            labels.insert(GROUP_LABEL.into(), group.clone());
+        }
+
+        labels
+    }
+
+    /// Gets the digest of the whole document.
+    pub fn digest(&self) -> Digest {
+        // Maps are ordered, so equal documents have equal bytes.
+        let bytes = serde_json::to_vec(self).expect("a document always serializes");
+
+        digest(&bytes)
+    }
+
+    /// Checks the document by itself and gives every fault.
+    pub fn check(&self) -> Result<(), Faults> {
+        let mut faults = Faults::default();
+
+        self.check_names(&mut faults);
+        self.check_targets(&mut faults);
+        self.check_selectors(&mut faults);
+
+        faults.or(())
+    }
+
+    fn check_names(&self, faults: &mut Faults) {
+        let kinds = [
+            ("targets", self.targets.keys().collect::<Vec<_>>()),
+            ("groups", self.groups.keys().collect()),
+            ("organisations", self.organisations.keys().collect()),
+            ("selectors", self.selectors.keys().collect()),
+        ];
+
+        for (kind, names) in kinds {
+            for name in names.iter().filter(|n| n.is_empty() || !is_label_text(n)) {
+                faults.add(kind, name.as_str(), "a name of 1 to 63 letters, digits or `-_./`");
+            }
+        }
+
+        for (name, group) in &self.groups {
+            check_labels(&format!("groups.{name}"), &group.labels, faults);
+        }
+
+        for (name, organisation) in &self.organisations {
+            check_labels(&format!("organisations.{name}"), &organisation.labels, faults);
+        }
+    }
+
+    fn check_targets(&self, faults: &mut Faults) {
+        let mut ranks_taken = BTreeMap::new();
+        let mut addresses_taken = BTreeMap::new();
+
+        for (name, target) in &self.targets {
+            let path = format!("targets.{name}");
+            check_labels(&path, &target.labels, faults);
+
+            if target.hall.is_empty() || !is_label_text(&target.hall) {
+                faults.add(format!("{path}.hall"), &target.hall, "the name of a data hall");
+            }
+
+            if let Some(other) = addresses_taken.insert(target.agent_address, name) {
+                let expected = format!("an address that no other target has; `{other}` has it");
+                faults.add(
+                    format!("{path}.agent_address"),
+                    target.agent_address.to_string(),
+                    expected,
+                );
+            }
+
+            self.check_ranks(&path, target, &mut ranks_taken, faults);
+        }
+    }
+
+    fn check_ranks<'a>(
+        &'a self,
+        path: &str,
+        target: &'a Target,
+        taken: &mut BTreeMap<(&'a GroupName, Rank), ()>,
+        faults: &mut Faults,
+    ) {
+        let Some(group) = &target.group else {
+            if !target.ranks.is_empty() {
+                let value = format!("{:?}", target.ranks);
+                faults.add(format!("{path}.ranks"), value, "no ranks, or a `group`");
+            }
+
+            return;
+        };
+
+        if !self.groups.contains_key(group) {
+            faults.add(format!("{path}.group"), group, "the name of a group in the document");
+        }
+
+        if target.ranks.is_empty() {
+            faults.add(format!("{path}.ranks"), "[]", "at least one rank of the group");
+        }
+
+        for rank in &target.ranks {
+            if taken.insert((group, *rank), ()).is_some() {
+                let expected = "a rank that no other target of the group has";
+                faults.add(format!("{path}.ranks"), rank.to_string(), expected);
+            }
+        }
+    }
+
+    fn check_selectors(&self, faults: &mut Faults) {
+        for (name, rule) in &self.selectors {
+            check_selector(format!("selectors.{name}.traffic"), &rule.traffic, faults);
+            let field = format!("selectors.{name}.capacity");
+
+            let Some(capacity) = check_selector(field.clone(), &rule.capacity, faults) else {
+                continue;
+            };
+
+            let matched = self
+                .targets
+                .iter()
+                .any(|(name, target)| capacity.matches(&self.target_labels(name, target)));
+
+            if !matched {
+                let expected = "a selector that matches at least one target";
+                faults.0.push(Fault::new(field, &rule.capacity, expected));
+            }
+        }
+    }
+}
+
+fn check_selector(field: String, text: &str, faults: &mut Faults) -> Option<Selector> {
+    match Selector::try_new(text) {
+        Ok(selector) => Some(selector),
+        Err(error) => {
+            faults.add(field, text, format!("a selector; {error}"));
+            None
+        }
+    }
+}
--- /dev/null
+++ b/grebedeck-config/src/replica.rs
@@ -0,0 +1,170 @@
+//! A process's own copy of the configuration.
+//!
+//! It moves forward only. Whatever tells it of a lower revision, be it a stale peer, a stale read
+//! or a replayed message, is ignored.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use grebedeck_core::{Revision, UnixMs};
+use serde::{Deserialize, Serialize};
+
+use crate::change::{LogEntry, Snapshot};
+use crate::document::Document;
+
+/// How many log entries a replica keeps to hand on to its peers.
+pub const KEPT_ENTRIES: usize = 1024;
+
+/// What became of an offered entry or snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adoption {
+    /// The replica is at a new revision.
+    Adopted,
+    /// The offer was not newer.
+    Stale,
+    /// Entries between the replica's revision and the offer are missing.
+    Gap,
+    /// The offer's digest is not that of the resulting document.
+    Corrupt,
+}
+
+/// What brings another replica up to this one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CatchUp {
+    /// The log entries that it lacks, in order.
+    Entries(Vec<LogEntry>),
+    /// The whole document, where the log does not reach back far enough.
+    Snapshot(Box<Snapshot>),
+}
+
+/// The configuration that is in force in this process.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    revision: Revision,
+    accepted_unix_ms: UnixMs,
+    document: Arc<Document>,
+    entries: VecDeque<LogEntry>,
+}
+
+impl Replica {
+    /// Gets the revision in force; 0 where there is none yet.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Gets the document in force.
+    pub fn document(&self) -> &Arc<Document> {
+        &self.document
+    }
+
+    /// Gets the newest log entry that was adopted.
+    pub fn last_entry(&self) -> Option<&LogEntry> {
+        self.entries.back()
+    }
+
+    /// Gets the kept entries after a revision, or `None` where the log does not reach back so far.
+    pub fn entries_after(&self, revision: Revision) -> Option<Vec<LogEntry>> {
+        if revision >= self.revision {
+            return Some(Vec::new());
+        }
+
+        if self.entries.front()?.revision > revision + 1 {
+            return None;
+        }
+
+        Some(self.entries.iter().filter(|e| e.revision > revision).cloned().collect())
+    }
+
+    /// Gets the whole document at its revision.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            revision: self.revision,
+            accepted_unix_ms: self.accepted_unix_ms,
+            document: self.document.as_ref().clone(),
+        }
+    }
+
+    /// Gets when the revision in force was accepted.
+    pub fn accepted_unix_ms(&self) -> UnixMs {
+        self.accepted_unix_ms
+    }
+
+    /// Gets what brings a replica at `revision` up to this one, or `None` where nothing does.
+    pub fn catch_up(&self, revision: Revision) -> Option<CatchUp> {
+        if revision >= self.revision {
+            return None;
+        }
+
+        let caught = match self.entries_after(revision) {
+            Some(entries) => CatchUp::Entries(entries),
+            None => CatchUp::Snapshot(Box::new(self.snapshot())),
+        };
+
+        Some(caught)
+    }
+
+    /// Takes in what another process sent to catch up; tells what became of the last part.
+    pub fn take(&mut self, catch_up: CatchUp) -> Adoption {
+        match catch_up {
+            CatchUp::Snapshot(snapshot) => self.adopt_snapshot(*snapshot),
+            CatchUp::Entries(entries) => {
+                let before = self.revision;
+                let last = entries.into_iter().map(|e| self.adopt(e)).last();
+
+                // Entries that were known already may stand before the new ones.
+                match last {
+                    _ if self.revision > before => Adoption::Adopted,
+                    Some(adoption) => adoption,
+                    None => Adoption::Stale,
+                }
+            }
+        }
+    }
+
+    /// Adopts the next log entry.
+    pub fn adopt(&mut self, entry: LogEntry) -> Adoption {
+        if entry.revision <= self.revision {
+            return Adoption::Stale;
+        }
+
+        if entry.revision != self.revision + 1 {
+            return Adoption::Gap;
+        }
+
+        let next = entry.change.apply(&self.document);
+
+        if next.digest() != entry.digest {
+            return Adoption::Corrupt;
+        }
+
+        self.move_to(entry.revision, entry.accepted_unix_ms, next);
+        self.entries.push_back(entry);
+
+        if self.entries.len() > KEPT_ENTRIES {
+            self.entries.pop_front();
+        }
+
+        Adoption::Adopted
+    }
+
+    /// Adopts a whole document where it is newer.
+    pub fn adopt_snapshot(&mut self, snapshot: Snapshot) -> Adoption {
+        if snapshot.revision <= self.revision {
+            return Adoption::Stale;
+        }
+
+        self.move_to(snapshot.revision, snapshot.accepted_unix_ms, snapshot.document);
+        // The kept entries no longer reach up to the revision in force.
+        self.entries.clear();
+
+        Adoption::Adopted
+    }
+
+    fn move_to(&mut self, revision: Revision, accepted_unix_ms: UnixMs, document: Document) {
+        assert!(revision > self.revision, "a configuration must never revert");
+
+        self.revision = revision;
+        self.accepted_unix_ms = accepted_unix_ms;
+        self.document = Arc::new(document);
+    }
+}
--- /dev/null
+++ b/grebedeck-config/src/routes.rs
@@ -0,0 +1,171 @@
+//! The compiled form of a document: which targets each organisation may use for each service.
+//!
+//! Organisations with the same labels share one route, so the size grows with the number of
+//! distinct label sets, not with the number of organisations, as long as no selector names an
+//! organisation.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use grebedeck_core::{
+    GroupName, HallName, OrganisationName, Rank, Revision, ServiceName, TargetName,
+};
+
+use crate::document::{Document, NAME_LABEL, SERVICE_LABEL, SelectorRule};
+use crate::label::Labels;
+use crate::selector::Selector;
+
+/// What the request path knows of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The target's name.
+    pub name: TargetName,
+    /// The hall that it stands in.
+    pub hall: HallName,
+    /// Where its agent takes streams.
+    pub agent_address: SocketAddr,
+    /// Its group, for a model.
+    pub group: Option<GroupName>,
+    /// Its ranks in the group.
+    pub ranks: Vec<Rank>,
+    /// Whether the target itself checks fencing tokens.
+    pub checks_orders: bool,
+}
+
+type ClassNo = u32;
+type AllowedByService = HashMap<ServiceName, Arc<[Arc<Route>]>>;
+
+/// All routes of one revision.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    revision: Revision,
+    targets: BTreeMap<TargetName, Arc<Route>>,
+    class_of: HashMap<OrganisationName, ClassNo>,
+    classes: Vec<AllowedByService>,
+}
+
+struct Rule {
+    traffic: Selector,
+    capacity: Selector,
+}
+
+struct LabelledTarget {
+    route: Arc<Route>,
+    labels: Labels,
+}
+
+impl Routes {
+    /// Compiles a document that has been checked. A selector that does not parse allows nothing.
+    pub fn new(revision: Revision, document: &Document) -> Self {
+        let labelled = labelled_targets(document);
+        let rules: Vec<Rule> = document.selectors.values().filter_map(compile_rule).collect();
+        let names_matter = document.selectors.values().any(|r| r.traffic.contains(NAME_LABEL));
+
+        let mut class_by_labels: HashMap<Labels, ClassNo> = HashMap::new();
+        let mut classes = Vec::new();
+        let mut class_of = HashMap::with_capacity(document.organisations.len());
+
+        for (name, organisation) in &document.organisations {
+            let mut labels = organisation.labels.clone();
+
+            if names_matter {
+                labels.insert(NAME_LABEL.into(), name.clone());
+            }
+
+            let class = *class_by_labels.entry(labels).or_insert_with_key(|labels| {
+                classes.push(compile_class(labels, &rules, &labelled));
+                (classes.len() - 1) as ClassNo
+            });
+            class_of.insert(name.clone(), class);
+        }
+
+        let targets = labelled.into_iter().map(|t| (t.route.name.clone(), t.route)).collect();
+        Routes { revision, targets, class_of, classes }
+    }
+
+    /// Gets the revision that the routes were compiled from.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Tells whether the organisation is in the configuration.
+    pub fn knows(&self, organisation: &str) -> bool {
+        self.class_of.contains_key(organisation)
+    }
+
+    /// Gets the targets that the organisation may use for the service, ordered by name.
+    pub fn allowed(&self, organisation: &str, service: &str) -> Option<&Arc<[Arc<Route>]>> {
+        let class = *self.class_of.get(organisation)?;
+
+        self.classes[class as usize].get(service)
+    }
+
+    /// Tells whether the organisation may use any target.
+    pub fn has_capacity(&self, organisation: &str) -> bool {
+        self.class_of.get(organisation).is_some_and(|c| !self.classes[*c as usize].is_empty())
+    }
+
+    /// Gets all targets by name.
+    pub fn targets(&self) -> &BTreeMap<TargetName, Arc<Route>> {
+        &self.targets
+    }
+
+    /// Gets the number of distinct classes of organisations.
+    pub fn class_count(&self) -> usize {
+        self.classes.len()
+    }
+
+    /// Gets the targets of a group, ordered by their first rank.
+    pub fn group_members(&self, group: &str) -> Vec<Arc<Route>> {
+        let in_group = |r: &&Arc<Route>| r.group.as_deref() == Some(group);
+        let mut members: Vec<_> = self.targets.values().filter(in_group).cloned().collect();
+        members.sort_by_key(|r| r.ranks.iter().min().copied());
+
+        members
+    }
+}
+
+fn labelled_targets(document: &Document) -> Vec<LabelledTarget> {
+    let labelled = |(name, target): (&String, &crate::document::Target)| LabelledTarget {
+        labels: document.target_labels(name, target),
+        route: Arc::new(Route {
+            name: name.clone(),
+            hall: target.hall.clone(),
+            agent_address: target.agent_address,
+            group: target.group.clone(),
+            ranks: target.ranks.clone(),
+            checks_orders: target.checks_orders,
+        }),
+    };
+
+    document.targets.iter().map(labelled).collect()
+}
+
+fn compile_rule(rule: &SelectorRule) -> Option<Rule> {
+    let traffic = Selector::try_new(&rule.traffic).ok()?;
+    let capacity = Selector::try_new(&rule.capacity).ok()?;
+
+    Some(Rule { traffic, capacity })
+}
+
+fn compile_class(labels: &Labels, rules: &[Rule], targets: &[LabelledTarget]) -> AllowedByService {
+    let mut allowed: BTreeMap<&str, Vec<Arc<Route>>> = BTreeMap::new();
+    let mut traffic_labels = labels.clone();
+
+    for target in targets {
+        let Some(service) = target.labels.get(SERVICE_LABEL) else {
+            continue;
+        };
+
+        traffic_labels.insert(SERVICE_LABEL.into(), service.clone());
+        let admits =
+            |r: &Rule| r.traffic.matches(&traffic_labels) && r.capacity.matches(&target.labels);
+
+        if rules.iter().any(admits) {
+            allowed.entry(service).or_default().push(target.route.clone());
+        }
+    }
+
+    allowed.into_iter().map(|(service, routes)| (service.to_string(), routes.into())).collect()
+}
--- /dev/null
+++ b/grebedeck-experts/src/map.rs
@@ -0,0 +1,152 @@
+//! Expert maps: for each layer, the ranks that hold each expert and the share each one takes.
+
+use grebedeck_core::{Expert, Layer, Rank};
+use serde::{Deserialize, Serialize};
+
+/// One copy of an expert.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Replica {
+    /// The rank that holds it.
+    pub rank: Rank,
+    /// The fraction of the expert's tokens that it takes.
+    pub share: f32,
+}
+
+/// The placement of one layer's experts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LayerMap {
+    /// Replicas of each expert; never empty, and on distinct ranks.
+    pub experts: Vec<Vec<Replica>>,
+}
+
+/// The placement of all experts of a model on a group's ranks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ExpertMap {
+    /// Number of ranks.
+    pub ranks: Rank,
+    /// How many experts of a layer each rank can hold.
+    pub slots_per_rank: u16,
+    /// The layers' placements.
+    pub layers: Vec<LayerMap>,
+}
+
+/// Weights that a rank has to load for a new map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Move {
+    /// The layer of the expert.
+    pub layer: Layer,
+    /// The expert to load.
+    pub expert: Expert,
+    /// The rank that loads it.
+    pub rank: Rank,
+}
+
+impl LayerMap {
+    /// Gets each rank's load for the experts' loads.
+    pub fn rank_loads(&self, expert_loads: &[f32], ranks: Rank) -> Vec<f32> {
+        let mut loads = vec![0.0; usize::from(ranks)];
+
+        for (replicas, load) in self.experts.iter().zip(expert_loads) {
+            for replica in replicas {
+                loads[usize::from(replica.rank)] += load * replica.share;
+            }
+        }
+
+        loads
+    }
+
+    /// Tells whether the rank holds the expert.
+    pub fn holds(&self, expert: Expert, rank: Rank) -> bool {
+        self.experts[usize::from(expert)].iter().any(|r| r.rank == rank)
+    }
+
+    /// Gets how many experts the rank holds.
+    pub fn held_by(&self, rank: Rank) -> usize {
+        self.experts.iter().flatten().filter(|r| r.rank == rank).count()
+    }
+}
+
+impl ExpertMap {
+    /// Makes a first map: each expert has one home, and spare slots hold scattered replicas.
+    ///
+    /// Replicas of the experts of one rank go to different other ranks, so that shares alone can
+    /// move load between any two ranks along a chain of experts.
+    pub fn spread(ranks: Rank, experts: Expert, layers: Layer, slots_per_rank: u16) -> Self {
+        let layers = (0..layers).map(|l| spread_layer(ranks, experts, l, slots_per_rank)).collect();
+
+        ExpertMap { ranks, slots_per_rank, layers }
+    }
+
+    /// Gets the weights that ranks must load to get from this map to the next.
+    pub fn moves_to(&self, next: &ExpertMap) -> Vec<Move> {
+        let mut moves = Vec::new();
+
+        for (layer, (before, after)) in self.layers.iter().zip(&next.layers).enumerate() {
+            for (expert, replicas) in after.experts.iter().enumerate() {
+                let expert = expert as Expert;
+                let new = replicas.iter().filter(|r| !before.holds(expert, r.rank));
+                moves.extend(new.map(|r| Move { layer: layer as Layer, expert, rank: r.rank }));
+            }
+        }
+
+        moves
+    }
+
+    /// Asserts what every map must satisfy.
+    pub fn assert_valid(&self) {
+        for layer in &self.layers {
+            let mut held = vec![0u16; usize::from(self.ranks)];
+
+            for replicas in &layer.experts {
+                let total: f32 = replicas.iter().map(|r| r.share).sum();
+                assert!((total - 1.0).abs() < 1e-3, "an expert's shares must add up to one");
+
+                for replica in replicas {
+                    held[usize::from(replica.rank)] += 1;
+                }
+            }
+
+            let most = held.iter().max().copied().unwrap_or(0);
+            assert!(most <= self.slots_per_rank, "a rank holds more experts than it has slots");
+        }
+    }
+}
+
+fn spread_layer(ranks: Rank, experts: Expert, layer: Layer, slots_per_rank: u16) -> LayerMap {
+    let ranks_len = usize::from(ranks);
+    let mut held = vec![0u16; ranks_len];
+    let mut placed: Vec<Vec<Rank>> = vec![Vec::new(); usize::from(experts)];
+
+    for (expert, on) in placed.iter_mut().enumerate() {
+        let home = (expert + usize::from(layer)) % ranks_len;
+        on.push(home as Rank);
+        held[home] += 1;
+    }
+
+    assert!(held.iter().all(|h| *h <= slots_per_rank), "there are too few slots for the experts");
+
+    // Each round gives every expert one more replica, at a distance that differs from expert to
+    // expert, until no slot is left.
+    for round in 0..ranks_len {
+        for (expert, on) in placed.iter_mut().enumerate() {
+            let stride =
+                1 + (expert / ranks_len + round * 3 + usize::from(layer)) % (ranks_len - 1).max(1);
+            let start = usize::from(on[0]);
+            let open = |r: &usize| held[*r] < slots_per_rank && !on.contains(&(*r as Rank));
+            let candidate =
+                (0..ranks_len).map(|k| (start + stride * (k + 1)) % ranks_len).find(open);
+
+            if let Some(rank) = candidate.filter(|_| (expert + round) % 2 == 0 || round > 0) {
+                on.push(rank as Rank);
+                held[rank] += 1;
+            }
+        }
+    }
+
+    let even = |on: Vec<Rank>| {
+        let share = 1.0 / on.len() as f32;
+        on.into_iter().map(|rank| Replica { rank, share }).collect()
+    };
+
+    LayerMap { experts: placed.into_iter().map(even).collect() }
+}
--- /dev/null
+++ b/grebedeck-experts/src/plan.rs
@@ -0,0 +1,292 @@
+//! Deciding which map comes next, and whether it is worth its cost.
+//!
+//! Shares are levelled first, since that moves no weights. Only where a rank stays above its
+//! layer's ideal does the planner look for one replica to load: the expert that weighs most on the
+//! slowest rank, on a rank that has little to do, in place of the replica that is missed least.
+//! A move is taken if what it saves over the time that popularity is expected to hold, weighed by
+//! the group's profile, exceeds what loading it costs.
+
+use grebedeck_core::{Expert, Layer, Rank};
+
+use crate::map::{ExpertMap, LayerMap, Move, Replica};
+use crate::popularity::Popularity;
+use crate::share::{DEFAULT_PASSES, balance};
+
+/// Settings of the planner. Times are in milliseconds of a group's step time.
+#[derive(Clone, Debug)]
+pub struct PlanOptions {
+    /// How far above the ideal the slowest rank may stay, as a fraction.
+    pub tolerance: f32,
+    /// Smallest gain that is worth a switch, as a fraction of the ideal time.
+    pub min_gain: f32,
+    /// Weight of step time in the total cost.
+    pub skew_weight: f32,
+    /// Weight of moved weights and of switches in the total cost.
+    pub cost_weight: f32,
+    /// Cost of loading one expert of one layer, in milliseconds.
+    pub move_cost_ms: f32,
+    /// Cost of a switch without any moves, in milliseconds.
+    pub switch_cost_ms: f32,
+    /// Longest time over which a gain is counted, in steps.
+    pub max_horizon_steps: f32,
+    /// Most moves in one plan, so that a plan is loaded before it is out of date.
+    pub max_moves: usize,
+}
+
+impl Default for PlanOptions {
+    fn default() -> Self {
+        PlanOptions {
+            tolerance: 0.03,
+            min_gain: 0.01,
+            skew_weight: 3.0,
+            cost_weight: 1.0,
+            move_cost_ms: 44.0,
+            switch_cost_ms: 6.0,
+            max_horizon_steps: 20_000.0,
+            max_moves: 64,
+        }
+    }
+}
+
+/// What the planner knows of the group.
+#[derive(Clone, Debug)]
+pub struct GroupState<'a> {
+    /// The map in use.
+    pub map: &'a ExpertMap,
+    /// The estimated popularity.
+    pub popularity: &'a Popularity,
+    /// Time that all tokens of one layer would take on a single rank of normal speed, in
+    /// milliseconds.
+    pub layer_work_ms: f32,
+    /// Each rank's time per token, relative to a normal rank.
+    pub rank_costs: &'a [f32],
+}
+
+/// A map that is worth switching to.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The proposed map.
+    pub map: ExpertMap,
+    /// The weights that it needs loaded, best gain first.
+    pub moves: Vec<Move>,
+    /// The expected gain in milliseconds per step.
+    pub gain_ms_per_step: f32,
+}
+
+/// Decides on the next map of a group.
+#[derive(Clone, Debug, Default)]
+pub struct Planner {
+    options: PlanOptions,
+}
+
+struct LayerPlan {
+    map: LayerMap,
+    moves: Vec<(Move, f32)>,
+    gain: f32,
+}
+
+impl Planner {
+    /// Makes a planner.
+    pub fn new(options: PlanOptions) -> Self {
+        Planner { options }
+    }
+
+    /// Gives a better map where one is worth its cost.
+    pub fn plan(&self, group: &GroupState<'_>) -> Option<Plan> {
+        let mut layers = Vec::with_capacity(group.map.layers.len());
+        let mut moves: Vec<(Move, f32)> = Vec::new();
+        let mut gain = 0.0;
+        let mut worth = 0.0;
+
+        for layer in 0..group.map.layers.len() as Layer {
+            let room = self.options.max_moves - moves.len();
+            let plan = self.plan_layer(group, layer, room);
+            let horizon = self.horizon_steps(group, layer);
+
+            gain += plan.gain;
+            worth += plan.gain * horizon * self.options.skew_weight;
+            moves.extend(plan.moves);
+            layers.push(plan.map);
+        }
+
+        let moving = moves.len() as f32 * self.options.move_cost_ms;
+        let cost = (self.options.switch_cost_ms + moving) * self.options.cost_weight;
+
+        let ideal = ideal_time(group.rank_costs) * group.map.layers.len() as f32;
+
+        if worth <= cost || gain < self.options.min_gain * ideal {
+            return None;
+        }
+
+        moves.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let map = ExpertMap { layers, ..group.map.clone() };
+
+        Some(Plan {
+            map,
+            moves: moves.into_iter().map(|m| m.0).collect(),
+            gain_ms_per_step: gain * group.layer_work_ms,
+        })
+    }
+
+    fn horizon_steps(&self, group: &GroupState<'_>, layer: Layer) -> f32 {
+        let horizon = group.popularity.horizon_steps(layer).min(self.options.max_horizon_steps);
+
+        horizon * group.layer_work_ms
+    }
+
+    fn plan_layer(&self, group: &GroupState<'_>, layer: Layer, room: usize) -> LayerPlan {
+        let fractions = group.popularity.fractions(layer);
+        let costs = group.rank_costs;
+        let mut map = group.map.layers[usize::from(layer)].clone();
+
+        let before = slowest(&map.rank_loads(fractions, costs.len() as Rank), costs);
+        let mut loads = balance(&mut map, fractions, costs, DEFAULT_PASSES);
+        let mut moves = Vec::new();
+
+        let ideal = ideal_time(costs);
+        let horizon = self.horizon_steps(group, layer);
+        let price = self.options.move_cost_ms * self.options.cost_weight;
+
+        while moves.len() < room {
+            let now = slowest(&loads, costs);
+
+            if now <= ideal * (1.0 + self.options.tolerance) {
+                break;
+            }
+
+            let Some(step) = best_move(&map, fractions, &loads, costs, group.map.slots_per_rank)
+            else {
+                break;
+            };
+
+            let gain = now - step.slowest;
+
+            if gain * horizon * self.options.skew_weight <= price {
+                break;
+            }
+
+            moves.push((Move { layer, expert: step.expert, rank: step.to }, gain));
+            map = step.map;
+            loads = step.loads;
+        }
+
+        let gain = before - slowest(&loads, costs);
+        LayerPlan { map, moves, gain }
+    }
+}
+
+struct Candidate {
+    expert: Expert,
+    to: Rank,
+    map: LayerMap,
+    loads: Vec<f32>,
+    slowest: f32,
+}
+
+/// How many of the heaviest experts of the slowest rank are tried.
+const EXPERTS_TRIED: usize = 2;
+/// How many of the least loaded ranks are tried for each.
+const RANKS_TRIED: usize = 3;
+/// Passes when comparing candidates.
+const CANDIDATE_PASSES: usize = 6;
+
+fn best_move(
+    map: &LayerMap,
+    fractions: &[f32],
+    loads: &[f32],
+    costs: &[f32],
+    slots_per_rank: u16,
+) -> Option<Candidate> {
+    let from = slowest_rank(loads, costs);
+    let mut tried = Vec::new();
+
+    for expert in heaviest_on(map, fractions, from).into_iter().take(EXPERTS_TRIED) {
+        let open = |r: &Rank| !map.holds(expert, *r);
+
+        for to in idlest(loads, costs).into_iter().filter(open).take(RANKS_TRIED) {
+            tried.extend(try_move(map, fractions, costs, slots_per_rank, expert, to));
+        }
+    }
+
+    tried.into_iter().min_by(|a, b| a.slowest.total_cmp(&b.slowest))
+}
+
+fn try_move(
+    map: &LayerMap,
+    fractions: &[f32],
+    costs: &[f32],
+    slots_per_rank: u16,
+    expert: Expert,
+    to: Rank,
+) -> Option<Candidate> {
+    let mut next = map.clone();
+
+    if next.held_by(to) >= usize::from(slots_per_rank) {
+        let evicted = least_missed(&next, fractions, to)?;
+        evict(&mut next.experts[usize::from(evicted)], to);
+    }
+
+    next.experts[usize::from(expert)].push(Replica { rank: to, share: 0.0 });
+    let loads = balance(&mut next, fractions, costs, CANDIDATE_PASSES);
+    let slowest = slowest(&loads, costs);
+
+    Some(Candidate { expert, to, map: next, loads, slowest })
+}
+
+/// Finds the replica on a rank that takes the least load and is not its expert's only one.
+fn least_missed(map: &LayerMap, fractions: &[f32], rank: Rank) -> Option<Expert> {
+    let taken = |expert: usize| {
+        let replicas = &map.experts[expert];
+        let own = replicas.iter().find(|r| r.rank == rank)?;
+
+        (replicas.len() > 1).then_some((expert as Expert, own.share * fractions[expert]))
+    };
+
+    let least = (0..map.experts.len()).filter_map(taken).min_by(|a, b| a.1.total_cmp(&b.1));
+    least.map(|(expert, _)| expert)
+}
+
+/// Removes a rank's replica and gives its share to the others.
+fn evict(replicas: &mut Vec<Replica>, rank: Rank) {
+    replicas.retain(|r| r.rank != rank);
+    let total: f32 = replicas.iter().map(|r| r.share).sum();
+    let even = 1.0 / replicas.len() as f32;
+
+    for replica in replicas {
+        replica.share = if total > 1e-6 { replica.share / total } else { even };
+    }
+}
+
+fn heaviest_on(map: &LayerMap, fractions: &[f32], rank: Rank) -> Vec<Expert> {
+    let load_of = |expert: usize| {
+        let own = map.experts[expert].iter().find(|r| r.rank == rank)?;
+
+        Some((expert as Expert, own.share * fractions[expert]))
+    };
+
+    let mut held: Vec<_> = (0..map.experts.len()).filter_map(load_of).collect();
+    held.sort_by(|a, b| b.1.total_cmp(&a.1));
+    held.into_iter().map(|(expert, _)| expert).collect()
+}
+
+fn idlest(loads: &[f32], costs: &[f32]) -> Vec<Rank> {
+    let mut ranks: Vec<Rank> = (0..loads.len() as Rank).collect();
+    let time = |r: &Rank| loads[usize::from(*r)] * costs[usize::from(*r)];
+    ranks.sort_by(|a, b| time(a).total_cmp(&time(b)));
+
+    ranks
+}
+
+fn slowest_rank(loads: &[f32], costs: &[f32]) -> Rank {
+    idlest(loads, costs).last().copied().unwrap_or(0)
+}
+
+/// Gets the time that a layer would take if all ranks were level, in units of its whole work.
+fn ideal_time(costs: &[f32]) -> f32 {
+    1.0 / costs.iter().map(|c| 1.0 / c).sum::<f32>()
+}
+
+/// Gets the slowest rank's time, in units of the layer's whole work.
+pub fn slowest(loads: &[f32], costs: &[f32]) -> f32 {
+    loads.iter().zip(costs).map(|(l, c)| l * c).fold(0.0, f32::max)
+}
--- /dev/null
+++ b/grebedeck-kernel/src/metrics.rs
@@ -0,0 +1,73 @@
+//! Counters, exposed in the text form that scrapers read.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// A process's metrics.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+/// A counter with one optional label.
+#[derive(Clone)]
+pub struct Counter {
+    counter: opentelemetry::metrics::Counter<u64>,
+    label: &'static str,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a fresh registry takes an exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+
+        Metrics { registry, provider }
+    }
+}
+
+impl Metrics {
+    /// Makes a counter whose values are told apart by `label`.
+    pub fn counter(&self, name: &'static str, label: &'static str, help: &'static str) -> Counter {
+        let meter = self.provider.meter("grebedeck");
+        let counter = meter.u64_counter(name).with_description(help).build();
+
+        Counter { counter, label }
+    }
+
+    /// Adds a gauge that is read when the metrics are.
+    pub fn gauge(
+        &self,
+        name: &'static str,
+        help: &'static str,
+        read: impl Fn() -> f64 + Send + Sync + 'static,
+    ) {
+        let meter = self.provider.meter("grebedeck");
+        let gauge = meter.f64_observable_gauge(name).with_description(help);
+
+        gauge.with_callback(move |observer| observer.observe(read(), &[])).build();
+    }
+
+    /// Gets all metrics as text.
+    pub fn text(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
+impl Counter {
+    /// Adds one.
+    pub fn add(&self, label: &'static str) {
+        self.add_many(1, label);
+    }
+
+    /// Adds a number.
+    pub fn add_many(&self, count: u64, label: &'static str) {
+        self.counter.add(count, &[KeyValue::new(self.label, label)]);
+    }
+}
--- /dev/null
+++ b/grebedeck-lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins for what grebedeck meets, and experiments with its decisions. None of this is
+//! shipped.
+//!
+//! [`platform`] stands in for the platform, [`model`] for a lock-step group of ranks, [`plain`] for
+//! a plain service, and [`site`] puts them and the real processes together on loopback.
+
+#![forbid(unsafe_code)]
+
+pub mod http;
+pub mod model;
+pub mod plain;
+pub mod platform;
+pub mod site;
--- /dev/null
+++ b/grebedeck-routing/src/choice.rs
@@ -0,0 +1,207 @@
+//! Choice of a target among those that the selectors allow.
+//!
+//! A few targets are drawn at random and the least loaded of them is taken. Drawing keeps many
+//! entries from running to the same target after the same report. A target's load is what it
+//! reported last, corrected by what this entry itself has sent and seen end since, over the number
+//! of places it has; another hall counts as a little more load.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use grebedeck_config::routes::Route;
+use grebedeck_core::{Moment, RandomSource, TargetName};
+use serde::{Deserialize, Serialize};
+
+use crate::health::{Health, HealthOptions};
+
+/// Settings of the choice.
+#[derive(Clone, Debug)]
+pub struct ChooserOptions {
+    /// How many targets are drawn.
+    pub draws: usize,
+    /// Load that another hall counts as, in places.
+    pub other_hall_places: f64,
+    /// Age after which a report is no longer believed.
+    pub report_lifetime: Duration,
+    /// Part of the targets that must look well; below it all are used.
+    pub min_usable: f64,
+    /// How long a target's word that it is leaving is believed.
+    pub leaving_lifetime: Duration,
+    /// How health is judged.
+    pub health: HealthOptions,
+}
+
+impl Default for ChooserOptions {
+    fn default() -> Self {
+        ChooserOptions {
+            draws: 3,
+            other_hall_places: 0.5,
+            report_lifetime: Duration::from_secs(10),
+            min_usable: 0.3,
+            leaving_lifetime: Duration::from_secs(5),
+            health: HealthOptions::default(),
+        }
+    }
+}
+
+/// What an agent says of its target's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests in flight, from all entries.
+    pub in_flight: u32,
+    /// Places for requests.
+    pub places: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct View {
+    own_in_flight: u32,
+    report: Option<(Moment, LoadReport)>,
+    /// Own requests sent minus ended since the report.
+    since_report: i64,
+    leaving_until: Option<Moment>,
+    health: Health,
+}
+
+/// An entry's view of its targets.
+#[derive(Clone, Debug, Default)]
+pub struct Chooser {
+    options: ChooserOptions,
+    own_hall: String,
+    views: HashMap<TargetName, View>,
+}
+
+impl Chooser {
+    /// Makes a chooser for an entry in the given hall.
+    pub fn new(own_hall: &str, options: ChooserOptions) -> Self {
+        Chooser { options, own_hall: own_hall.to_string(), views: HashMap::new() }
+    }
+
+    /// Chooses a target among the allowed ones, without those in `avoid` where others are left.
+    pub fn choose<'a>(
+        &self,
+        allowed: &'a [Arc<Route>],
+        avoid: &[TargetName],
+        now: Moment,
+        random: &mut impl RandomSource,
+    ) -> Option<&'a Arc<Route>> {
+        let staying: Vec<_> = allowed.iter().filter(|r| !self.is_leaving(&r.name, now)).collect();
+        let fresh = |r: &&Arc<Route>| !avoid.contains(&r.name);
+        let usable = |r: &&Arc<Route>| self.view(&r.name).is_none_or(|v| v.health.is_usable(now));
+
+        let well: Vec<_> = staying.iter().copied().filter(usable).collect();
+        let enough = well.len() as f64 >= staying.len() as f64 * self.options.min_usable;
+        let pool = if enough { well } else { staying };
+
+        let untried: Vec<_> = pool.iter().copied().filter(fresh).collect();
+        let pool = if untried.is_empty() { pool } else { untried };
+
+        self.least_loaded(&pool, now, random)
+    }
+
+    fn least_loaded<'a>(
+        &self,
+        pool: &[&'a Arc<Route>],
+        now: Moment,
+        random: &mut impl RandomSource,
+    ) -> Option<&'a Arc<Route>> {
+        let draws = self.options.draws.min(pool.len());
+        let mut best: Option<(f64, &'a Arc<Route>)> = None;
+
+        for _ in 0..draws {
+            let route = pool[random.below(pool.len())];
+            let score = self.score(route, now) + random.unit() * 1e-6;
+
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, route));
+            }
+        }
+
+        best.map(|(_, route)| route)
+    }
+
+    fn score(&self, route: &Route, now: Moment) -> f64 {
+        let distance =
+            if route.hall == self.own_hall { 0.0 } else { self.options.other_hall_places };
+
+        let Some(view) = self.view(&route.name) else {
+            return distance;
+        };
+
+        let lifetime = self.options.report_lifetime;
+        let fresh = view.report.filter(|(at, _)| *at + lifetime > now);
+        let (in_flight, places) = match fresh {
+            Some((_, report)) => {
+                let corrected = i64::from(report.in_flight) + view.since_report;
+                (corrected.max(i64::from(view.own_in_flight)) as f64, report.places.max(1))
+            }
+            None => (f64::from(view.own_in_flight), 1),
+        };
+
+        (in_flight + distance + 1.0) / f64::from(places) / view.health.weight(&self.options.health)
+    }
+
+    fn view(&self, target: &str) -> Option<&View> {
+        self.views.get(target)
+    }
+
+    /// Tells whether the target is known to be leaving.
+    pub fn is_leaving(&self, target: &str, now: Moment) -> bool {
+        self.view(target).and_then(|v| v.leaving_until).is_some_and(|until| now < until)
+    }
+
+    /// Gets the number of targets that a view is kept of.
+    pub fn view_count(&self) -> usize {
+        self.views.len()
+    }
+
+    /// Notes that a request was sent to the target.
+    pub fn sent(&mut self, target: &str) {
+        let view = self.views.entry(target.to_string()).or_default();
+
+        view.own_in_flight += 1;
+        view.since_report += 1;
+        view.health.sent();
+    }
+
+    /// Notes that a request ended. `success` is `None` where it says nothing of the target's
+    /// health, such as a refusal for lack of room. Tells whether the target was put aside.
+    pub fn ended(&mut self, target: &str, success: Option<bool>, now: Moment) -> bool {
+        let Some(view) = self.views.get_mut(target) else {
+            return false;
+        };
+
+        view.own_in_flight = view.own_in_flight.saturating_sub(1);
+        view.since_report -= 1;
+
+        match success {
+            Some(true) => view.health.succeeded(&self.options.health),
+            Some(false) => return view.health.failed(now, &self.options.health),
+            None => view.health.neutral(),
+        }
+
+        false
+    }
+
+    /// Takes in a load report.
+    pub fn reported(&mut self, target: &str, report: LoadReport, now: Moment) {
+        let view = self.views.entry(target.to_string()).or_default();
+
+        view.report = Some((now, report));
+        view.since_report = 0;
+    }
+
+    /// Notes that a target said it is leaving; it is asked again after a while, as its place may
+    /// have been taken by a replacement.
+    pub fn set_leaving(&mut self, target: &str, now: Moment) {
+        let until = now + self.options.leaving_lifetime;
+
+        self.views.entry(target.to_string()).or_default().leaving_until = Some(until);
+    }
+
+    /// Drops the views of targets that are gone and have nothing in flight.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.views.retain(|name, view| view.own_in_flight > 0 || keep(name));
+    }
+}
--- /dev/null
+++ b/grebedeck-routing/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions on requests: choice of target, limits, retries, and running a request at most once.
+//!
+//! All of it is pure. The entry drives [`Chooser`], [`Admission`], [`RetryBudget`] and
+//! [`AttemptTracker`]; the agent drives [`Gate`].
+
+#![forbid(unsafe_code)]
+
+pub mod admission;
+pub mod attempt;
+pub mod choice;
+pub mod gate;
+pub mod health;
+pub mod home;
+pub mod key;
+pub mod retry;
+pub mod subset;
+
+pub use admission::{Admission, AdmissionOptions};
+pub use attempt::{AttemptEnd, AttemptTracker, Next, RequestTraits};
+pub use choice::{Chooser, ChooserOptions, LoadReport};
+pub use gate::{Gate, GateOptions, Start, StrikeAnswer, Verdict};
+pub use health::{Health, HealthOptions};
+pub use home::{AllowedSince, find_home};
+pub use key::{Key, KeyDigest};
+pub use retry::{RetryBudget, RetryOptions};
--- /dev/null
+++ b/grebedeck/src/agent/group.rs
@@ -0,0 +1,477 @@
+//! The group's side of an agent: drives the switch protocol, and balances the group where this
+//! agent is the first of its members.
+//!
+//! Orders to the engine go out one after another, from one task. The pure machines decide; this
+//! module carries messages, orders and answers between them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use futures::FutureExt;
+use grebedeck_core::{GroupName, Incarnation, Moment, Step};
+use grebedeck_experts::ExpertMap;
+use grebedeck_experts::switch::{
+    Body, Coordinator, CoordinatorOptions, CoordinatorOrder, MapVersion, Member, MemberNo,
+    MemberOptions, MemberOrder, Message,
+};
+use grebedeck_kernel::{Clock, Counter, Kernel, Metrics, Service, log};
+use grebedeck_net::platform::Engine;
+use grebedeck_net::platform::engine::{EngineAction, EngineOrder};
+use serde_json::{Value, json};
+
+use super::balance::Balance;
+use crate::config::{self, ConfigService};
+use crate::directory::Directory;
+use crate::message::{Control, GroupCounts};
+use crate::settings::{AgentSettings, BalanceSettings, millis};
+
+/// How often the machines are told the time.
+const TICK: Duration = Duration::from_millis(50);
+/// Wait before an order that failed is given again.
+const ORDER_RETRY: Duration = Duration::from_millis(100);
+/// How many maps are kept by version: the one in use, the one before, and a proposal.
+const KEPT_MAPS: usize = 4;
+
+/// What reaches the group's task from outside.
+enum Event {
+    Message(Message, Option<ExpertMap>),
+    Counts(GroupCounts),
+}
+
+/// State that a dump shows and peers ask for.
+#[derive(Default)]
+struct Shared {
+    maps: HashMap<MapVersion, ExpertMap>,
+    status: Value,
+}
+
+/// The group's service of an agent.
+pub struct GroupService {
+    clock: Clock,
+    name: String,
+    incarnation: Incarnation,
+    settings: BalanceSettings,
+    config: Arc<ConfigService>,
+    directory: Arc<Directory>,
+    switches: Counter,
+    events: Sender<Event>,
+    inbox: Receiver<Event>,
+    shared: Mutex<Shared>,
+}
+
+/// The members of a group, as the configuration names them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Roster {
+    group: GroupName,
+    own: MemberNo,
+    addresses: Vec<SocketAddr>,
+}
+
+/// The group's task.
+struct Driver<E> {
+    service: Arc<GroupService>,
+    engine: E,
+    roster: Roster,
+    member: Member,
+    coordinator: Option<Coordinator>,
+    balance: Balance,
+    proposed: Option<(MapVersion, ExpertMap)>,
+    next_step: Step,
+    counts_at: Moment,
+    plan_at: Moment,
+    resumed: bool,
+}
+
+impl GroupService {
+    /// Makes the service; the kernel must have the configuration and the peers.
+    pub fn new(
+        settings: &AgentSettings,
+        incarnation: Incarnation,
+        clock: Clock,
+        kernel: &Kernel,
+        metrics: &Metrics,
+    ) -> Self {
+        let (events, inbox) = async_channel::bounded(1024);
+
+        GroupService {
+            clock,
+            name: settings.common.name.clone(),
+            incarnation,
+            settings: settings.balance.clone(),
+            config: kernel.require::<ConfigService>(config::NAME),
+            directory: kernel.require::<Directory>("peers"),
+            switches: metrics.counter(
+                "grebedeck_map_switches",
+                "end",
+                "Switches of the expert map, by how they ended at this member",
+            ),
+            events,
+            inbox,
+            shared: Mutex::default(),
+        }
+    }
+
+    /// Takes in a message of the switch protocol.
+    pub fn receive(&self, message: Message, map: Option<ExpertMap>) {
+        // A message that finds no room is as good as lost, which the protocol expects.
+        let _ = self.events.try_send(Event::Message(message, map));
+    }
+
+    /// Takes in a member's token counts.
+    pub fn count(&self, counts: GroupCounts) {
+        let _ = self.events.try_send(Event::Counts(counts));
+    }
+
+    /// Gets the map of a version, where this member still has it.
+    pub fn map_of(&self, version: MapVersion) -> Option<ExpertMap> {
+        self.shared().maps.get(&version).cloned()
+    }
+
+    /// Runs the group's side until the task is dropped.
+    pub async fn run<E: Engine>(self: Arc<Self>, engine: E) {
+        loop {
+            match self.find_roster() {
+                Some(roster) => Driver::new(self.clone(), engine.clone(), roster).run().await,
+                None => async_std::task::sleep(TICK).await,
+            }
+        }
+    }
+
+    fn find_roster(&self) -> Option<Roster> {
+        let routes = self.config.routes();
+        let group = routes.targets().get(&self.name)?.group.clone()?;
+        let members = routes.group_members(&group);
+        let own = members.iter().position(|m| m.name == self.name)? as MemberNo;
+        let addresses = members.iter().map(|m| m.agent_address).collect();
+
+        Some(Roster { group, own, addresses })
+    }
+
+    fn keep_map(&self, version: MapVersion, map: ExpertMap, in_use: MapVersion) {
+        let mut shared = self.shared();
+        shared.maps.insert(version, map);
+
+        while shared.maps.len() > KEPT_MAPS {
+            let oldest = shared.maps.keys().filter(|v| **v != in_use).min().copied();
+
+            match oldest {
+                Some(oldest) => shared.maps.remove(&oldest),
+                None => break,
+            };
+        }
+    }
+
+    fn shared(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service for GroupService {
+    fn dump(&self) -> Value {
+        self.shared().status.clone()
+    }
+}
+
+impl<E: Engine> Driver<E> {
+    fn new(service: Arc<GroupService>, engine: E, roster: Roster) -> Self {
+        let now = service.clock.now();
+        let size = roster.addresses.len();
+        let member =
+            Member::replacing(roster.own, size, service.incarnation, now, MemberOptions::default());
+        let balance = Balance::new(service.settings.clone());
+        log::info!("group joined", kv: { group = roster.group.as_str(), members = size });
+
+        Driver {
+            service,
+            engine,
+            roster,
+            member,
+            coordinator: None,
+            balance,
+            proposed: None,
+            next_step: 0,
+            counts_at: now,
+            plan_at: now,
+            resumed: false,
+        }
+    }
+
+    /// Runs until the configuration names other members.
+    async fn run(mut self) {
+        let inbox = self.service.inbox.clone();
+
+        loop {
+            futures::select! {
+                event = inbox.recv().fuse() => match event {
+                    Ok(event) => self.take(event).await,
+                    Err(_) => return,
+                },
+                _ = async_std::task::sleep(TICK).fuse() => {}
+            }
+
+            self.tick().await;
+
+            if self.service.find_roster().as_ref() != Some(&self.roster) {
+                log::info!("group members changed");
+                return;
+            }
+        }
+    }
+
+    async fn take(&mut self, event: Event) {
+        match event {
+            Event::Counts(counts) => self.balance.count(&counts),
+            Event::Message(message, map) => {
+                if let (Body::Prepare { version, .. }, Some(map)) = (&message.body, map) {
+                    self.service.keep_map(*version, map, self.member.current());
+                }
+
+                self.take_message(message).await;
+            }
+        }
+    }
+
+    async fn take_message(&mut self, message: Message) {
+        let now = self.service.clock.now();
+
+        if let Some(coordinator) = &mut self.coordinator {
+            let orders = coordinator.receive(&message, now);
+            self.carry_out_coordination(orders).await;
+        }
+
+        let orders = self.member.receive(&message, self.next_step);
+        self.carry_out(orders).await;
+    }
+
+    async fn tick(&mut self) {
+        let now = self.service.clock.now();
+        let orders = self.member.tick(now);
+        self.carry_out(orders).await;
+
+        if let Some(coordinator) = &mut self.coordinator {
+            let orders = coordinator.tick(now);
+            self.carry_out_coordination(orders).await;
+        }
+
+        if self.member.is_idle() && !self.resumed {
+            self.resume().await;
+        }
+
+        if now >= self.counts_at {
+            self.counts_at = now + millis(self.service.settings.counts_ms);
+            self.report_counts().await;
+        }
+
+        if now >= self.plan_at {
+            self.plan_at = now + millis(self.service.settings.plan_ms);
+            self.consider(now).await;
+        }
+
+        self.service.shared().status = json!({
+            "group": self.roster.group,
+            "member": self.roster.own,
+            "switch": self.member.status(),
+            "next_step": self.next_step,
+            "coordinating": self.coordinator.is_some(),
+            "expected_skew": self.balance.expected_skew(),
+        });
+    }
+
+    /// Brings a joined member's engine to the group's map.
+    async fn resume(&mut self) {
+        let current = self.member.current();
+
+        if current == MapVersion::default() {
+            self.resumed = true;
+            return;
+        }
+
+        let Some(map) = self.find_map(current).await else {
+            return;
+        };
+
+        self.service.keep_map(current, map, current);
+        let loaded = self.load(current).await;
+        let version = version_text(current);
+        let action = EngineAction::Use { version, at_step: self.next_step };
+        self.resumed = loaded && self.order(current, action).await;
+    }
+
+    async fn find_map(&self, version: MapVersion) -> Option<ExpertMap> {
+        if let Some(map) = self.service.map_of(version) {
+            return Some(map);
+        }
+
+        for address in &self.roster.addresses {
+            let answer = self.service.directory.control(*address, &Control::MapOf(version)).await;
+
+            if let Ok(crate::message::ControlAnswer::Map(Some(map))) = answer {
+                return Some(map);
+            }
+        }
+
+        None
+    }
+
+    async fn report_counts(&mut self) {
+        let Ok(state) = self.engine.state().await else {
+            return;
+        };
+
+        self.next_step = state.next_step;
+        let Some(counts) = self.balance.since_last(&state) else {
+            return;
+        };
+
+        if self.roster.own == 0 {
+            self.balance.count(&counts);
+            return;
+        }
+
+        let address = self.roster.addresses[0];
+        let _ = self.service.directory.control(address, &Control::Counts(counts)).await;
+    }
+
+    /// Proposes a new map where one is worth its cost. The first member coordinates.
+    async fn consider(&mut self, now: Moment) {
+        if self.roster.own != 0 || !self.member.is_idle() || !self.resumed {
+            return;
+        }
+
+        let own_epoch = self.member.status().seen_epoch;
+
+        if self.coordinator.as_ref().is_none_or(|c| c.is_idle() && c.epoch() < own_epoch) {
+            let incarnation = self.service.incarnation;
+            let options = CoordinatorOptions::default();
+            self.coordinator =
+                Some(Coordinator::new(self.roster.own, incarnation, own_epoch + 1, options));
+        }
+
+        let Some(coordinator) = self.coordinator.as_mut().filter(|c| c.is_idle()) else {
+            return;
+        };
+
+        let current = self.member.current();
+        let in_use = self.service.map_of(current);
+        let Some(plan) = self.balance.plan(in_use.as_ref()) else {
+            return;
+        };
+
+        plan.map.assert_valid();
+        let version = coordinator.next_version();
+        log::info!("map proposed", kv: {
+            version = version_text(version),
+            moves = plan.moves.len(),
+            gain_ms_per_step = f64::from(plan.gain_ms_per_step),
+        });
+        self.service.keep_map(version, plan.map.clone(), current);
+        self.proposed = Some((version, plan.map));
+        let orders = coordinator.propose(current, self.member.roster().to_vec(), now);
+        self.carry_out_coordination(orders).await;
+    }
+
+    async fn carry_out_coordination(&mut self, orders: Vec<CoordinatorOrder>) {
+        for order in orders {
+            match order {
+                CoordinatorOrder::Send(message) => self.send(message).await,
+                CoordinatorOrder::Committed(version) => {
+                    log::info!("map committed", kv: { version = version_text(version) });
+                }
+                CoordinatorOrder::GivenUp(version) => {
+                    log::info!("map given up", kv: { version = version_text(version) });
+                }
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, orders: Vec<MemberOrder>) {
+        for order in orders {
+            match order {
+                MemberOrder::Send(message) => self.send(message).await,
+                MemberOrder::Load { version } => self.carry_out_load(version).await,
+                MemberOrder::HoldAt { version, at_step } => {
+                    let done = self.order(version, EngineAction::HoldAt { at_step }).await;
+                    let now = self.service.clock.now();
+                    let orders = self.member.held(version, done, now);
+                    Box::pin(self.carry_out(orders)).await;
+                }
+                MemberOrder::Use { version, at_step } => {
+                    self.service.switches.add("used");
+                    let action = EngineAction::Use { version: version_text(version), at_step };
+                    self.insist(version, action).await;
+                }
+                MemberOrder::Keep { given_up } => {
+                    self.service.switches.add("kept");
+                    self.insist(given_up, EngineAction::Keep).await;
+                }
+            }
+        }
+    }
+
+    async fn carry_out_load(&mut self, version: MapVersion) {
+        if self.load(version).await {
+            let orders = self.member.loaded(version, self.next_step);
+            Box::pin(self.carry_out(orders)).await;
+        }
+    }
+
+    async fn load(&mut self, version: MapVersion) -> bool {
+        let Some(map) = self.service.map_of(version) else {
+            return false;
+        };
+
+        let map = serde_json::to_value(&map).expect("a map always serializes");
+        self.order(version, EngineAction::Load { version: version_text(version), map }).await
+    }
+
+    /// Gives an order until the engine has carried it out; holding on is the only other way.
+    async fn insist(&mut self, version: MapVersion, action: EngineAction) {
+        while !self.order(version, action.clone()).await {
+            async_std::task::sleep(ORDER_RETRY).await;
+        }
+    }
+
+    async fn order(&mut self, version: MapVersion, action: EngineAction) -> bool {
+        let order = EngineOrder { epoch: version.epoch, action };
+
+        match self.engine.order(&order).await {
+            Ok(answer) => {
+                self.next_step = answer.next_step;
+                answer.done
+            }
+            Err(_) => false,
+        }
+    }
+
+    async fn send(&mut self, message: Message) {
+        if message.to == self.roster.own {
+            Box::pin(self.take_message(message)).await;
+            return;
+        }
+
+        let Some(address) = self.roster.addresses.get(usize::from(message.to)).copied() else {
+            return;
+        };
+
+        let map = match (&message.body, &self.proposed) {
+            (Body::Prepare { version, .. }, Some((proposed, map))) if version == proposed => {
+                Some(map.clone())
+            }
+            _ => None,
+        };
+
+        let directory = self.service.directory.clone();
+        // A slow peer must not hold up the others.
+        async_std::task::spawn(async move {
+            let _ = directory.control(address, &Control::Switch { message, map }).await;
+        });
+    }
+}
+
+/// Gets the text that names a version towards an engine.
+pub fn version_text(version: MapVersion) -> String {
+    format!("{}.{}.{}", version.epoch, version.proposer, version.number)
+}
--- /dev/null
+++ b/grebedeck/src/config/service.rs
@@ -0,0 +1,164 @@
+//! The configuration in force, as the other services see it.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+use grebedeck_config::{Adoption, CatchUp, Replica, Routes};
+use grebedeck_core::{Moment, Reason, Revision, UnixMs};
+use grebedeck_kernel::{Clock, Counter, Metrics, Service, log};
+use grebedeck_routing::{AllowedSince, Key, find_home};
+use serde_json::{Value, json};
+
+/// The service's name.
+pub const NAME: &str = "config";
+/// How many revisions are kept to find the homes of keys.
+const KEPT_ROUTES: usize = 8;
+
+/// Routes with the time from which they hold.
+type RoutesSince = (UnixMs, Arc<Routes>);
+
+/// The configuration in force.
+pub struct ConfigService {
+    clock: Clock,
+    replica: Mutex<Replica>,
+    routes: RwLock<Arc<Routes>>,
+    history: Mutex<VecDeque<RoutesSince>>,
+    store_seen: Mutex<Option<Moment>>,
+    changed: async_channel::Sender<Revision>,
+    on_change: async_channel::Receiver<Revision>,
+    adoptions: Counter,
+}
+
+impl ConfigService {
+    /// Makes the service with no configuration.
+    pub fn new(clock: Clock, metrics: &Metrics) -> Self {
+        let (changed, on_change) = async_channel::bounded(1);
+        let adoptions = metrics.counter(
+            "grebedeck_config_offers",
+            "end",
+            "Configurations offered by the store or by peers, by what became of them",
+        );
+
+        ConfigService {
+            clock,
+            replica: Mutex::default(),
+            routes: RwLock::default(),
+            history: Mutex::default(),
+            store_seen: Mutex::default(),
+            changed,
+            on_change,
+            adoptions,
+        }
+    }
+
+    /// Gets the routes in force.
+    pub fn routes(&self) -> Arc<Routes> {
+        self.routes.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Gets the revision in force; 0 where there is none yet.
+    pub fn revision(&self) -> Revision {
+        self.lock().revision()
+    }
+
+    /// Looks at the replica.
+    pub fn with_replica<T>(&self, look: impl FnOnce(&Replica) -> T) -> T {
+        look(&self.lock())
+    }
+
+    /// Takes in what the store or a peer offers; a newer revision is in force when this returns.
+    pub fn take(&self, offer: CatchUp) -> Adoption {
+        let mut replica = self.lock();
+        let adoption = replica.take(offer);
+        self.adoptions.add(adoption_word(adoption));
+
+        if adoption == Adoption::Adopted {
+            self.put_in_force(&replica);
+        }
+
+        adoption
+    }
+
+    /// Gets a signal for each new revision; signals that nobody waits for are merged.
+    pub fn on_change(&self) -> async_channel::Receiver<Revision> {
+        self.on_change.clone()
+    }
+
+    /// Gets the home of a key among the targets that are allowed.
+    pub fn home(
+        &self,
+        organisation: &str,
+        service: &str,
+        key: &Key,
+        margin: std::time::Duration,
+    ) -> Result<Arc<grebedeck_config::Route>, Reason> {
+        let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let lists = history.iter().rev().map(|(from_unix_ms, routes)| AllowedSince {
+            from_unix_ms: *from_unix_ms,
+            allowed: routes.allowed(organisation, service).map_or(&[], |a| a),
+        });
+
+        find_home(lists, key, margin).cloned()
+    }
+
+    /// Notes that the table service has just been read.
+    pub fn store_answered(&self) {
+        let now = self.clock.now();
+        *self.store_seen.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+    }
+
+    /// Gets the time since the table service was last read, or `None` where it never was.
+    pub fn store_age(&self) -> Option<std::time::Duration> {
+        let seen = *self.store_seen.lock().unwrap_or_else(PoisonError::into_inner);
+
+        seen.map(|at| self.clock.now().saturating_sub(at))
+    }
+
+    fn put_in_force(&self, replica: &Replica) {
+        let routes = Arc::new(Routes::new(replica.revision(), replica.document()));
+        let mut in_force = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+
+        assert!(routes.revision() > in_force.revision(), "a configuration must never revert");
+        *in_force = routes.clone();
+        drop(in_force);
+
+        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        history.push_back((replica.accepted_unix_ms(), routes));
+
+        if history.len() > KEPT_ROUTES {
+            history.pop_front();
+        }
+
+        log::info!("configuration in force", kv: { revision = replica.revision() });
+        let _ = self.changed.try_send(replica.revision());
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Replica> {
+        // A broken invariant stops the process, so a lock that was poisoned by one is never used.
+        self.replica.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service for ConfigService {
+    fn dump(&self) -> Value {
+        let routes = self.routes();
+        let (revision, digest) = self.with_replica(|r| (r.revision(), r.document().digest()));
+
+        json!({
+            "revision": revision,
+            "digest": format!("{digest:016x}"),
+            "targets": routes.targets().len(),
+            "organisation_classes": routes.class_count(),
+            "store_age_ms": self.store_age().map(|age| age.as_millis() as u64),
+        })
+    }
+}
+
+fn adoption_word(adoption: Adoption) -> &'static str {
+    match adoption {
+        Adoption::Adopted => "adopted",
+        Adoption::Stale => "stale",
+        Adoption::Gap => "gap",
+        Adoption::Corrupt => "corrupt",
+    }
+}
--- /dev/null
+++ b/grebedeck/src/config/store.rs
@@ -0,0 +1,258 @@
+//! The configuration in the platform's table service.
+//!
+//! Keys: `config/head` holds the newest revision, `config/log/N` the entry that made revision N,
+//! `config/change/ID` the revision that a change made, and `config/snapshot` the document at some
+//! revision, so that a process that starts need not read the whole log.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use grebedeck_config::{
+    AcceptOrder, AcceptResult, Acceptor, Adoption, CatchUp, Change, LogEntry, Snapshot, StoreAnswer,
+};
+use grebedeck_core::error::protocol_error;
+use grebedeck_core::time::unix_ms;
+use grebedeck_core::{Result, Revision};
+use grebedeck_kernel::log;
+use grebedeck_net::platform::{Table, Transaction, TransactionEnd, Versioned};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::service::ConfigService;
+
+const HEAD_KEY: &str = "config/head";
+const SNAPSHOT_KEY: &str = "config/snapshot";
+/// Most log entries that are read in one call.
+const ENTRIES_PER_READ: u64 = 64;
+/// A snapshot is written every so many revisions.
+const SNAPSHOT_EVERY: u64 = 64;
+/// Wait before a lost answer is read back.
+const READ_BACK_WAIT: Duration = Duration::from_millis(200);
+/// How often catching up with the store is tried before the outcome is left unknown.
+const MAX_CATCH_TRIES: u32 = 5;
+
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+struct Head {
+    revision: Revision,
+}
+
+/// Reads and writes the configuration in the table service.
+#[derive(Clone)]
+pub struct ConfigStore<T> {
+    table: T,
+    service: Arc<ConfigService>,
+}
+
+impl<T: Table> ConfigStore<T> {
+    /// Makes a store for a process's configuration service.
+    pub fn new(table: T, service: Arc<ConfigService>) -> Self {
+        ConfigStore { table, service }
+    }
+
+    /// Reads what is newer than the configuration in force, and puts it in force.
+    pub async fn catch_up(&self) -> Result<()> {
+        let (head, _, _) = self.read_head(None).await?;
+
+        self.catch_up_to(head).await
+    }
+
+    async fn catch_up_to(&self, head: Revision) -> Result<()> {
+        let mut own = self.service.revision();
+
+        if head > own + ENTRIES_PER_READ {
+            self.take_snapshot().await?;
+            own = self.service.revision();
+        }
+
+        while own < head {
+            let until = head.min(own + ENTRIES_PER_READ);
+            let entries = self.read_entries(own + 1, until).await?;
+
+            match self.service.take(CatchUp::Entries(entries)) {
+                // A stale offer means that a peer was faster.
+                Adoption::Adopted | Adoption::Stale => {}
+                adoption => return protocol_error(format!("the store's log: {adoption:?}")),
+            }
+
+            own = self.service.revision();
+        }
+
+        Ok(())
+    }
+
+    async fn take_snapshot(&self) -> Result<()> {
+        let keys = [SNAPSHOT_KEY.to_string()];
+        let mut values = self.table.read(&keys).await?;
+        let value = values.remove(SNAPSHOT_KEY).unwrap_or_default().value;
+
+        if !value.is_null() {
+            let snapshot: Snapshot = parse(value)?;
+            self.service.take(CatchUp::Snapshot(Box::new(snapshot)));
+        }
+
+        Ok(())
+    }
+
+    async fn read_entries(&self, from: Revision, until: Revision) -> Result<Vec<LogEntry>> {
+        let keys: Vec<String> = (from..=until).map(log_key).collect();
+        let mut values = self.table.read(&keys).await?;
+
+        keys.iter()
+            .map(|key| parse(values.remove(key).unwrap_or_default().value))
+            .collect::<Result<Vec<_>>>()
+    }
+
+    /// Reads the head, its version, and the revision that a change is stored under.
+    async fn read_head(&self, id: Option<&str>) -> Result<(Revision, u64, Option<Revision>)> {
+        let mut keys = vec![HEAD_KEY.to_string()];
+        keys.extend(id.map(change_key));
+
+        let mut values = self.table.read(&keys).await?;
+        self.service.store_answered();
+
+        let head = values.remove(HEAD_KEY).unwrap_or_default();
+        let known = id.and_then(|id| values.remove(&change_key(id))).unwrap_or_default();
+
+        Ok((parse_head(&head)?.revision, head.version, known.value.as_u64()))
+    }
+
+    /// Takes an operator's change to its end.
+    pub async fn accept(&self, change: Change) -> AcceptResult {
+        let id = change.id.clone();
+        let (mut acceptor, mut order) = Acceptor::new(change);
+        let mut head_version = 0;
+        let mut tries = 0;
+
+        loop {
+            order = match order {
+                AcceptOrder::Finish(result) => {
+                    self.settled(&id, &result).await;
+                    return result;
+                }
+                AcceptOrder::Catch => match self.catch(&id, &mut acceptor).await {
+                    Ok((version, next)) => {
+                        head_version = version;
+                        next
+                    }
+                    Err(_) if tries >= MAX_CATCH_TRIES => {
+                        AcceptOrder::Finish(acceptor.unreachable())
+                    }
+                    Err(_) => {
+                        tries += 1;
+                        async_std::task::sleep(READ_BACK_WAIT).await;
+                        AcceptOrder::Catch
+                    }
+                },
+                AcceptOrder::Write(entry) => {
+                    acceptor.answered(self.write(&id, &entry, head_version).await)
+                }
+                AcceptOrder::ReadBack => {
+                    async_std::task::sleep(READ_BACK_WAIT).await;
+                    acceptor.answered(self.read_back(&id).await)
+                }
+            };
+        }
+    }
+
+    async fn catch(&self, id: &str, acceptor: &mut Acceptor) -> Result<(u64, AcceptOrder)> {
+        let (head, version, known) = self.read_head(Some(id)).await?;
+        self.catch_up_to(head).await?;
+
+        // A peer may have been faster than the read; the head's condition covers that.
+        let document = self.service.with_replica(|r| r.document().clone());
+        let revision = self.service.revision().max(head);
+
+        Ok((version, acceptor.at_head(revision, &document, known, unix_ms())))
+    }
+
+    async fn write(&self, id: &str, entry: &LogEntry, head_version: u64) -> StoreAnswer {
+        let mut transaction = Transaction {
+            conditions: BTreeMap::from([(HEAD_KEY.into(), head_version), (change_key(id), 0)]),
+            writes: BTreeMap::new(),
+        };
+        let head = Head { revision: entry.revision };
+        transaction.writes.insert(HEAD_KEY.into(), to_value(&head));
+        transaction.writes.insert(log_key(entry.revision), to_value(entry));
+        transaction.writes.insert(change_key(id), to_value(&entry.revision));
+
+        match self.table.write(&transaction).await {
+            Ok(TransactionEnd::Written) => {
+                self.service.take(CatchUp::Entries(vec![entry.clone()]));
+                StoreAnswer::Written
+            }
+            Ok(TransactionEnd::Conflict) => StoreAnswer::Conflict,
+            Err(_) => StoreAnswer::Lost,
+        }
+    }
+
+    async fn read_back(&self, id: &str) -> StoreAnswer {
+        match self.read_head(Some(id)).await {
+            Ok((_, _, Some(revision))) => StoreAnswer::Found(revision),
+            Ok((_, _, None)) => StoreAnswer::Absent,
+            Err(_) => StoreAnswer::Lost,
+        }
+    }
+
+    /// Logs the end of a change, and now and then writes a snapshot behind it.
+    async fn settled(&self, id: &str, result: &AcceptResult) {
+        match result {
+            AcceptResult::Accepted(revision) => {
+                log::info!("change accepted", kv: { id, revision = *revision });
+
+                // Where the change was found by reading back, it is not in force here yet.
+                if self.service.revision() < *revision {
+                    let _ = self.catch_up().await;
+                }
+
+                if revision % SNAPSHOT_EVERY == 0 {
+                    self.write_snapshot().await;
+                }
+            }
+            AcceptResult::Refused(faults) => {
+                log::info!("change refused", kv: { id, faults = faults.0.len() });
+            }
+            AcceptResult::Unknown => log::warn!("change in doubt", kv: { id }),
+        }
+    }
+
+    async fn write_snapshot(&self) {
+        let snapshot = self.service.with_replica(|r| r.snapshot());
+        let writes = BTreeMap::from([(SNAPSHOT_KEY.to_string(), to_value(&snapshot))]);
+        // Without it, processes that start read more of the log; nothing else depends on it.
+        let _ = self.table.write(&Transaction { writes, ..Transaction::default() }).await;
+    }
+
+    /// Gets the last accepted changes, newest first.
+    pub async fn history(&self, count: u64) -> Result<Vec<LogEntry>> {
+        let (head, _, _) = self.read_head(None).await?;
+        let from = head.saturating_sub(count.min(ENTRIES_PER_READ)) + 1;
+        let mut entries = self.read_entries(from, head).await?;
+        entries.reverse();
+
+        Ok(entries)
+    }
+}
+
+fn log_key(revision: Revision) -> String {
+    format!("config/log/{revision}")
+}
+
+fn change_key(id: &str) -> String {
+    format!("config/change/{id}")
+}
+
+fn to_value<T: Serialize>(value: &T) -> Value {
+    serde_json::to_value(value).expect("the configuration's types always serialize")
+}
+
+fn parse<T: for<'a> Deserialize<'a>>(value: Value) -> Result<T> {
+    match serde_json::from_value(value) {
+        Ok(parsed) => Ok(parsed),
+        Err(error) => protocol_error(format!("the store's configuration: {error}")),
+    }
+}
+
+fn parse_head(head: &Versioned) -> Result<Head> {
+    if head.value.is_null() { Ok(Head::default()) } else { parse(head.value.clone()) }
+}
--- /dev/null
+++ b/grebedeck/src/entry/dispatch.rs
@@ -0,0 +1,146 @@
+//! Taking one request through its attempts.
+
+use std::sync::Arc;
+
+use grebedeck_config::Route;
+use grebedeck_core::{AttemptId, Moment, Outcome, RandomSource, Reason, TargetName};
+use grebedeck_routing::attempt::{AttemptTracker, retry_wait};
+use grebedeck_routing::{AttemptEnd, Next, StrikeAnswer, subset};
+use http_types::Response;
+
+use super::attempt::{Attempt, Begun, SentTo};
+use super::request::CallerRequest;
+use super::service::{EntryService, Place};
+use crate::message::{Control, ControlAnswer};
+use crate::random::{ProcessRandom, request_id};
+
+/// One request under way.
+struct Dispatch {
+    entry: Arc<EntryService>,
+    request: CallerRequest,
+    allowed: Arc<[Arc<Route>]>,
+    revision: u64,
+    home: Option<Arc<Route>>,
+    tried: Vec<TargetName>,
+    sent: Option<SentTo>,
+    deadline: Moment,
+}
+
+impl EntryService {
+    /// Takes a request through its attempts to its answer.
+    pub(super) async fn dispatch(
+        self: Arc<Self>,
+        request: CallerRequest,
+        place: Place,
+    ) -> Result<Response, Outcome> {
+        let mut dispatch = Dispatch::try_new(self, request)?;
+        let mut tracker = AttemptTracker::new(dispatch.request.traits);
+        let id = request_id();
+        dispatch.entry.state().retries.earn();
+
+        loop {
+            let attempt = AttemptId { request: id, number: tracker.number() };
+            let end = match dispatch.attempt(attempt).await {
+                Ok(begun) => return Ok(begun.into_response(place)),
+                Err(end) => end,
+            };
+
+            let mut next = tracker.ended(end, || dispatch.may_retry());
+
+            if next == Next::Strike {
+                let end = dispatch.strike(attempt).await;
+                next = tracker.ended(end, || dispatch.may_retry());
+            }
+
+            match next {
+                Next::Retry => dispatch.wait(tracker.number()).await,
+                Next::Answer(outcome) => return Err(outcome),
+                Next::Strike => return Err(Outcome::Unknown(Reason::ConnectionLost)),
+            }
+        }
+    }
+}
+
+impl Dispatch {
+    fn try_new(entry: Arc<EntryService>, request: CallerRequest) -> Result<Self, Outcome> {
+        let routes = entry.config.routes();
+        let refused = |reason| Outcome::Refused(reason);
+
+        let Some(allowed) = routes.allowed(&request.organisation, &request.service).cloned() else {
+            return Err(refused(Reason::NoCapacity));
+        };
+
+        let home = match &request.key {
+            Some(key) => Some(
+                entry
+                    .config
+                    .home(&request.organisation, &request.service, key, entry.spread_limit)
+                    .map_err(Outcome::Unknown)?,
+            ),
+            None => None,
+        };
+
+        let deadline = entry.now() + request.deadline.unwrap_or(entry.answer_limit);
+        let revision = routes.revision();
+        let tried = Vec::new();
+        Ok(Dispatch { entry, request, allowed, revision, home, tried, sent: None, deadline })
+    }
+
+    async fn attempt(&mut self, id: AttemptId) -> Result<Begun, AttemptEnd> {
+        let route = self.choose().ok_or(AttemptEnd::Refused(Reason::Draining))?;
+        self.tried.push(route.name.clone());
+
+        let attempt = Attempt {
+            entry: self.entry.clone(),
+            route,
+            id,
+            revision: self.revision,
+            deadline: self.deadline,
+        };
+
+        self.sent = None;
+        attempt.run(&self.request, &mut self.sent).await
+    }
+
+    fn choose(&self) -> Option<Arc<Route>> {
+        if let Some(home) = &self.home {
+            return Some(home.clone());
+        }
+
+        let entry = &self.entry;
+        let part = subset::subset(&self.allowed, &entry.name, &entry.hall, entry.subset_targets);
+        let state = entry.state();
+
+        state
+            .chooser
+            .choose(&part, &self.tried, entry.now(), &mut ProcessRandom::default())
+            .cloned()
+    }
+
+    /// Tells whether time and budget allow another attempt, and takes it from the budget.
+    fn may_retry(&self) -> bool {
+        self.entry.now() < self.deadline && self.entry.state().retries.take()
+    }
+
+    /// Asks the agent to strike out an attempt whose connection was lost.
+    async fn strike(&self, attempt: AttemptId) -> AttemptEnd {
+        let Some(sent) = &self.sent else {
+            return AttemptEnd::NotStruck;
+        };
+
+        // An agent of another incarnation cannot speak for the one that had the attempt, and says
+        // so itself.
+        let message = Control::Strike { attempt, incarnation: sent.incarnation };
+
+        match self.entry.directory.control(sent.agent_address, &message).await {
+            Ok(ControlAnswer::Strike(StrikeAnswer::Struck)) => AttemptEnd::Struck,
+            _ => AttemptEnd::NotStruck,
+        }
+    }
+
+    async fn wait(&self, number: u32) {
+        let wait = retry_wait(number, ProcessRandom::default().unit());
+
+        async_std::task::sleep(wait).await;
+    }
+}
--- /dev/null
+++ b/grebedeck/src/main.rs
@@ -0,0 +1,102 @@
+//! The `grebedeck` program.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use grebedeck::agent::Agent;
+use grebedeck::command::client::OperatorClient;
+use grebedeck::command::{Command, EXIT_REFUSED, EXIT_UNKNOWN, changes, options};
+use grebedeck::entry::Entry;
+use grebedeck::settings::{self, AgentSettings, EntrySettings, millis};
+use grebedeck::stop;
+
+fn main() -> ExitCode {
+    let command = options().run();
+
+    match async_std::task::block_on(run(command)) {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(EXIT_UNKNOWN)
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<u8> {
+    match command {
+        Command::Entry { settings } => run_entry(&settings).await,
+        Command::Agent { settings } => run_agent(&settings).await,
+        Command::Apply { operator, file, dry_run, wait, json } => {
+            changes::apply(operator, &file, dry_run, wait, json).await
+        }
+        Command::Get { operator, json, kind } => {
+            changes::get(operator, kind.as_deref(), json).await
+        }
+        Command::Diff { operator, file, json } => changes::diff(operator, &file, json).await,
+        Command::History { operator, json } => changes::history(operator, json).await,
+        Command::Dump { operator } => {
+            let answer = OperatorClient::new(operator).get("/dump").await?;
+            let dump: serde_json::Value = answer.parse()?;
+            println!("{}", serde_json::to_string_pretty(&dump)?);
+            Ok(0)
+        }
+        Command::CheckSettings { role, file } => check_settings(&role, &file),
+    }
+}
+
+async fn run_entry(file: &Path) -> Result<u8> {
+    let settings: EntrySettings = settings::read(file)?;
+    grebedeck_kernel::log::start(spdlog::Level::Info)?;
+    stop_on_broken_invariant();
+
+    let limit = millis(settings.common.drain_limit_ms);
+    let entry = Entry::try_new(settings).await?;
+    stop::signal().await?;
+    let whole = stop::drain(&entry.kernel, limit).await;
+
+    Ok(if whole { 0 } else { EXIT_UNKNOWN })
+}
+
+async fn run_agent(file: &Path) -> Result<u8> {
+    let settings: AgentSettings = settings::read(file)?;
+    grebedeck_kernel::log::start(spdlog::Level::Info)?;
+    stop_on_broken_invariant();
+
+    let limit = millis(settings.common.drain_limit_ms);
+    let agent = Agent::try_new(settings).await?;
+    stop::signal().await?;
+    let whole = stop::drain(&agent.kernel, limit).await;
+
+    Ok(if whole { 0 } else { EXIT_UNKNOWN })
+}
+
+/// Makes a panic in any task end the process: only broken invariants panic, and a process whose
+/// invariants broke must not go on.
+fn stop_on_broken_invariant() {
+    let print = std::panic::take_hook();
+
+    std::panic::set_hook(Box::new(move |panic| {
+        print(panic);
+        std::process::abort();
+    }));
+}
+
+fn check_settings(role: &str, file: &Path) -> Result<u8> {
+    let checked = match role {
+        "entry" => settings::read::<EntrySettings>(file).map(|_| ()),
+        "agent" => settings::read::<AgentSettings>(file).map(|_| ()),
+        other => anyhow::bail!("role: `{other}`: expected entry or agent"),
+    };
+
+    match checked {
+        Ok(()) => {
+            println!("{}: no faults", file.display());
+            Ok(0)
+        }
+        Err(error) => {
+            println!("{error:#}");
+            Ok(EXIT_REFUSED)
+        }
+    }
+}
--- /dev/null
+++ b/grebedeck/src/peer.rs
@@ -0,0 +1,108 @@
+//! What a process answers to its peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use grebedeck_core::Result;
+use grebedeck_kernel::Counter;
+use grebedeck_net::{FrameReader, FrameWriter, Incoming, StreamHandler};
+
+use crate::agent::AgentService;
+use crate::agent::group::GroupService;
+use crate::config::ConfigService;
+use crate::message::{
+    CONTROL_PATH, Control, ControlAnswer, PROTOCOL_VERSION, PeerHello, WORK_PATH,
+};
+
+/// How long a peer may take to send its control message.
+const CONTROL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Answers the streams of peers.
+pub struct PeerHandler {
+    /// Who this process is.
+    pub hello: PeerHello,
+    /// The process's configuration.
+    pub config: Arc<ConfigService>,
+    /// The agent's service, in an agent.
+    pub agent: Option<Arc<AgentService>>,
+    /// The group's service, in an agent beside a rank.
+    pub group: Option<Arc<GroupService>>,
+    /// Counts streams and connections that did not follow the protocol.
+    pub faults: Counter,
+}
+
+impl StreamHandler for PeerHandler {
+    async fn handle(&self, incoming: Incoming) {
+        let handled = match (incoming.path.as_str(), &self.agent) {
+            (WORK_PATH, Some(agent)) => match incoming.accept() {
+                Ok((reader, writer)) => agent.work(reader, writer).await,
+                Err(error) => Err(error),
+            },
+            (CONTROL_PATH, _) => match incoming.accept() {
+                Ok((reader, writer)) => self.control(reader, writer).await,
+                Err(error) => Err(error),
+            },
+            _ => incoming.refuse(404),
+        };
+
+        if let Err(grebedeck_core::Error::Protocol(_) | grebedeck_core::Error::Limit(_)) = handled {
+            self.faults.add("stream");
+        }
+    }
+
+    fn broken_connection(&self) {
+        self.faults.add("connection");
+    }
+}
+
+impl PeerHandler {
+    async fn control(&self, mut reader: FrameReader, mut writer: FrameWriter) -> Result<()> {
+        let Ok(message) = timeout(CONTROL_LIMIT, reader.expect::<Control>()).await else {
+            return Ok(());
+        };
+
+        let answer = self.answer(message?);
+        writer.send_last(&answer).await
+    }
+
+    fn answer(&self, message: Control) -> ControlAnswer {
+        match message {
+            Control::Hello { .. } => ControlAnswer::Hello(self.hello()),
+            Control::Heartbeat { revision } => ControlAnswer::Heartbeat {
+                revision: self.config.revision(),
+                catch_up: self.config.with_replica(|r| r.catch_up(revision)),
+            },
+            Control::CatchUp(catch_up) => {
+                self.config.take(catch_up);
+                ControlAnswer::Taken
+            }
+            Control::Strike { attempt, incarnation } => match &self.agent {
+                Some(agent) => ControlAnswer::Strike(agent.strike(attempt, incarnation)),
+                None => ControlAnswer::NotSupported,
+            },
+            Control::Switch { message, map } => self.to_group(|g| g.receive(message, map)),
+            Control::Counts(counts) => self.to_group(|g| g.count(counts)),
+            Control::MapOf(version) => match &self.group {
+                Some(group) => ControlAnswer::Map(group.map_of(version)),
+                None => ControlAnswer::NotSupported,
+            },
+        }
+    }
+
+    fn to_group(&self, tell: impl FnOnce(&GroupService)) -> ControlAnswer {
+        match &self.group {
+            Some(group) => {
+                tell(group);
+                ControlAnswer::Taken
+            }
+            None => ControlAnswer::NotSupported,
+        }
+    }
+
+    fn hello(&self) -> PeerHello {
+        let leaving = self.agent.as_ref().is_some_and(|a| a.is_draining());
+
+        PeerHello { protocol: PROTOCOL_VERSION, leaving, ..self.hello.clone() }
+    }
+}
--- /dev/null
+++ b/grebedeck/src/random.rs
@@ -0,0 +1,29 @@
+//! The process's source of randomness.
+
+use grebedeck_core::RandomSource;
+use rand::Rng;
+use rand::rngs::ThreadRng;
+
+/// Draws from the thread's generator.
+pub struct ProcessRandom(ThreadRng);
+
+impl Default for ProcessRandom {
+    fn default() -> Self {
+        ProcessRandom(rand::rng())
+    }
+}
+
+impl RandomSource for ProcessRandom {
+    fn below(&mut self, bound: usize) -> usize {
+        if bound == 0 { 0 } else { self.0.random_range(0..bound) }
+    }
+
+    fn unit(&mut self) -> f64 {
+        self.0.random()
+    }
+}
+
+/// Draws a request's id.
+pub fn request_id() -> grebedeck_core::RequestId {
+    rand::rng().random()
+}
