Switch protocol: model, bounded walk, long random runs; five faults mended

Cause: the protocol was argued for on paper only. A model of the group (members, coordinators, single-place engines, messages that arrive late, twice or never, replaced processes that live on) was written to attack it, and it found: 1. a replaced member took up a committed map at once, though its step lay ahead; 2. an engine with one place for a map to come lost the first of two in a row; 3. a join trusted the answer of a process that had itself been replaced unaware; 4. a replaced process took its successor's messages for its own and stopped on the invariant; 5. a join finished on the word of a member that did not know of another replacement, and was later told 'committed' by the replaced process. Change: the first step of a map travels with it; a base map must be in use before the next is armed; joins exchange rosters and count only answers with the same roster; a member that learns of its successor takes no part any more. Three protocols broken on purpose are noticed, as tests.

--- a/grebedeck-experts/src/switch.rs
+++ b/grebedeck-experts/src/switch.rs
@@ -24,4 +24,4 @@
 
 pub use coordinator::{Coordinator, CoordinatorOptions, CoordinatorOrder};
 pub use member::{Member, MemberOptions, MemberOrder, MemberStatus};
-pub use message::{Body, MapVersion, MemberNo, Message, Standing};
+pub use message::{Body, GroupView, MapVersion, MemberNo, Message, Standing};
--- a/grebedeck-experts/src/switch/member.rs
+++ b/grebedeck-experts/src/switch/member.rs
@@ -4,7 +4,7 @@
 
 use grebedeck_core::{Epoch, Incarnation, Moment, Step};
 
-use super::message::{Body, MapVersion, MemberNo, Message, Standing};
+use super::message::{Body, GroupView, MapVersion, MemberNo, Message, Standing};
 
 /// Settings of a member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -74,7 +74,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Joining {
-    acks: Vec<bool>,
+    /// What each other member knew when it answered.
+    acks: Vec<Option<GroupView>>,
     ask_at: Moment,
 }
 
@@ -97,12 +98,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
     no: MemberNo,
+    incarnation: Incarnation,
     options: MemberOptions,
-    roster: Vec<Incarnation>,
-    current: MapVersion,
-    /// No version up to this one will be armed any more.
-    settled: MapVersion,
-    seen_epoch: Epoch,
+    known: GroupView,
     prepared: Option<MapVersion>,
     loading: Option<MapVersion>,
     /// A version whose hold the engine has not confirmed yet.
@@ -121,11 +119,16 @@
     ) -> Self {
         Member {
             no,
+            incarnation: roster[usize::from(no)],
             options,
-            roster,
-            current,
-            settled: current,
-            seen_epoch: current.epoch,
+            known: GroupView {
+                roster,
+                current,
+                current_from: 0,
+                previous: current,
+                settled: current,
+                seen_epoch: current.epoch,
+            },
             prepared: None,
             loading: None,
             holding: None,
@@ -146,9 +149,7 @@
         roster[no as usize] = incarnation;
 
         let mut member = Member::new(no, roster, MapVersion::default(), options);
-        let mut acks = vec![false; size];
-        acks[no as usize] = true;
-        member.joining = Some(Joining { acks, ask_at: now });
+        member.joining = Some(Joining { acks: vec![None; size], ask_at: now });
 
         member
     }
@@ -156,27 +157,39 @@
     /// Gets the state for a dump.
     pub fn status(&self) -> MemberStatus {
         MemberStatus {
-            current: self.current,
+            current: self.known.current,
             armed: self.armed.as_ref().map(|a| a.version),
             joining: self.joining.is_some(),
-            roster: self.roster.clone(),
-            seen_epoch: self.seen_epoch,
+            roster: self.known.roster.clone(),
+            seen_epoch: self.known.seen_epoch,
         }
     }
 
-    /// Gets the map in use.
+    /// Gets the newest map of the group.
     pub fn current(&self) -> MapVersion {
-        self.current
+        self.known.current
+    }
+
+    /// Gets the first step that uses the newest map, and the map that is used before it.
+    pub fn before_current(&self) -> (Step, MapVersion) {
+        (self.known.current_from, self.known.previous)
     }
 
     /// Gets the incarnation known of each member; 0 where none is.
     pub fn roster(&self) -> &[Incarnation] {
-        &self.roster
+        &self.known.roster
+    }
+
+    /// Tells whether a successor has taken this member's place; it then takes no part any more.
+    pub fn is_replaced(&self) -> bool {
+        self.known.roster[usize::from(self.no)] > self.incarnation
     }
 
     /// Tells whether the member may take part in a new switch.
     pub fn is_idle(&self) -> bool {
-        self.armed.is_none() && self.holding.is_none() && self.joining.is_none()
+        let busy = self.armed.is_some() || self.holding.is_some() || self.joining.is_some();
+
+        !busy && !self.is_replaced()
     }
 
     /// Goes on after the weights of a version were loaded; `step` is the engine's next one.
@@ -192,6 +205,10 @@
 
     /// Goes on as time passes. Call it at least as often as the options' times.
     pub fn tick(&mut self, now: Moment) -> Vec<MemberOrder> {
+        if self.is_replaced() {
+            return Vec::new();
+        }
+
         let again = now + self.options.ask_again_after;
 
         if let Some(joining) = &mut self.joining {
@@ -200,8 +217,14 @@
             }
 
             joining.ask_at = again;
-            let missing = missing(&joining.acks);
-            return missing.into_iter().map(|to| self.send(to, Body::Join)).collect();
+            let missing = self.missing_acks();
+
+            if missing.is_empty() {
+                self.finish_join();
+            }
+
+            let body = Body::Join { roster: self.known.roster.clone() };
+            return missing.into_iter().map(|to| self.send(to, body.clone())).collect();
         }
 
         if let Some(armed) = &mut self.armed {
@@ -219,11 +242,11 @@
 
     /// Goes on with a message; `step` is the engine's next step, which has not begun.
     pub fn receive(&mut self, message: &Message, step: Step) -> Vec<MemberOrder> {
-        if message.to != self.no || usize::from(message.from) >= self.roster.len() {
+        if message.to != self.no || usize::from(message.from) >= self.known.roster.len() {
             return Vec::new();
         }
 
-        if !self.note_incarnation(message.from, message.incarnation) {
+        if !self.note_incarnation(message.from, message.incarnation) || self.is_replaced() {
             return Vec::new();
         }
 
@@ -235,28 +258,32 @@
         match &message.body {
             Body::Prepare { version, base } => self.prepare(message.from, *version, *base, step),
             Body::Arm { version, base, at_step, roster } => {
-                self.arm(message.from, *version, *base, *at_step, roster)
+                self.arm(message.from, *version, *base, *at_step, roster, step)
             }
             Body::Commit { version, roster } => self.commit_by_roster(*version, roster),
             Body::Query { version } => self.answer_query(message.from, *version),
-            Body::Report { version, standing, .. } => {
+            Body::Report { version, standing, seen_epoch } => {
+                self.known.seen_epoch = self.known.seen_epoch.max(*seen_epoch);
                 self.take_report(message.from, *version, *standing)
             }
-            Body::Join => vec![self.acknowledge_join(message)],
+            Body::Join { roster } => {
+                self.note_roster(roster);
+                vec![self.acknowledge_join(message)]
+            }
             Body::Prepared { .. } | Body::JoinAck { .. } => Vec::new(),
         }
     }
 
     /// Notes a newer incarnation of a member; tells whether the sender is the newest known.
     fn note_incarnation(&mut self, from: MemberNo, incarnation: Incarnation) -> bool {
-        let known = &mut self.roster[usize::from(from)];
+        let known = &mut self.known.roster[usize::from(from)];
 
         if incarnation > *known {
             *known = incarnation;
 
             // What the earlier incarnation had said no longer stands.
             if let Some(joining) = &mut self.joining {
-                joining.acks[usize::from(from)] = from == self.no;
+                joining.acks[usize::from(from)] = None;
             }
 
             if let Some(armed) = &mut self.armed {
@@ -264,7 +291,7 @@
             }
         }
 
-        incarnation == self.roster[usize::from(from)]
+        incarnation == self.known.roster[usize::from(from)]
     }
 
     fn prepare(
@@ -274,10 +301,10 @@
         base: MapVersion,
         step: Step,
     ) -> Vec<MemberOrder> {
-        let fenced = version.epoch < self.seen_epoch;
-        self.seen_epoch = self.seen_epoch.max(version.epoch);
+        let fenced = version.epoch < self.known.seen_epoch;
+        self.known.seen_epoch = self.known.seen_epoch.max(version.epoch);
 
-        if fenced || version <= self.settled || base != self.current {
+        if fenced || version <= self.known.settled || base != self.known.current {
             // Only a vow may be reported as a refusal.
             return self.answer_query(from, version);
         }
@@ -301,21 +328,24 @@
         base: MapVersion,
         at_step: Step,
         roster: &[Incarnation],
+        step: Step,
     ) -> Vec<MemberOrder> {
         // A doubled order must not disturb a hold that the engine is about to confirm.
         if self.holding.as_ref().is_some_and(|h| h.version == version) {
             return Vec::new();
         }
 
-        let fenced = version.epoch < self.seen_epoch;
+        let fenced = version.epoch < self.known.seen_epoch;
         let may_arm = !fenced
-            && version > self.settled
+            && version > self.known.settled
             && self.armed.is_none()
             && self.holding.is_none()
-            && base == self.current
+            && base == self.known.current
             && self.prepared == Some(version)
-            && roster == self.roster;
-        self.seen_epoch = self.seen_epoch.max(version.epoch);
+            && roster == self.known.roster
+            // An engine keeps one map that is to come, so the last one must be in use first.
+            && (step > self.known.current_from || self.known.current_from == 0);
+        self.known.seen_epoch = self.known.seen_epoch.max(version.epoch);
 
         if !may_arm {
             return self.answer_query(from, version);
@@ -328,13 +358,17 @@
     /// Goes on after the engine answered a hold; `done` says that `at_step` had not begun and will
     /// not begin until it is told.
     pub fn held(&mut self, version: MapVersion, done: bool, now: Moment) -> Vec<MemberOrder> {
+        if self.is_replaced() {
+            return Vec::new();
+        }
+
         let Some(holding) = self.holding.take_if(|h| h.version == version) else {
             // It was given up meanwhile, and the engine must not be left holding for it.
             let idle = done && self.armed.is_none() && self.holding.is_none();
             return if idle { vec![MemberOrder::Keep { given_up: version }] } else { Vec::new() };
         };
 
-        if !done || holding.roster != self.roster || version <= self.settled {
+        if !done || holding.roster != self.known.roster || version <= self.known.settled {
             let mut orders = self.answer_query(holding.asked_by, version);
 
             if done {
@@ -344,7 +378,7 @@
             return orders;
         }
 
-        let mut armed_by = vec![false; self.roster.len()];
+        let mut armed_by = vec![false; self.known.roster.len()];
         armed_by[usize::from(self.no)] = true;
         let ask_at = now + self.options.settle_after;
         let Holding { asked_by, at_step, roster, .. } = holding;
@@ -361,7 +395,7 @@
         roster: &[Incarnation],
     ) -> Vec<MemberOrder> {
         // After a member was replaced, the word of the old roster no longer counts.
-        if roster != self.roster {
+        if roster != self.known.roster {
             return Vec::new();
         }
 
@@ -369,7 +403,7 @@
             Some(armed) if armed.version == version => self.commit(),
             _ => {
                 assert!(
-                    self.current >= version,
+                    self.known.current >= version,
                     "map {version:?} was committed by a roster of which this member refused it"
                 );
                 Vec::new()
@@ -383,12 +417,12 @@
 
         let standing = if armed {
             Standing::Armed
-        } else if version == self.current {
+        } else if version == self.known.current {
             Standing::Committed
         } else {
             // A hold that the engine has not confirmed yet is given up with this.
             self.holding.take_if(|h| h.version == version);
-            self.settled = self.settled.max(version);
+            self.known.settled = self.known.settled.max(version);
             Standing::Refused
         };
 
@@ -416,7 +450,7 @@
     }
 
     fn commit_if_all_armed(&mut self) -> Vec<MemberOrder> {
-        let roster = &self.roster;
+        let roster = &self.known.roster;
         let all = self
             .armed
             .as_ref()
@@ -430,9 +464,11 @@
             return Vec::new();
         };
 
-        assert!(armed.version > self.current, "a map never goes back");
-        self.current = armed.version;
-        self.settled = self.settled.max(armed.version);
+        assert!(armed.version > self.known.current, "a map never goes back");
+        self.known.previous = self.known.current;
+        self.known.current = armed.version;
+        self.known.current_from = armed.at_step;
+        self.known.settled = self.known.settled.max(armed.version);
         self.prepared = None;
 
         vec![MemberOrder::Use { version: armed.version, at_step: armed.at_step }]
@@ -443,7 +479,7 @@
             return Vec::new();
         };
 
-        self.settled = self.settled.max(armed.version);
+        self.known.settled = self.known.settled.max(armed.version);
         self.prepared = None;
 
         vec![MemberOrder::Keep { given_up: armed.version }]
@@ -451,12 +487,13 @@
 
     fn receive_joining(&mut self, message: &Message) -> Vec<MemberOrder> {
         match &message.body {
-            Body::Join => vec![self.acknowledge_join(message)],
-            Body::JoinAck { joined, current, highest, seen_epoch } => {
-                let own = self.roster[usize::from(self.no)];
-
-                if *joined == own {
-                    self.take_join_ack(message.from, *current, *highest, *seen_epoch);
+            Body::Join { roster } => {
+                self.note_roster(roster);
+                vec![self.acknowledge_join(message)]
+            }
+            Body::JoinAck { joined, known } => {
+                if *joined == self.incarnation {
+                    self.take_join_ack(message.from, known);
                 }
 
                 Vec::new()
@@ -465,58 +502,78 @@
         }
     }
 
-    fn take_join_ack(
-        &mut self,
-        from: MemberNo,
-        current: MapVersion,
-        highest: MapVersion,
-        seen_epoch: Epoch,
-    ) {
-        let Some(joining) = &mut self.joining else {
+    fn take_join_ack(&mut self, from: MemberNo, known: &GroupView) {
+        self.note_roster(&known.roster);
+
+        if let Some(joining) = &mut self.joining {
+            joining.acks[usize::from(from)] = Some(known.clone());
+        }
+
+        if self.missing_acks().is_empty() {
+            self.finish_join();
+        }
+    }
+
+    /// Notes replacements that another member knows of. What their predecessors say, unaware of
+    /// being replaced, must not count.
+    fn note_roster(&mut self, roster: &[Incarnation]) {
+        for (no, incarnation) in roster.iter().enumerate().take(self.known.roster.len()) {
+            self.note_incarnation(no as MemberNo, *incarnation);
+        }
+    }
+
+    fn finish_join(&mut self) {
+        let Some(joining) = self.joining.take() else {
             return;
         };
 
-        joining.acks[usize::from(from)] = true;
-        self.current = self.current.max(current);
-        self.settled = self.settled.max(highest).max(current);
-        self.seen_epoch = self.seen_epoch.max(seen_epoch);
+        for ack in joining.acks.into_iter().flatten() {
+            if ack.current > self.known.current {
+                self.known.current = ack.current;
+                self.known.current_from = ack.current_from;
+                self.known.previous = ack.previous;
+            }
 
-        if missing(&joining.acks).is_empty() {
-            self.joining = None;
+            self.known.settled = self.known.settled.max(ack.settled).max(ack.current);
+            self.known.seen_epoch = self.known.seen_epoch.max(ack.seen_epoch);
         }
     }
 
-    fn acknowledge_join(&self, message: &Message) -> MemberOrder {
-        let armed = self.armed.as_ref().map_or(self.settled, |a| a.version);
-        let body = Body::JoinAck {
-            joined: message.incarnation,
-            current: self.current,
-            highest: self.settled.max(armed),
-            seen_epoch: self.seen_epoch,
+    /// Gets the members whose answer is still needed.
+    ///
+    /// An answer counts only if its sender knows of the same replacements: a sender that does not
+    /// could still be told by a replaced process that a version was committed.
+    fn missing_acks(&self) -> Vec<MemberNo> {
+        let acks = self.joining.as_ref().map_or(&[][..], |j| &j.acks);
+        let counts = |no: &MemberNo| {
+            let ack = acks.get(usize::from(*no)).and_then(Option::as_ref);
+
+            ack.is_some_and(|a| a.roster == self.known.roster)
         };
 
-        self.send(message.from, body)
+        self.others().filter(|no| !counts(no)).collect()
     }
 
-    fn report(&self, to: MemberNo, version: MapVersion, standing: Standing) -> MemberOrder {
-        let (current, seen_epoch) = (self.current, self.seen_epoch);
+    fn acknowledge_join(&self, message: &Message) -> MemberOrder {
+        let armed = self.armed.as_ref().map_or(self.known.settled, |a| a.version);
+        let mut known = self.known.clone();
+        // Nobody had committed it by now, so the joining member vows against it.
+        known.settled = known.settled.max(armed);
 
-        self.send(to, Body::Report { version, standing, current, seen_epoch })
+        self.send(message.from, Body::JoinAck { joined: message.incarnation, known })
     }
 
-    fn send(&self, to: MemberNo, body: Body) -> MemberOrder {
-        let incarnation = self.roster[usize::from(self.no)];
+    fn report(&self, to: MemberNo, version: MapVersion, standing: Standing) -> MemberOrder {
+        self.send(to, Body::Report { version, standing, seen_epoch: self.known.seen_epoch })
+    }
 
-        MemberOrder::Send(Message { from: self.no, incarnation, to, body })
+    fn send(&self, to: MemberNo, body: Body) -> MemberOrder {
+        MemberOrder::Send(Message { from: self.no, incarnation: self.incarnation, to, body })
     }
 
     fn others(&self) -> impl Iterator<Item = MemberNo> + use<> {
         let no = self.no;
 
-        (0..self.roster.len() as MemberNo).filter(move |other| *other != no)
+        (0..self.known.roster.len() as MemberNo).filter(move |other| *other != no)
     }
 }
-
-fn missing(acks: &[bool]) -> Vec<MemberNo> {
-    (0..acks.len() as MemberNo).filter(|no| !acks[usize::from(*no)]).collect()
-}
--- a/grebedeck-experts/src/switch/message.rs
+++ b/grebedeck-experts/src/switch/message.rs
@@ -76,26 +76,41 @@
         version: MapVersion,
         /// How the sender stands.
         standing: Standing,
-        /// The sender's newest map, so that a stale coordinator learns it.
-        current: MapVersion,
-        /// The highest fencing token that the sender has seen.
+        /// The highest fencing token that the sender has seen, so that a stale coordinator learns
+        /// of it.
         seen_epoch: Epoch,
     },
     /// A replaced member asks for the group's state.
-    Join,
+    Join {
+        /// Known incarnation of each member; 0 where none is.
+        roster: Vec<Incarnation>,
+    },
     /// Answers `Join`.
     JoinAck {
         /// The incarnation that was noted.
         joined: Incarnation,
-        /// The sender's newest map.
-        current: MapVersion,
-        /// The highest version that the sender has settled or armed.
-        highest: MapVersion,
-        /// The highest fencing token that the sender has seen.
-        seen_epoch: Epoch,
+        /// What the sender knows of the group.
+        known: GroupView,
     },
 }
 
+/// What a member knows of its group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct GroupView {
+    /// Known incarnation of each member; 0 where none is.
+    pub roster: Vec<Incarnation>,
+    /// The newest map.
+    pub current: MapVersion,
+    /// First step that uses the newest map; it may lie ahead.
+    pub current_from: Step,
+    /// The map that is used before that step.
+    pub previous: MapVersion,
+    /// No version up to this one will be armed any more.
+    pub settled: MapVersion,
+    /// The highest fencing token seen.
+    pub seen_epoch: Epoch,
+}
+
 /// A message from one member to another; the coordinator speaks as the member beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Message {
--- /dev/null
+++ b/grebedeck-lab/src/command.rs
@@ -0,0 +1,4 @@
+//! The experiments, one module each.
+
+pub mod experts;
+pub mod switch;
--- /dev/null
+++ b/grebedeck-lab/src/command/switch.rs
@@ -0,0 +1,90 @@
+//! Long random runs of the switch protocol.
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::time::Instant;
+
+use anyhow::{Result, bail};
+use bpaf::Bpaf;
+use grebedeck_core::random::SeededSource;
+use serde_json::json;
+
+use crate::switch_model::{Bounds, Broken, ramble};
+
+/// What to run.
+#[derive(Clone, Debug, Bpaf)]
+pub struct SwitchOptions {
+    /// Number of runs
+    #[bpaf(long, argument("N"), fallback(10_000))]
+    pub runs: u64,
+    /// Actions of each run
+    #[bpaf(long, argument("N"), fallback(600))]
+    pub actions: usize,
+    /// Members of the group
+    #[bpaf(long, argument("N"), fallback(3))]
+    pub members: usize,
+    /// Members that are replaced in each run, at most
+    #[bpaf(long, argument("N"), fallback(4))]
+    pub replacements: u32,
+    /// Seed of the first run
+    #[bpaf(long, argument("SEED"), fallback(1))]
+    pub seed: u64,
+    /// What to break on purpose: none, commit, join or hold
+    #[bpaf(long("break"), argument("WHAT"), fallback("none".to_string()))]
+    pub broken: String,
+    /// Print JSON
+    pub json: bool,
+}
+
+/// Takes the runs and prints what they showed; a violation that was not asked for is an error.
+pub fn run(options: &SwitchOptions) -> Result<()> {
+    let bounds = Bounds {
+        members: options.members,
+        steps: 60,
+        replacements: options.replacements,
+        proposals: 12,
+        start_arming: false,
+        broken: broken(&options.broken)?,
+    };
+    let start = Instant::now();
+    let (mut commits, mut violations, mut first) = (0, 0, None);
+
+    for seed in options.seed..options.seed + options.runs {
+        let mut random = SeededSource::new(seed);
+        let run = || ramble(bounds, options.actions, &mut random);
+
+        match catch_unwind(AssertUnwindSafe(run)) {
+            Ok(Ok(seen)) => commits += seen.commits,
+            _ => {
+                violations += 1;
+                first.get_or_insert(seed);
+            }
+        }
+    }
+
+    let report = json!({
+        "runs": options.runs,
+        "actions": options.actions,
+        "members": options.members,
+        "commits": commits,
+        "violations": violations,
+        "first_seed_with_one": first,
+        "seconds": start.elapsed().as_secs_f64(),
+    });
+    println!("{report}");
+
+    if bounds.broken == Broken::Sound && violations > 0 {
+        bail!("the switch protocol mixed maps in {violations} runs");
+    }
+
+    Ok(())
+}
+
+fn broken(text: &str) -> Result<Broken> {
+    match text {
+        "none" => Ok(Broken::Sound),
+        "commit" => Ok(Broken::CommitWithoutAll),
+        "join" => Ok(Broken::NoJoin),
+        "hold" => Ok(Broken::NoHold),
+        other => bail!("break: `{other}`: one of none, commit, join, hold"),
+    }
+}
--- a/grebedeck-lab/src/lib.rs
+++ b/grebedeck-lab/src/lib.rs
@@ -6,8 +6,10 @@
 
 #![forbid(unsafe_code)]
 
+pub mod command;
 pub mod http;
 pub mod model;
 pub mod plain;
 pub mod platform;
 pub mod site;
+pub mod switch_model;
--- /dev/null
+++ b/grebedeck-lab/src/main.rs
@@ -0,0 +1,24 @@
+//! The experiments' program.
+
+use anyhow::Result;
+use bpaf::Bpaf;
+use grebedeck_lab::command::{experts, switch};
+
+/// Experiments with grebedeck's decisions. Each prints its figures; --json for programs.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum Options {
+    /// Long random runs of the switch protocol, with its invariants checked
+    #[bpaf(command)]
+    Switch(#[bpaf(external(switch::switch_options))] switch::SwitchOptions),
+    /// Balance a model of one group in virtual time, by several policies
+    #[bpaf(command)]
+    Experts(#[bpaf(external(experts::experts_options))] experts::ExpertsOptions),
+}
+
+fn main() -> Result<()> {
+    match options().run() {
+        Options::Switch(options) => switch::run(&options),
+        Options::Experts(options) => experts::run(&options),
+    }
+}
--- a/grebedeck/src/agent/group.rs
+++ b/grebedeck/src/agent/group.rs
@@ -282,22 +282,28 @@
 
     /// Brings a joined member's engine to the group's map.
     async fn resume(&mut self) {
+        let (from, previous) = self.member.before_current();
         let current = self.member.current();
 
-        if current == MapVersion::default() {
-            self.resumed = true;
-            return;
+        // A map that lies ahead must not be used yet, or this rank would be alone with it.
+        let before = self.next_step >= from || self.take_up(previous, self.next_step).await;
+        self.resumed = before && self.take_up(current, from.max(self.next_step)).await;
+    }
+
+    /// Makes the engine use a map that the group has agreed on.
+    async fn take_up(&mut self, version: MapVersion, at_step: Step) -> bool {
+        // Engines start with the first map.
+        if version == MapVersion::default() {
+            return true;
         }
 
-        let Some(map) = self.find_map(current).await else {
-            return;
+        let Some(map) = self.find_map(version).await else {
+            return false;
         };
 
-        self.service.keep_map(current, map, current);
-        let loaded = self.load(current).await;
-        let version = version_text(current);
-        let action = EngineAction::Use { version, at_step: self.next_step };
-        self.resumed = loaded && self.order(current, action).await;
+        self.service.keep_map(version, map, version);
+        let action = EngineAction::Use { version: version_text(version), at_step };
+        self.load(version).await && self.order(version, action).await
     }
 
     async fn find_map(&self, version: MapVersion) -> Option<ExpertMap> {
