--- /dev/null
+++ b/grebedeck-config/tests/accept.rs
@@ -0,0 +1,205 @@
+//! Accepting changes under races, lost answers and writes that land late.
+
+use std::collections::BTreeMap;
+
+use grebedeck_config::{
+    AcceptOrder, AcceptResult, Acceptor, Adoption, CatchUp, Change, LogEntry, Organisation,
+    Replica, SelectorRule, StoreAnswer, Target,
+};
+use proptest::prelude::*;
+
+/// A store whose writes may be answered, lost before or after they take effect, or land late.
+#[derive(Default)]
+struct Store {
+    log: Vec<LogEntry>,
+    ids: BTreeMap<String, u64>,
+    late: Vec<LogEntry>,
+}
+
+impl Store {
+    fn write(&mut self, entry: &LogEntry) -> bool {
+        let fits = entry.revision == self.log.len() as u64 + 1;
+
+        if !fits || self.ids.contains_key(&entry.change.id) {
+            return false;
+        }
+
+        self.ids.insert(entry.change.id.clone(), entry.revision);
+        self.log.push(entry.clone());
+        true
+    }
+
+    fn land_late_writes(&mut self) {
+        for entry in std::mem::take(&mut self.late) {
+            self.write(&entry);
+        }
+    }
+}
+
+struct Operator {
+    acceptor: Acceptor,
+    order: AcceptOrder,
+    id: String,
+    replica: Replica,
+}
+
+impl Operator {
+    fn new(change: Change) -> Self {
+        let id = change.id.clone();
+        let (acceptor, order) = Acceptor::new(change);
+
+        Operator { acceptor, order, id, replica: Replica::default() }
+    }
+
+    fn step(&mut self, store: &mut Store, fate: u8) {
+        self.order = match self.order.clone() {
+            AcceptOrder::Catch => {
+                let before = self.replica.revision();
+                self.replica.take(CatchUp::Entries(store.log.clone()));
+                assert!(self.replica.revision() >= before);
+                let known = store.ids.get(&self.id).copied();
+                let document = self.replica.document().clone();
+                self.acceptor.at_head(self.replica.revision(), &document, known, 0)
+            }
+            AcceptOrder::Write(entry) => self.acceptor.answered(match fate % 4 {
+                0 => {
+                    store.late.push(*entry);
+                    StoreAnswer::Lost
+                }
+                1 => {
+                    store.write(&entry);
+                    StoreAnswer::Lost
+                }
+                _ if store.write(&entry) => StoreAnswer::Written,
+                _ => StoreAnswer::Conflict,
+            }),
+            AcceptOrder::ReadBack => {
+                self.acceptor.answered(match (fate % 3, store.ids.get(&self.id)) {
+                    (0, _) => StoreAnswer::Lost,
+                    (_, Some(revision)) => StoreAnswer::Found(*revision),
+                    (_, None) => StoreAnswer::Absent,
+                })
+            }
+            finished => finished,
+        };
+
+        if fate % 5 == 0 {
+            store.land_late_writes();
+        }
+    }
+
+    fn result(&self) -> Option<&AcceptResult> {
+        match &self.order {
+            AcceptOrder::Finish(result) => Some(result),
+            _ => None,
+        }
+    }
+}
+
+fn change(number: usize) -> Change {
+    let organisation = Organisation { labels: BTreeMap::new() };
+
+    Change {
+        id: format!("change-{number}"),
+        allow_no_capacity: true,
+        organisations: BTreeMap::from([(format!("org-{number}"), Some(organisation))]),
+        ..Change::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    #[test]
+    fn what_operators_are_told_is_true_for_ever(
+        turns in prop::collection::vec((0usize..4, any::<u8>()), 40..400),
+    ) {
+        let mut store = Store::default();
+        let mut operators: Vec<_> = (0..4).map(|n| Operator::new(change(n))).collect();
+
+        for (who, fate) in turns {
+            operators[who].step(&mut store, fate);
+        }
+
+        store.land_late_writes();
+
+        for operator in &operators {
+            let stored = store.ids.get(&operator.id);
+            let times = store.log.iter().filter(|e| e.change.id == operator.id).count();
+            prop_assert!(times <= 1, "applied twice");
+
+            match operator.result() {
+                Some(AcceptResult::Accepted(revision)) => prop_assert_eq!(stored, Some(revision)),
+                Some(AcceptResult::Refused(_)) => prop_assert_eq!(stored, None),
+                _ => {}
+            }
+        }
+
+        let mut replica = Replica::default();
+        let adoption = replica.take(CatchUp::Entries(store.log.clone()));
+        prop_assert!(store.log.is_empty() || adoption == Adoption::Adopted);
+        prop_assert_eq!(replica.revision(), store.log.len() as u64);
+    }
+}
+
+#[test]
+fn a_change_is_refused_whole_with_every_fault() {
+    let target = Target {
+        labels: BTreeMap::from([("tier".into(), "not valid!".into())]),
+        hall: String::new(),
+        agent_address: "127.0.0.1:1".parse().unwrap(),
+        group: Some("nowhere".into()),
+        ranks: vec![],
+        checks_orders: false,
+    };
+    let rule = SelectorRule { traffic: "tier in (gold".into(), capacity: "hall=none".into() };
+    let mut change = change(1);
+    change.targets.insert("t".into(), Some(target));
+    change.selectors.insert("s".into(), Some(rule));
+    change.selectors.insert("gone".into(), None);
+
+    let faults = change.check(&Default::default()).unwrap_err();
+    let fields: Vec<&str> = faults.0.iter().map(|f| f.field.as_str()).collect();
+
+    for field in [
+        "selectors.gone",
+        "targets.t.labels.tier",
+        "targets.t.hall",
+        "targets.t.group",
+        "targets.t.ranks",
+        "selectors.s.traffic",
+        "selectors.s.capacity",
+    ] {
+        assert!(fields.contains(&field), "{field} is not among {fields:?}");
+    }
+}
+
+#[test]
+fn an_organisation_left_without_capacity_needs_the_operators_word() {
+    let mut change = change(1);
+    change.allow_no_capacity = false;
+    assert_eq!(change.check(&Default::default()).unwrap_err().0[0].field, "organisations.org-1");
+
+    change.allow_no_capacity = true;
+    assert!(change.check(&Default::default()).is_ok());
+}
+
+#[test]
+fn a_replica_never_goes_back_and_notices_gaps_and_corruption() {
+    let entry = |revision, number| {
+        let change = change(number);
+        let digest = change.apply(&Default::default()).digest();
+        LogEntry { revision, digest, accepted_unix_ms: 0, change }
+    };
+    let mut replica = Replica::default();
+
+    assert_eq!(replica.adopt(entry(2, 1)), Adoption::Gap);
+    let mut corrupt = entry(1, 1);
+    corrupt.digest ^= 1;
+    assert_eq!(replica.adopt(corrupt), Adoption::Corrupt);
+    assert_eq!(replica.adopt(entry(1, 1)), Adoption::Adopted);
+    assert_eq!(replica.adopt(entry(1, 2)), Adoption::Stale);
+    assert_eq!(replica.adopt_snapshot(Default::default()), Adoption::Stale);
+    assert!(replica.document().organisations.contains_key("org-1"));
+}
--- /dev/null
+++ b/grebedeck-lab/src/caller.rs
@@ -0,0 +1,85 @@
+//! A caller of a site, for tests and measurements.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use grebedeck_core::Result;
+use grebedeck_net::http::HttpClient;
+use grebedeck_net::http::client::{Answer, SendError};
+use http_types::{Method, Request, Url};
+
+/// A caller with its own kept connection.
+#[derive(Clone)]
+pub struct Caller {
+    client: HttpClient,
+    organisation: String,
+    service: String,
+}
+
+/// An answer that was read whole.
+#[derive(Clone, Debug)]
+pub struct CallerAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// What the outcome header says.
+    pub outcome: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl CallerAnswer {
+    /// Gets the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Largest body that a caller reads, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+impl Caller {
+    /// Makes a caller of an organisation.
+    pub fn new(entry: SocketAddr, organisation: &str, service: &str) -> Self {
+        Caller {
+            client: HttpClient::new(entry, Duration::from_secs(5)),
+            organisation: organisation.to_string(),
+            service: service.to_string(),
+        }
+    }
+
+    /// Makes a request with the caller's headers.
+    pub fn request(&self, method: Method, path: &str) -> Request {
+        let url = Url::parse(&format!("http://{}{path}", self.client.address()));
+        let mut request = Request::new(method, url.expect("a path makes a URL"));
+        request.insert_header("grebedeck-organisation", self.organisation.as_str());
+        request.insert_header("grebedeck-service", self.service.as_str());
+
+        request
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn begin(&self, request: Request) -> Result<Answer> {
+        self.client.send(request).await.map_err(SendError::into_error)
+    }
+
+    /// Sends a request and reads the whole answer; a cut one is an error.
+    pub async fn send(&self, request: Request) -> Result<CallerAnswer> {
+        let answer = self.begin(request).await?;
+        let status = answer.response.status() as u16;
+        let outcome = answer.response.header("grebedeck-outcome").map(|v| v.as_str().to_string());
+        let expected = answer.response.len();
+        let body = answer.read_all(MAX_BODY_BYTES).await?;
+
+        // The library takes a connection that closes early for the end of the body.
+        if expected.is_some_and(|len| len != body.len()) {
+            return grebedeck_core::error::protocol_error("the answer was cut");
+        }
+
+        Ok(CallerAnswer { status, outcome: outcome.unwrap_or_default(), body })
+    }
+
+    /// Gets a path.
+    pub async fn get(&self, path: &str) -> Result<CallerAnswer> {
+        self.send(self.request(Method::Get, path)).await
+    }
+}
--- a/grebedeck-lab/src/command.rs
+++ b/grebedeck-lab/src/command.rs
@@ -1,4 +1,5 @@
 //! The experiments, one module each.
 
 pub mod experts;
+pub mod path;
 pub mod switch;
--- a/grebedeck-lab/src/lib.rs
+++ b/grebedeck-lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod caller;
 pub mod command;
 pub mod http;
 pub mod model;
--- a/grebedeck-lab/src/main.rs
+++ b/grebedeck-lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 use bpaf::Bpaf;
-use grebedeck_lab::command::{experts, switch};
+use grebedeck_lab::command::{experts, path, switch};
 
 /// Experiments with grebedeck's decisions. Each prints its figures; --json for programs.
 #[derive(Clone, Debug, Bpaf)]
@@ -11,14 +11,21 @@
     /// Long random runs of the switch protocol, with its invariants checked
     #[bpaf(command)]
     Switch(#[bpaf(external(switch::switch_options))] switch::SwitchOptions),
+    /// What the way through entry and agent adds, beside calls that go straight to the target
+    #[bpaf(command)]
+    Path(#[bpaf(external(path::path_options))] path::PathOptions),
     /// Balance a model of one group in virtual time, by several policies
     #[bpaf(command)]
     Experts(#[bpaf(external(experts::experts_options))] experts::ExpertsOptions),
 }
 
 fn main() -> Result<()> {
+    // The processes' own log lines would stand between the figures.
+    grebedeck_kernel::log::start(spdlog::Level::Error)?;
+
     match options().run() {
         Options::Switch(options) => switch::run(&options),
+        Options::Path(options) => path::run(&options),
         Options::Experts(options) => experts::run(&options),
     }
 }
--- a/grebedeck-lab/src/site.rs
+++ b/grebedeck-lab/src/site.rs
@@ -179,7 +179,8 @@
         })
     }
 
-    async fn start_entry(&mut self, number: usize, options: &SiteOptions) -> Result<()> {
+    /// Starts one more entry.
+    pub async fn start_entry(&mut self, number: usize, options: &SiteOptions) -> Result<()> {
         let port_of = |first: u16| if first == 0 { 0 } else { first + number as u16 };
         let name = format!("entry-{number}");
         let operator = SocketAddr::from(([127, 0, 0, 1], port_of(options.operator_port)));
--- a/grebedeck/src/config/spread.rs
+++ b/grebedeck/src/config/spread.rs
@@ -170,15 +170,8 @@
         let changed = self.config.on_change();
 
         loop {
-            let peers = choose_peers(
-                &self.settings.name,
-                &self.settings.hall,
-                self.settings.peers,
-                &self.members.all(),
-            );
-
             // A peer that does not answer must not hold up the others, nor the next round.
-            for address in peers {
+            for address in self.peers() {
                 let spread = self.clone();
                 async_std::task::spawn(async move { spread.exchange(address).await });
             }
@@ -192,6 +185,15 @@
         }
     }
 
+    /// Gets the peers to exchange revisions with.
+    fn peers(&self) -> Vec<SocketAddr> {
+        let settings = &self.settings;
+        let instances = self.members.all();
+        let chosen = choose_peers(&settings.name, &settings.hall, settings.peers, &instances);
+
+        if chosen.is_empty() { settings.seed_peers.clone() } else { chosen }
+    }
+
     /// Exchanges revisions with one peer; whoever is behind is brought up.
     async fn exchange(&self, address: SocketAddr) {
         let revision = self.config.revision();
--- a/grebedeck/src/settings.rs
+++ b/grebedeck/src/settings.rs
@@ -35,6 +35,9 @@
     /// How many peers a process exchanges its revision with.
     #[serde(default = "defaults::peers")]
     pub peers: usize,
+    /// Peers to ask while the list of instances cannot be read, such as in a cut-off site.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
     /// How long work in flight may go on after a signal to stop.
     #[serde(default = "defaults::drain_limit_ms")]
     pub drain_limit_ms: u64,
