--- /dev/null
+++ b/grebedeck-lab/src/balance/pack.rs
@@ -0,0 +1,65 @@
+//! Packing a layer anew, as a baseline and as the bound.
+
+use grebedeck_core::Rank;
+use grebedeck_experts::map::{ExpertMap, LayerMap, Replica};
+
+/// Packs every layer: spare slots go to the experts with the most load per replica, and replicas go
+/// to the least loaded ranks, the heaviest first. Shares are even.
+pub fn pack(fractions: &[Vec<f32>], ranks: Rank, slots_per_rank: u16) -> ExpertMap {
+    let layers = fractions.iter().map(|f| pack_layer(f, ranks, slots_per_rank)).collect();
+
+    ExpertMap { ranks, slots_per_rank, layers }
+}
+
+fn pack_layer(fractions: &[f32], ranks: Rank, slots_per_rank: u16) -> LayerMap {
+    let slots = usize::from(ranks) * usize::from(slots_per_rank);
+    let mut copies = vec![1usize; fractions.len()];
+
+    for _ in fractions.len()..slots {
+        let per_copy = |e: &usize| fractions[*e] / copies[*e] as f32;
+        let open = |e: &usize| copies[*e] < usize::from(ranks);
+        let heaviest =
+            (0..fractions.len()).filter(open).max_by(|a, b| per_copy(a).total_cmp(&per_copy(b)));
+
+        match heaviest {
+            Some(expert) => copies[expert] += 1,
+            None => break,
+        }
+    }
+
+    place(fractions, &copies, ranks, slots_per_rank)
+}
+
+fn place(fractions: &[f32], copies: &[usize], ranks: Rank, slots_per_rank: u16) -> LayerMap {
+    let load_of = |expert: usize| fractions[expert] / copies[expert] as f32;
+    let mut all: Vec<usize> =
+        copies.iter().enumerate().flat_map(|(e, n)| std::iter::repeat_n(e, *n)).collect();
+    all.sort_by(|a, b| load_of(*b).total_cmp(&load_of(*a)));
+
+    let mut loads = vec![0.0f32; ranks.into()];
+    let mut held = vec![0u16; ranks.into()];
+    let mut experts: Vec<Vec<Replica>> = vec![Vec::new(); fractions.len()];
+
+    for expert in all {
+        let free = |r: &Rank| held[usize::from(*r)] < slots_per_rank;
+        let fresh = |r: &Rank| experts[expert].iter().all(|x| x.rank != *r);
+        let load = |r: &Rank| loads[usize::from(*r)];
+        let by_load = |a: &Rank, b: &Rank| load(a).total_cmp(&load(b));
+
+        // A replica for which only ranks that hold the expert are left is dropped.
+        let Some(rank) = (0..ranks).filter(free).filter(fresh).min_by(by_load) else {
+            continue;
+        };
+
+        experts[expert].push(Replica { rank, share: 0.0 });
+        loads[usize::from(rank)] += load_of(expert);
+        held[usize::from(rank)] += 1;
+    }
+
+    for replicas in &mut experts {
+        let share = 1.0 / replicas.len() as f32;
+        replicas.iter_mut().for_each(|r| r.share = share);
+    }
+
+    LayerMap { experts }
+}
--- a/grebedeck-lab/src/lib.rs
+++ b/grebedeck-lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod balance;
 pub mod caller;
 pub mod command;
 pub mod http;
