Planner: horizon from swings and slow drift; gate: copies beyond its memory

Cause (planner): after a launch the drift estimate rose so far that no replica seemed to last long enough to be worth loading, and at nearly every decision shares were changed for less than the noise.

Cause (plan): random input showed plans that listed weights which a later move had replaced.

Cause (gate): a copy that lies in the socket of a paused agent longer than strikes are remembered would have run after 'not run' was told.

--- a/grebedeck-experts/src/plan.rs
+++ b/grebedeck-experts/src/plan.rs
@@ -27,6 +27,10 @@
     pub move_cost_ms: f32,
     /// Cost of a switch without any moves, in milliseconds.
     pub switch_cost_ms: f32,
+    /// Steps that pass between a change of popularity and the switch that answers it.
+    pub lag_steps: f32,
+    /// Usual time of a step, in milliseconds.
+    pub step_ms: f32,
     /// Longest time over which a gain is counted, in steps.
     pub max_horizon_steps: f32,
     /// Most moves in one plan, so that a plan is loaded before it is out of date.
@@ -37,11 +41,13 @@
     fn default() -> Self {
         PlanOptions {
             tolerance: 0.03,
-            min_gain: 0.01,
+            min_gain: 0.03,
             skew_weight: 3.0,
             cost_weight: 1.0,
             move_cost_ms: 44.0,
             switch_cost_ms: 6.0,
+            lag_steps: 200.0,
+            step_ms: 6.0,
             max_horizon_steps: 20_000.0,
             max_moves: 64,
         }
@@ -101,7 +107,7 @@
         for layer in 0..group.map.layers.len() as Layer {
             let room = self.options.max_moves - moves.len();
             let plan = self.plan_layer(group, layer, room);
-            let horizon = self.horizon_steps(group, layer);
+            let horizon = self.horizon(group, layer, plan.moves.len());
 
             gain += plan.gain;
             worth += plan.gain * horizon * self.options.skew_weight;
@@ -128,10 +134,17 @@
         })
     }
 
-    fn horizon_steps(&self, group: &GroupState<'_>, layer: Layer) -> f32 {
-        let horizon = group.popularity.horizon_steps(layer).min(self.options.max_horizon_steps);
-
-        horizon * group.layer_work_ms
+    /// Gets the time over which a gain of one unit of a layer's work counts, in milliseconds, where
+    /// `moves` weights have to be loaded first.
+    fn horizon(&self, group: &GroupState<'_>, layer: Layer, moves: usize) -> f32 {
+        let options = &self.options;
+        let lasts = group.popularity.horizon_steps(layer).min(options.max_horizon_steps);
+        let loading_steps = moves as f32 * options.move_cost_ms / options.step_ms;
+        let left = lasts - options.lag_steps - loading_steps;
+        // Shares answer what is now, so new ones are worth it at least until the next decision.
+        let least = if moves == 0 { options.lag_steps } else { 0.0 };
+
+        left.max(least) * group.layer_work_ms
     }
 
     fn plan_layer(&self, group: &GroupState<'_>, layer: Layer, room: usize) -> LayerPlan {
@@ -141,10 +154,9 @@
 
         let before = slowest(&map.rank_loads(fractions, costs.len() as Rank), costs);
         let mut loads = balance(&mut map, fractions, costs, DEFAULT_PASSES);
-        let mut moves = Vec::new();
+        let mut moves: Vec<(Move, f32)> = Vec::new();
 
         let ideal = ideal_time(costs);
-        let horizon = self.horizon_steps(group, layer);
         let price = self.options.move_cost_ms * self.options.cost_weight;
 
         while moves.len() < room {
@@ -160,6 +172,7 @@
             };
 
             let gain = now - step.slowest;
+            let horizon = self.horizon(group, layer, moves.len() + 1);
 
             if gain * horizon * self.options.skew_weight <= price {
                 break;
@@ -170,6 +183,12 @@
             loads = step.loads;
         }
 
+        // A later move may have taken an earlier one's place, or brought back what was there.
+        let in_use = &group.map.layers[usize::from(layer)];
+        moves.retain(|(m, _)| map.holds(m.expert, m.rank) && !in_use.holds(m.expert, m.rank));
+        moves.sort_by_key(|(m, _)| (m.expert, m.rank));
+        moves.dedup_by_key(|(m, _)| (m.expert, m.rank));
+
         let gain = before - slowest(&loads, costs);
         LayerPlan { map, moves, gain }
     }
--- a/grebedeck-experts/src/popularity.rs
+++ b/grebedeck-experts/src/popularity.rs
@@ -39,11 +39,58 @@
 struct LayerEstimate {
     fractions: Vec<f32>,
     variances: Vec<f32>,
-    /// Variance that drift adds per step, over all experts of the layer.
+    /// Variance that drift and swings add per step, over all experts of the layer.
     drift_per_step: f32,
+    /// The same, without sharp swings.
+    calm_drift_per_step: f32,
+    swings: Swings,
+    reports: u32,
     until_step: Step,
 }
 
+/// When sharp swings came, to tell how long the next quiet time may last.
+#[derive(Clone, Debug, Default)]
+struct Swings {
+    last_step: Option<Step>,
+    /// Reports in a row that showed a swing.
+    in_row: u32,
+    /// Usual steps from one swing to the next; none until two were seen.
+    interval_steps: Option<f32>,
+}
+
+/// Part of the layer's squared popularity that a report must differ by to count as a swing.
+const SWING_PART: f32 = 0.1;
+/// Reports in a row after which a swing no longer counts as a single one.
+const SWING_REPORTS: u32 = 3;
+
+impl Swings {
+    fn note(&mut self, is_swing: bool, until_step: Step, report_steps: f32) {
+        if !is_swing {
+            self.in_row = 0;
+            return;
+        }
+
+        self.in_row += 1;
+
+        if self.in_row == 1 {
+            let since = self.last_step.replace(until_step).map(|last| (until_step - last) as f32);
+            self.learn(since);
+        } else if self.in_row >= SWING_REPORTS {
+            // Swings that follow each other faster than reports do look like one without end.
+            self.learn(Some(report_steps * SWING_REPORTS as f32));
+        }
+    }
+
+    fn learn(&mut self, interval: Option<f32>) {
+        let Some(interval) = interval else {
+            return;
+        };
+
+        let known = self.interval_steps.unwrap_or(interval);
+        self.interval_steps = Some(0.5 * (known + interval));
+    }
+}
+
 /// The estimate for all layers of a model.
 #[derive(Clone, Debug)]
 pub struct Popularity {
@@ -60,6 +107,9 @@
             // Nothing is known yet, so the first count is taken nearly as it is.
             variances: vec![even * even * 4.0; usize::from(experts)],
             drift_per_step: 0.0,
+            calm_drift_per_step: 0.0,
+            swings: Swings::default(),
+            reports: 0,
             until_step: 0,
         };
 
@@ -101,15 +151,20 @@
         self.layers[usize::from(layer)].variances.iter().map(|v| v.sqrt())
     }
 
-    /// Gets in how many steps drift is expected to change a layer by a tenth of its tokens.
+    /// Gets for how many steps a layer's popularity is expected to stay much as it is.
+    ///
+    /// That is until slow drift has moved about a tenth of the tokens, or until the next sharp
+    /// swing, judged by those that were seen.
     pub fn horizon_steps(&self, layer: Layer) -> f32 {
-        let drift = self.layers[usize::from(layer)].drift_per_step;
+        let layer = &self.layers[usize::from(layer)];
+        let experts = layer.fractions.len() as f32;
         // The drift's variance is summed over experts; a tenth of all tokens moving between
         // experts corresponds to this much of it.
-        let experts = self.layers[usize::from(layer)].fractions.len() as f32;
-        let tolerated = 0.01 / experts;
+        let tolerated = 0.16 / experts;
+        let drift = layer.calm_drift_per_step;
+        let by_drift = if drift <= 0.0 { f32::INFINITY } else { tolerated / drift };
 
-        if drift <= 0.0 { f32::INFINITY } else { tolerated / drift }
+        by_drift.min(layer.swings.interval_steps.unwrap_or(f32::INFINITY))
     }
 }
 
@@ -155,7 +210,19 @@
             surplus += innovation * innovation - noise[at] - self.variances[at];
         }
 
+        let squared: f32 = self.fractions.iter().map(|f| f * f).sum();
+        // The first report differs from an estimate that knew nothing.
+        let is_swing = self.reports > 0 && surplus > SWING_PART * squared;
+        self.swings.note(is_swing, self.until_step, steps);
+        self.reports += 1;
+
         let seen = (surplus / steps).max(0.0);
+
+        if !is_swing && self.reports > SWING_REPORTS {
+            let gain = options.drift_gain;
+            self.calm_drift_per_step += gain * (seen - self.calm_drift_per_step);
+        }
+
         let rises = seen > self.drift_per_step;
         // A swing must show at once, and calm is believed slowly.
         let gain = if rises { (options.drift_gain * 3.0).min(1.0) } else { options.drift_gain };
--- a/grebedeck-net/src/lib.rs
+++ b/grebedeck-net/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod listen;
 pub mod platform;
 pub mod pool;
+pub mod wire;
 
 pub use codec::{decode, encode};
 pub use frame::{FrameReader, FrameWriter};
--- a/grebedeck-net/src/listen.rs
+++ b/grebedeck-net/src/listen.rs
@@ -12,6 +12,7 @@
 
 use crate::frame::{FrameReader, FrameWriter, h2_error};
 use crate::link::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES};
+use crate::wire::Counted;
 
 /// Most streams at once on one connection.
 pub const MAX_STREAMS: u32 = 4096;
@@ -78,7 +79,7 @@
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS);
 
-    let handshake = builder.handshake::<_, Bytes>(tcp.compat());
+    let handshake = builder.handshake::<_, Bytes>(Counted::new(tcp).compat());
     let Ok(Ok(mut connection)) = async_std::future::timeout(HANDSHAKE_LIMIT, handshake).await
     else {
         handler.broken_connection();
--- a/grebedeck-routing/src/gate.rs
+++ b/grebedeck-routing/src/gate.rs
@@ -45,6 +45,8 @@
     pub attempt: AttemptId,
     /// The incarnation that the entry meant.
     pub incarnation: Incarnation,
+    /// When the entry sent it, by the entry's wall clock.
+    pub sent_unix_ms: UnixMs,
     /// The key, for a request that runs at most once.
     pub key: Option<Key>,
     /// When nobody waits for the answer any more.
@@ -150,6 +152,10 @@
             return Verdict::Refuse(Reason::StaleIncarnation);
         }
 
+        if self.is_beyond_memory(start, now_unix_ms) {
+            return Verdict::Refuse(Reason::DeadlinePassed);
+        }
+
         if let Some(verdict) = self.seen_before(start.attempt) {
             return verdict;
         }
@@ -166,6 +172,16 @@
         Verdict::Run
     }
 
+    /// Tells whether an attempt is so old that it may have been struck out and forgotten.
+    ///
+    /// A copy can wait in a buffer for as long as this process is paused. An attempt is struck out
+    /// after it was sent, so within half of the memory's time every strike is still known.
+    fn is_beyond_memory(&self, start: &Start, now_unix_ms: UnixMs) -> bool {
+        let half = (self.options.attempt_memory / 2).as_millis() as UnixMs;
+
+        now_unix_ms > start.sent_unix_ms + half
+    }
+
     fn seen_before(&self, attempt: AttemptId) -> Option<Verdict> {
         match self.attempts.get(&attempt)? {
             AttemptState::Struck => Some(Verdict::Refuse(Reason::Struck)),
--- a/grebedeck/src/agent.rs
+++ b/grebedeck/src/agent.rs
@@ -21,6 +21,7 @@
 use crate::operator::{Operator, serve_operator};
 use crate::peer::PeerHandler;
 use crate::settings::{AgentSettings, millis};
+use crate::wire;
 use group::GroupService;
 pub use service::AgentService;
 
@@ -48,6 +49,7 @@
 
         let kernel = Kernel::default();
         let metrics = Metrics::default();
+        wire::add_metrics(&metrics);
         let clock = Clock::default();
         // Wall-clock time grows from one life to the next, as long as no clock is set back.
         let incarnation = grebedeck_core::time::unix_ms();
--- a/grebedeck/src/agent/work.rs
+++ b/grebedeck/src/agent/work.rs
@@ -204,6 +204,7 @@
         attempt: start.attempt,
         incarnation: start.incarnation,
         key: start.key,
+        sent_unix_ms: start.sent_unix_ms,
         deadline: start.deadline_ms.map(|ms| now + millis(ms)),
     }
 }
--- a/grebedeck/src/config/service.rs
+++ b/grebedeck/src/config/service.rs
@@ -1,9 +1,11 @@
 //! The configuration in force, as the other services see it.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use grebedeck_config::{Adoption, CatchUp, Replica, Routes};
+use grebedeck_core::time::unix_ms;
 use grebedeck_core::{Moment, Reason, Revision, UnixMs};
 use grebedeck_kernel::{Clock, Counter, Metrics, Service, log};
 use grebedeck_routing::{AllowedSince, Key, find_home};
@@ -24,6 +26,7 @@
     routes: RwLock<Arc<Routes>>,
     history: Mutex<VecDeque<RoutesSince>>,
     store_seen: Mutex<Option<Moment>>,
+    in_force_unix_ms: AtomicU64,
     changed: async_channel::Sender<Revision>,
     on_change: async_channel::Receiver<Revision>,
     adoptions: Counter,
@@ -45,6 +48,7 @@
             routes: RwLock::default(),
             history: Mutex::default(),
             store_seen: Mutex::default(),
+            in_force_unix_ms: AtomicU64::new(0),
             changed,
             on_change,
             adoptions,
@@ -129,6 +133,7 @@
             history.pop_front();
         }
 
+        self.in_force_unix_ms.store(unix_ms(), Ordering::Relaxed);
         log::info!("configuration in force", kv: { revision = replica.revision() });
         let _ = self.changed.try_send(replica.revision());
     }
@@ -142,11 +147,14 @@
 impl Service for ConfigService {
     fn dump(&self) -> Value {
         let routes = self.routes();
-        let (revision, digest) = self.with_replica(|r| (r.revision(), r.document().digest()));
+        let (revision, digest, accepted_unix_ms) =
+            self.with_replica(|r| (r.revision(), r.document().digest(), r.accepted_unix_ms()));
 
         json!({
             "revision": revision,
             "digest": format!("{digest:016x}"),
+            "accepted_unix_ms": accepted_unix_ms,
+            "in_force_unix_ms": self.in_force_unix_ms.load(Ordering::Relaxed),
             "targets": routes.targets().len(),
             "organisation_classes": routes.class_count(),
             "store_age_ms": self.store_age().map(|age| age.as_millis() as u64),
--- a/grebedeck/src/entry.rs
+++ b/grebedeck/src/entry.rs
@@ -22,6 +22,7 @@
 use crate::operator::{Operator, serve_operator};
 use crate::peer::PeerHandler;
 use crate::settings::{EntrySettings, millis};
+use crate::wire;
 use service::EntryService;
 
 /// A running entry.
@@ -45,6 +46,7 @@
 
         let kernel = Kernel::default();
         let metrics = Metrics::default();
+        wire::add_metrics(&metrics);
         let clock = Clock::default();
         let config = kernel.register(config::NAME, ConfigService::new(clock, &metrics));
         let members = kernel.register("members", Members::default());
--- a/grebedeck/src/entry/attempt.rs
+++ b/grebedeck/src/entry/attempt.rs
@@ -6,6 +6,7 @@
 use async_std::future::timeout;
 use bytes::BytesMut;
 use grebedeck_config::Route;
+use grebedeck_core::time::unix_ms;
 use grebedeck_core::{AttemptId, Incarnation, Moment, Reason, Result};
 use grebedeck_net::codec::encode_into;
 use grebedeck_net::{FrameReader, Link, Stream};
@@ -184,6 +185,7 @@
             service: request.service.clone(),
             revision: self.revision,
             key: request.key,
+            sent_unix_ms: unix_ms(),
             deadline_ms: Some(left.as_millis() as u64),
             method: request.method.clone(),
             path: request.path.clone(),
--- a/grebedeck/src/lib.rs
+++ b/grebedeck/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod random;
 pub mod settings;
 pub mod stop;
+pub mod wire;
--- a/grebedeck/src/message.rs
+++ b/grebedeck/src/message.rs
@@ -3,7 +3,7 @@
 use grebedeck_config::CatchUp;
 use grebedeck_core::{
     AttemptId, Digest, DigestWriter, Incarnation, InstanceName, Layer, OrganisationName, Rank,
-    Reason, Revision, ServiceName, Step,
+    Reason, Revision, ServiceName, Step, UnixMs,
 };
 use grebedeck_experts::ExpertMap;
 use grebedeck_experts::switch::{MapVersion, Message as SwitchMessage};
@@ -46,6 +46,8 @@
     pub revision: Revision,
     /// The key of a request that runs at most once.
     pub key: Option<Key>,
+    /// When the entry sent it, by the entry's wall clock.
+    pub sent_unix_ms: UnixMs,
     /// Time left until nobody waits for the answer, in milliseconds.
     pub deadline_ms: Option<u64>,
     /// HTTP method.
