--- a/grebedeck-lab/src/balance/pack.rs
+++ b/grebedeck-lab/src/balance/pack.rs
@@ -4,14 +4,16 @@
 use grebedeck_experts::map::{ExpertMap, LayerMap, Replica};
 
 /// Packs every layer: spare slots go to the experts with the most load per replica, and replicas go
-/// to the least loaded ranks, the heaviest first. Shares are even.
-pub fn pack(fractions: &[Vec<f32>], ranks: Rank, slots_per_rank: u16) -> ExpertMap {
-    let layers = fractions.iter().map(|f| pack_layer(f, ranks, slots_per_rank)).collect();
+/// to the ranks that end earliest, the heaviest first. Shares are even.
+pub fn pack(fractions: &[Vec<f32>], costs: &[f32], slots_per_rank: u16) -> ExpertMap {
+    let ranks = costs.len() as Rank;
+    let layers = fractions.iter().map(|f| pack_layer(f, costs, slots_per_rank)).collect();
 
     ExpertMap { ranks, slots_per_rank, layers }
 }
 
-fn pack_layer(fractions: &[f32], ranks: Rank, slots_per_rank: u16) -> LayerMap {
+fn pack_layer(fractions: &[f32], costs: &[f32], slots_per_rank: u16) -> LayerMap {
+    let ranks = costs.len() as Rank;
     let slots = usize::from(ranks) * usize::from(slots_per_rank);
     let mut copies = vec![1usize; fractions.len()];
 
@@ -27,10 +29,11 @@
         }
     }
 
-    place(fractions, &copies, ranks, slots_per_rank)
+    place(fractions, &copies, costs, slots_per_rank)
 }
 
-fn place(fractions: &[f32], copies: &[usize], ranks: Rank, slots_per_rank: u16) -> LayerMap {
+fn place(fractions: &[f32], copies: &[usize], costs: &[f32], slots_per_rank: u16) -> LayerMap {
+    let ranks = costs.len() as Rank;
     let load_of = |expert: usize| fractions[expert] / copies[expert] as f32;
     let mut all: Vec<usize> =
         copies.iter().enumerate().flat_map(|(e, n)| std::iter::repeat_n(e, *n)).collect();
@@ -43,11 +46,12 @@
     for expert in all {
         let free = |r: &Rank| held[usize::from(*r)] < slots_per_rank;
         let fresh = |r: &Rank| experts[expert].iter().all(|x| x.rank != *r);
-        let load = |r: &Rank| loads[usize::from(*r)];
-        let by_load = |a: &Rank, b: &Rank| load(a).total_cmp(&load(b));
+        let own = load_of(expert);
+        let end = |r: &Rank| (loads[usize::from(*r)] + own) * costs[usize::from(*r)];
+        let by_end = |a: &Rank, b: &Rank| end(a).total_cmp(&end(b));
 
         // A replica for which only ranks that hold the expert are left is dropped.
-        let Some(rank) = (0..ranks).filter(free).filter(fresh).min_by(by_load) else {
+        let Some(rank) = (0..ranks).filter(free).filter(fresh).min_by(by_end) else {
             continue;
         };
 
--- a/grebedeck-lab/src/balance/policy.rs
+++ b/grebedeck-lab/src/balance/policy.rs
@@ -135,7 +135,8 @@
         }
 
         self.last_pack = step;
-        Some(pack(&self.window_fractions(), self.setup.ranks, self.setup.slots_per_rank))
+        let costs = vec![1.0; self.setup.ranks.into()];
+        Some(pack(&self.window_fractions(), &costs, self.setup.slots_per_rank))
     }
 
     fn window_fractions(&self) -> Vec<Vec<f32>> {
@@ -171,7 +172,7 @@
 
 /// The bound: a packing by the true popularity, with the best shares.
 pub fn clairvoyant(fractions: &[Vec<f32>], costs: &[f32], setup: &Setup) -> ExpertMap {
-    let mut map = pack(fractions, setup.ranks, setup.slots_per_rank);
+    let mut map = pack(fractions, costs, setup.slots_per_rank);
 
     for (layer, fractions) in map.layers.iter_mut().zip(fractions) {
         balance(layer, fractions, costs, DEFAULT_PASSES);
--- a/grebedeck-lab/src/command.rs
+++ b/grebedeck-lab/src/command.rs
@@ -1,5 +1,7 @@
 //! The experiments, one module each.
 
+pub mod cost;
 pub mod experts;
+pub mod fleet;
 pub mod path;
 pub mod switch;
--- a/grebedeck-lab/src/main.rs
+++ b/grebedeck-lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 use bpaf::Bpaf;
-use grebedeck_lab::command::{experts, path, switch};
+use grebedeck_lab::command::{cost, experts, fleet, path, switch};
 
 /// Experiments with grebedeck's decisions. Each prints its figures; --json for programs.
 #[derive(Clone, Debug, Bpaf)]
@@ -14,6 +14,18 @@
     /// What the way through entry and agent adds, beside calls that go straight to the target
     #[bpaf(command)]
     Path(#[bpaf(external(path::path_options))] path::PathOptions),
+    /// What state, messages and decisions cost, as slopes over their number
+    #[bpaf(command)]
+    Cost(#[bpaf(external(cost::cost_options))] cost::CostOptions),
+    /// Write the settings of a fleet
+    #[bpaf(command("fleet-settings"))]
+    FleetSettings(#[bpaf(external(fleet::fleet_options))] fleet::FleetOptions),
+    /// Run the stand-ins of a fleet
+    #[bpaf(command("fleet-stand-ins"))]
+    FleetStandIns(#[bpaf(external(fleet::fleet_options))] fleet::FleetOptions),
+    /// Measure a running fleet
+    #[bpaf(command("fleet-measure"))]
+    FleetMeasure(#[bpaf(external(fleet::fleet_options))] fleet::FleetOptions),
     /// Balance a model of one group in virtual time, by several policies
     #[bpaf(command)]
     Experts(#[bpaf(external(experts::experts_options))] experts::ExpertsOptions),
@@ -26,6 +38,10 @@
     match options().run() {
         Options::Switch(options) => switch::run(&options),
         Options::Path(options) => path::run(&options),
+        Options::Cost(options) => cost::run(&options),
+        Options::FleetSettings(options) => fleet::write_settings(&options),
+        Options::FleetStandIns(options) => fleet::run_stand_ins(&options),
+        Options::FleetMeasure(options) => fleet::measure(&options),
         Options::Experts(options) => experts::run(&options),
     }
 }
