Cost slopes; configuration, maps and counters made small enough for the large fleet

Cause: measured slopes showed mechanisms that do not carry 36,000 organisations or 60 layers: 34 MB of configuration, 70 ms to put one change in force, 23 KB for a report of token counts, 65 KB for a map, plans that kept all moves for the first layers. Change: grebedeck-lab cost; documents and routes that share their unchanged parts (imbl), a digest that is kept up to date object by object, shared labels; counts as one byte each; maps travel as differences with shares in parts of 255; a budget for what is sent of maps; moves go to the layers that gain the most.

--- a/grebedeck-config/src/change.rs
+++ b/grebedeck-config/src/change.rs
@@ -4,9 +4,10 @@
 
 use grebedeck_core::digest::Digest;
 use grebedeck_core::{Faults, Revision, UnixMs};
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
-use crate::document::{Document, Group, Organisation, SelectorRule, Target};
+use crate::document::{Document, Group, Organisation, SelectorRule, Target, object_digest};
 use crate::routes::Routes;
 
 /// A change of the configuration. An object is set whole; `null` removes it.
@@ -55,6 +56,8 @@
     pub revision: Revision,
     /// When the revision was accepted, by the accepting process's clock.
     pub accepted_unix_ms: UnixMs,
+    /// Digest of the document.
+    pub digest: Digest,
     /// The document.
     pub document: Document,
 }
@@ -62,14 +65,24 @@
 impl Change {
     /// Gives the document after the change without checking it.
     pub fn apply(&self, document: &Document) -> Document {
+        self.apply_with_digest(document, 0).0
+    }
+
+    /// Gives the document after the change, and its digest from that of the document before.
+    pub fn apply_with_digest(&self, document: &Document, digest: Digest) -> (Document, Digest) {
         let mut next = document.clone();
 
-        merge(&mut next.targets, &self.targets);
-        merge(&mut next.groups, &self.groups);
-        merge(&mut next.organisations, &self.organisations);
-        merge(&mut next.selectors, &self.selectors);
+        let digest = merge("targets", &mut next.targets, &self.targets, digest);
+        let digest = merge("groups", &mut next.groups, &self.groups, digest);
+        let digest = merge("organisations", &mut next.organisations, &self.organisations, digest);
+        let digest = merge("selectors", &mut next.selectors, &self.selectors, digest);
+
+        (next, digest)
+    }
 
-        next
+    /// Tells whether the change concerns organisations alone.
+    pub fn is_of_organisations(&self) -> bool {
+        self.targets.is_empty() && self.groups.is_empty() && self.selectors.is_empty()
     }
 
     /// Checks the change whole against a document and gives the next one, or every fault.
@@ -99,9 +112,15 @@
     /// Adds a fault for each organisation that had capacity, or is new, and is left with none.
     fn check_capacity(&self, document: &Document, next: &Document, faults: &mut Faults) {
         let before = Routes::new(0, document);
-        let after = Routes::new(0, next);
+        let after = before.next(0, next, self);
+        let only_these = self.is_of_organisations();
 
         for name in next.organisations.keys() {
+            // Nothing changes for organisations that such a change does not name.
+            if only_these && !self.organisations.contains_key(name) {
+                continue;
+            }
+
             let had_some = !document.organisations.contains_key(name) || before.has_capacity(name);
 
             if had_some && !after.has_capacity(name) {
@@ -113,18 +132,30 @@
     }
 }
 
-fn merge<T: Clone>(into: &mut BTreeMap<String, T>, from: &BTreeMap<String, Option<T>>) {
+/// Puts a change's objects in their places; gives the digest after it.
+fn merge<T: Clone + Serialize>(
+    kind: &str,
+    into: &mut OrdMap<String, T>,
+    from: &BTreeMap<String, Option<T>>,
+    mut digest: Digest,
+) -> Digest {
     for (name, value) in from {
-        match value {
+        let before = match value {
             Some(value) => into.insert(name.clone(), value.clone()),
             None => into.remove(name),
         };
+
+        let digest_of = |object: &T| object_digest(kind, name, object);
+        digest = digest.wrapping_sub(before.as_ref().map_or(0, digest_of));
+        digest = digest.wrapping_add(value.as_ref().map_or(0, digest_of));
     }
+
+    digest
 }
 
-fn check_removals<T>(
+fn check_removals<T: Clone>(
     kind: &str,
-    present: &BTreeMap<String, T>,
+    present: &OrdMap<String, T>,
     change: &BTreeMap<String, Option<T>>,
     faults: &mut Faults,
 ) {
--- a/grebedeck-config/src/document.rs
+++ b/grebedeck-config/src/document.rs
@@ -1,10 +1,12 @@
 //! The operators' document: targets, groups, organisations and selector rules.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use grebedeck_core::digest::{Digest, digest};
 use grebedeck_core::{Fault, Faults, GroupName, HallName, OrganisationName, Rank, TargetName};
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
 use crate::label::{Labels, check_labels, is_label_text};
@@ -51,12 +53,12 @@
 }
 
 /// An organisation whose requests are served.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Organisation {
-    /// The operators' labels.
+    /// The operators' labels. Organisations with equal labels can share them.
     #[serde(default)]
-    pub labels: Labels,
+    pub labels: Arc<Labels>,
 }
 
 /// Says which traffic may reach which labelled capacity.
@@ -72,21 +74,24 @@
 }
 
 /// A whole configuration.
+///
+/// Its maps share their unchanged parts with the documents that they were made from, so a copy
+/// costs little however many organisations there are.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// Targets by name.
     #[serde(default)]
-    pub targets: BTreeMap<TargetName, Target>,
+    pub targets: OrdMap<TargetName, Target>,
     /// Groups by name.
     #[serde(default)]
-    pub groups: BTreeMap<GroupName, Group>,
+    pub groups: OrdMap<GroupName, Group>,
     /// Organisations by name.
     #[serde(default)]
-    pub organisations: BTreeMap<OrganisationName, Organisation>,
+    pub organisations: OrdMap<OrganisationName, Organisation>,
     /// Selector rules by name.
     #[serde(default)]
-    pub selectors: BTreeMap<String, SelectorRule>,
+    pub selectors: OrdMap<String, SelectorRule>,
 }
 
 impl Document {
@@ -107,12 +112,32 @@
         labels
     }
 
-    /// Gets the digest of the whole document.
+    /// Gets the digest of the whole document: the sum of its objects' digests.
     pub fn digest(&self) -> Digest {
-        // Maps are ordered, so equal documents have equal bytes.
-        let bytes = serde_json::to_vec(self).expect("a document always serializes");
+        sum("targets", &self.targets)
+            .wrapping_add(sum("groups", &self.groups))
+            .wrapping_add(sum("organisations", &self.organisations))
+            .wrapping_add(sum("selectors", &self.selectors))
+    }
+
+    /// Lets organisations with equal labels share them, which most of a large document can.
+    pub fn share_labels(&mut self) {
+        let mut pool: BTreeSet<Arc<Labels>> = BTreeSet::new();
+        let mut shared = OrdMap::new();
+
+        for (name, organisation) in &self.organisations {
+            let labels = match pool.get(&organisation.labels) {
+                Some(labels) => labels.clone(),
+                None => {
+                    pool.insert(organisation.labels.clone());
+                    organisation.labels.clone()
+                }
+            };
 
-        digest(&bytes)
+            shared.insert(name.clone(), Organisation { labels });
+        }
+
+        self.organisations = shared;
     }
 
     /// Checks the document by itself and gives every fault.
@@ -228,6 +253,19 @@
     }
 }
 
+fn sum<T: Serialize + Clone>(kind: &str, objects: &OrdMap<String, T>) -> Digest {
+    let digests = objects.iter().map(|(name, object)| object_digest(kind, name, object));
+
+    digests.fold(0, Digest::wrapping_add)
+}
+
+/// Gets the digest of one object with its kind and name.
+pub(crate) fn object_digest<T: Serialize>(kind: &str, name: &str, object: &T) -> Digest {
+    let bytes = serde_json::to_vec(&(kind, name, object)).expect("an object always serializes");
+
+    digest(&bytes)
+}
+
 fn check_selector(field: String, text: &str, faults: &mut Faults) -> Option<Selector> {
     match Selector::try_new(text) {
         Ok(selector) => Some(selector),
--- a/grebedeck-config/src/replica.rs
+++ b/grebedeck-config/src/replica.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use grebedeck_core::{Revision, UnixMs};
+use grebedeck_core::{Digest, Revision, UnixMs};
 use serde::{Deserialize, Serialize};
 
 use crate::change::{LogEntry, Snapshot};
@@ -42,6 +42,7 @@
 pub struct Replica {
     revision: Revision,
     accepted_unix_ms: UnixMs,
+    digest: Digest,
     document: Arc<Document>,
     entries: VecDeque<LogEntry>,
 }
@@ -57,6 +58,11 @@
         &self.document
     }
 
+    /// Gets the digest of the document in force.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
     /// Gets the newest log entry that was adopted.
     pub fn last_entry(&self) -> Option<&LogEntry> {
         self.entries.back()
@@ -80,6 +86,7 @@
         Snapshot {
             revision: self.revision,
             accepted_unix_ms: self.accepted_unix_ms,
+            digest: self.digest,
             document: self.document.as_ref().clone(),
         }
     }
@@ -131,12 +138,13 @@
             return Adoption::Gap;
         }
 
-        let next = entry.change.apply(&self.document);
+        let (next, digest) = entry.change.apply_with_digest(&self.document, self.digest);
 
-        if next.digest() != entry.digest {
+        if digest != entry.digest {
             return Adoption::Corrupt;
         }
 
+        self.digest = digest;
         self.move_to(entry.revision, entry.accepted_unix_ms, next);
         self.entries.push_back(entry);
 
@@ -148,11 +156,17 @@
     }
 
     /// Adopts a whole document where it is newer.
-    pub fn adopt_snapshot(&mut self, snapshot: Snapshot) -> Adoption {
+    pub fn adopt_snapshot(&mut self, mut snapshot: Snapshot) -> Adoption {
         if snapshot.revision <= self.revision {
             return Adoption::Stale;
         }
 
+        if snapshot.document.digest() != snapshot.digest {
+            return Adoption::Corrupt;
+        }
+
+        snapshot.document.share_labels();
+        self.digest = snapshot.digest;
         self.move_to(snapshot.revision, snapshot.accepted_unix_ms, snapshot.document);
         // The kept entries no longer reach up to the revision in force.
         self.entries.clear();
--- a/grebedeck-config/src/routes.rs
+++ b/grebedeck-config/src/routes.rs
@@ -4,7 +4,7 @@
 //! distinct label sets, not with the number of organisations, as long as no selector names an
 //! organisation.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,7 +12,10 @@
     GroupName, HallName, OrganisationName, Rank, Revision, ServiceName, TargetName,
 };
 
-use crate::document::{Document, NAME_LABEL, SERVICE_LABEL, SelectorRule};
+use imbl::{HashMap, Vector};
+
+use crate::change::Change;
+use crate::document::{Document, NAME_LABEL, Organisation, SERVICE_LABEL, SelectorRule};
 use crate::label::Labels;
 use crate::selector::Selector;
 
@@ -34,22 +37,35 @@
 }
 
 type ClassNo = u32;
-type AllowedByService = HashMap<ServiceName, Arc<[Arc<Route>]>>;
+type AllowedByService = BTreeMap<ServiceName, Arc<[Arc<Route>]>>;
 
 /// All routes of one revision.
 #[derive(Clone, Debug, Default)]
 pub struct Routes {
     revision: Revision,
-    targets: BTreeMap<TargetName, Arc<Route>>,
+    targets: Arc<BTreeMap<TargetName, Arc<Route>>>,
+    compiled: Arc<Compiled>,
     class_of: HashMap<OrganisationName, ClassNo>,
-    classes: Vec<AllowedByService>,
+    class_by_labels: HashMap<Labels, ClassNo>,
+    classes: Vector<Arc<AllowedByService>>,
+}
+
+/// What classes of organisations are compiled from.
+#[derive(Debug, Default)]
+struct Compiled {
+    rules: Vec<Rule>,
+    labelled: Vec<LabelledTarget>,
+    /// Whether some selector names organisations, so that each has a class of its own.
+    names_matter: bool,
 }
 
+#[derive(Debug)]
 struct Rule {
     traffic: Selector,
     capacity: Selector,
 }
 
+#[derive(Debug)]
 struct LabelledTarget {
     route: Arc<Route>,
     labels: Labels,
@@ -59,29 +75,60 @@
     /// Compiles a document that has been checked. A selector that does not parse allows nothing.
     pub fn new(revision: Revision, document: &Document) -> Self {
         let labelled = labelled_targets(document);
-        let rules: Vec<Rule> = document.selectors.values().filter_map(compile_rule).collect();
+        let target = |t: &LabelledTarget| (t.route.name.clone(), t.route.clone());
+        let targets = Arc::new(labelled.iter().map(target).collect());
+        let rules = document.selectors.values().filter_map(compile_rule).collect();
         let names_matter = document.selectors.values().any(|r| r.traffic.contains(NAME_LABEL));
-
-        let mut class_by_labels: HashMap<Labels, ClassNo> = HashMap::new();
-        let mut classes = Vec::new();
-        let mut class_of = HashMap::with_capacity(document.organisations.len());
+        let compiled = Arc::new(Compiled { rules, labelled, names_matter });
+        let mut routes = Routes { revision, targets, compiled, ..Routes::default() };
 
         for (name, organisation) in &document.organisations {
-            let mut labels = organisation.labels.clone();
+            routes.classify(name, organisation);
+        }
+
+        routes
+    }
+
+    /// Gives the routes of the document that a change has led to.
+    ///
+    /// A change of organisations alone costs no more than the organisations that it names.
+    pub fn next(&self, revision: Revision, document: &Document, change: &Change) -> Self {
+        if !change.is_of_organisations() {
+            return Routes::new(revision, document);
+        }
 
-            if names_matter {
-                labels.insert(NAME_LABEL.into(), name.clone());
+        let mut routes = Routes { revision, ..self.clone() };
+
+        for (name, organisation) in &change.organisations {
+            match organisation {
+                Some(organisation) => routes.classify(name, organisation),
+                None => {
+                    routes.class_of.remove(name);
+                }
             }
+        }
+
+        routes
+    }
 
-            let class = *class_by_labels.entry(labels).or_insert_with_key(|labels| {
-                classes.push(compile_class(labels, &rules, &labelled));
-                (classes.len() - 1) as ClassNo
-            });
-            class_of.insert(name.clone(), class);
+    fn classify(&mut self, name: &str, organisation: &Organisation) {
+        let mut labels = organisation.labels.as_ref().clone();
+
+        if self.compiled.names_matter {
+            labels.insert(NAME_LABEL.into(), name.to_string());
         }
 
-        let targets = labelled.into_iter().map(|t| (t.route.name.clone(), t.route)).collect();
-        Routes { revision, targets, class_of, classes }
+        let class = match self.class_by_labels.get(&labels) {
+            Some(class) => *class,
+            None => {
+                let class = self.classes.len() as ClassNo;
+                self.classes.push_back(Arc::new(compile_class(&labels, &self.compiled)));
+                self.class_by_labels.insert(labels, class);
+                class
+            }
+        };
+
+        self.class_of.insert(name.to_string(), class);
     }
 
     /// Gets the revision that the routes were compiled from.
@@ -149,11 +196,11 @@
     Some(Rule { traffic, capacity })
 }
 
-fn compile_class(labels: &Labels, rules: &[Rule], targets: &[LabelledTarget]) -> AllowedByService {
+fn compile_class(labels: &Labels, compiled: &Compiled) -> AllowedByService {
     let mut allowed: BTreeMap<&str, Vec<Arc<Route>>> = BTreeMap::new();
     let mut traffic_labels = labels.clone();
 
-    for target in targets {
+    for target in &compiled.labelled {
         let Some(service) = target.labels.get(SERVICE_LABEL) else {
             continue;
         };
@@ -162,7 +209,7 @@
         let admits =
             |r: &Rule| r.traffic.matches(&traffic_labels) && r.capacity.matches(&target.labels);
 
-        if rules.iter().any(admits) {
+        if compiled.rules.iter().any(admits) {
             allowed.entry(service).or_default().push(target.route.clone());
         }
     }
--- a/grebedeck-config/tests/accept.rs
+++ b/grebedeck-config/tests/accept.rs
@@ -97,7 +97,7 @@
 }
 
 fn change(number: usize) -> Change {
-    let organisation = Organisation { labels: BTreeMap::new() };
+    let organisation = Organisation::default();
 
     Change {
         id: format!("change-{number}"),
--- a/grebedeck-experts/src/lib.rs
+++ b/grebedeck-experts/src/lib.rs
@@ -6,12 +6,13 @@
 
 #![forbid(unsafe_code)]
 
+pub mod counter;
 pub mod map;
 pub mod plan;
 pub mod popularity;
 pub mod share;
 pub mod switch;
 
-pub use map::{ExpertMap, LayerMap, Move, Replica};
-pub use plan::{Plan, PlanOptions, Planner};
+pub use map::{ExpertMap, LayerMap, MapDelta, Move, Replica};
+pub use plan::{ChangeBudget, Plan, PlanOptions, Planner};
 pub use popularity::{Popularity, PopularityOptions};
--- a/grebedeck-experts/src/map.rs
+++ b/grebedeck-experts/src/map.rs
@@ -30,6 +30,24 @@
     pub layers: Vec<LayerMap>,
 }
 
+/// What differs between two maps, as it travels.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MapDelta {
+    /// The experts that differ.
+    pub experts: Vec<ExpertDelta>,
+}
+
+/// The new placement of one expert.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpertDelta {
+    /// The expert's layer.
+    pub layer: Layer,
+    /// The expert.
+    pub expert: Expert,
+    /// Ranks with their weights; a replica's share is its weight's part of their sum.
+    pub replicas: Vec<(Rank, u8)>,
+}
+
 /// Weights that a rank has to load for a new map.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Move {
@@ -92,6 +110,38 @@
         moves
     }
 
+    /// Gets what differs in the next map. Shares are rounded to parts of 255.
+    pub fn delta_to(&self, next: &ExpertMap) -> MapDelta {
+        let mut experts = Vec::new();
+
+        for (layer, (before, after)) in self.layers.iter().zip(&next.layers).enumerate() {
+            for (expert, replicas) in after.experts.iter().enumerate() {
+                let (layer, expert) = (layer as Layer, expert as Expert);
+
+                if before.experts[usize::from(expert)] != *replicas {
+                    let weight = |r: &Replica| (r.rank, (r.share * 255.0).round() as u8);
+                    let replicas = replicas.iter().map(weight).collect();
+                    experts.push(ExpertDelta { layer, expert, replicas });
+                }
+            }
+        }
+
+        MapDelta { experts }
+    }
+
+    /// Gives the map that a difference leads to, or `None` where it does not fit this map.
+    pub fn with(&self, delta: &MapDelta) -> Option<ExpertMap> {
+        let mut next = self.clone();
+
+        for change in &delta.experts {
+            let layer = next.layers.get_mut(usize::from(change.layer))?;
+            let replicas = layer.experts.get_mut(usize::from(change.expert))?;
+            *replicas = weighed(&change.replicas, self.ranks)?;
+        }
+
+        Some(next)
+    }
+
     /// Asserts what every map must satisfy.
     pub fn assert_valid(&self) {
         for layer in &self.layers {
@@ -112,6 +162,21 @@
     }
 }
 
+fn weighed(weights: &[(Rank, u8)], ranks: Rank) -> Option<Vec<Replica>> {
+    let sum: u32 = weights.iter().map(|(_, w)| u32::from(*w)).sum();
+
+    if weights.is_empty() || weights.iter().any(|(rank, _)| *rank >= ranks) {
+        return None;
+    }
+
+    let share = |weight: u8| match sum {
+        0 => 1.0 / weights.len() as f32,
+        _ => f32::from(weight) / sum as f32,
+    };
+
+    Some(weights.iter().map(|(rank, w)| Replica { rank: *rank, share: share(*w) }).collect())
+}
+
 fn spread_layer(ranks: Rank, experts: Expert, layer: Layer, slots_per_rank: u16) -> LayerMap {
     let ranks_len = usize::from(ranks);
     let mut held = vec![0u16; ranks_len];
--- a/grebedeck-experts/src/plan.rs
+++ b/grebedeck-experts/src/plan.rs
@@ -6,7 +6,7 @@
 //! A move is taken if what it saves over the time that popularity is expected to hold, weighed by
 //! the group's profile, exceeds what loading it costs.
 
-use grebedeck_core::{Expert, Layer, Rank};
+use grebedeck_core::{Expert, Layer, Moment, Rank};
 
 use crate::map::{ExpertMap, LayerMap, Move, Replica};
 use crate::popularity::Popularity;
@@ -17,7 +17,7 @@
 pub struct PlanOptions {
     /// How far above the ideal the slowest rank may stay, as a fraction.
     pub tolerance: f32,
-    /// Smallest gain that is worth a switch, as a fraction of the ideal time.
+    /// Smallest gain that is worth a switch, as a fraction of a layer's ideal time.
     pub min_gain: f32,
     /// Weight of step time in the total cost.
     pub skew_weight: f32,
@@ -49,7 +49,7 @@
             lag_steps: 200.0,
             step_ms: 6.0,
             max_horizon_steps: 20_000.0,
-            max_moves: 64,
+            max_moves: 16,
         }
     }
 }
@@ -66,6 +66,8 @@
     pub layer_work_ms: f32,
     /// Each rank's time per token, relative to a normal rank.
     pub rank_costs: &'a [f32],
+    /// Most experts whose placement or shares may change, since each has to be sent to every member.
+    pub max_changed: usize,
 }
 
 /// A map that is worth switching to.
@@ -79,16 +81,64 @@
     pub gain_ms_per_step: f32,
 }
 
+/// Budget for what is sent of maps: a bucket that time fills and changed experts empty.
+#[derive(Clone, Debug)]
+pub struct ChangeBudget {
+    saved: f32,
+    filled_at: Moment,
+}
+
+/// Changed experts that the budget allows each second; about 6 bytes of each go to every member.
+const CHANGED_PER_S: f32 = 200.0;
+/// Changed experts that can be saved up: a whole map of 60 layers with 128 experts.
+const MAX_CHANGED_SAVED: f32 = 7_680.0;
+
+impl Default for ChangeBudget {
+    fn default() -> Self {
+        ChangeBudget { saved: MAX_CHANGED_SAVED, filled_at: Moment::ZERO }
+    }
+}
+
+impl ChangeBudget {
+    /// Gets how many experts may change now.
+    pub fn available(&mut self, now: Moment) -> usize {
+        let passed_s = now.saturating_sub(self.filled_at).as_secs_f32();
+        self.filled_at = now;
+        self.saved = (self.saved + passed_s * CHANGED_PER_S).min(MAX_CHANGED_SAVED);
+
+        self.saved.max(0.0) as usize
+    }
+
+    /// Notes what a plan changes.
+    pub fn spend(&mut self, changed: usize) {
+        self.saved -= changed as f32;
+    }
+}
+
 /// Decides on the next map of a group.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     options: PlanOptions,
 }
 
+/// A layer that is worth changing.
 struct LayerPlan {
+    layer: Layer,
     map: LayerMap,
     moves: Vec<(Move, f32)>,
     gain: f32,
+    /// Experts whose placement or shares change.
+    changed: usize,
+}
+
+impl LayerPlan {
+    fn move_gain(&self) -> f32 {
+        self.moves.iter().map(|(_, gain)| gain).sum()
+    }
+
+    fn gain_per_changed(&self) -> f32 {
+        self.gain / self.changed.max(1) as f32
+    }
 }
 
 impl Planner {
@@ -99,34 +149,31 @@
 
     /// Gives a better map where one is worth its cost.
     pub fn plan(&self, group: &GroupState<'_>) -> Option<Plan> {
-        let mut layers = Vec::with_capacity(group.map.layers.len());
-        let mut moves: Vec<(Move, f32)> = Vec::new();
-        let mut gain = 0.0;
-        let mut worth = 0.0;
-
-        for layer in 0..group.map.layers.len() as Layer {
-            let room = self.options.max_moves - moves.len();
-            let plan = self.plan_layer(group, layer, room);
-            let horizon = self.horizon(group, layer, plan.moves.len());
-
-            gain += plan.gain;
-            worth += plan.gain * horizon * self.options.skew_weight;
-            moves.extend(plan.moves);
-            layers.push(plan.map);
-        }
-
+        let layers = group.map.layers.len();
+        // Every layer may ask for a move, and those that gain the most get it.
+        let room = self.options.max_moves.div_ceil(layers.max(1));
+        let all = 0..layers as Layer;
+        let mut plans: Vec<_> = all.filter_map(|l| self.plan_layer(group, l, room)).collect();
+
+        self.share_moves(group, &mut plans);
+        keep_best(&mut plans, group.max_changed);
+        let worth: f32 = plans.iter().map(|p| self.worth(group, p)).sum();
+        let mut moves: Vec<_> = plans.iter().flat_map(|p| &p.moves).copied().collect();
         let moving = moves.len() as f32 * self.options.move_cost_ms;
         let cost = (self.options.switch_cost_ms + moving) * self.options.cost_weight;
 
-        let ideal = ideal_time(group.rank_costs) * group.map.layers.len() as f32;
-
-        if worth <= cost || gain < self.options.min_gain * ideal {
+        if plans.is_empty() || worth <= cost {
             return None;
         }
 
-        moves.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let map = ExpertMap { layers, ..group.map.clone() };
+        let gain: f32 = plans.iter().map(|p| p.gain).sum();
+        let mut map = group.map.clone();
+
+        for plan in plans {
+            map.layers[usize::from(plan.layer)] = plan.map;
+        }
 
+        moves.sort_by(|a, b| b.1.total_cmp(&a.1));
         Some(Plan {
             map,
             moves: moves.into_iter().map(|m| m.0).collect(),
@@ -134,6 +181,29 @@
         })
     }
 
+    /// Lets only the layers that gain the most load weights; the others change shares alone.
+    fn share_moves(&self, group: &GroupState<'_>, plans: &mut Vec<LayerPlan>) {
+        plans.sort_by(|a, b| b.move_gain().total_cmp(&a.move_gain()));
+        let mut moves = 0;
+
+        for plan in std::mem::take(plans) {
+            moves += plan.moves.len();
+
+            if moves <= self.options.max_moves {
+                plans.push(plan);
+            } else {
+                plans.extend(self.plan_layer(group, plan.layer, 0));
+            }
+        }
+    }
+
+    /// Gets what a layer's gain is worth over the time that it lasts, in milliseconds.
+    fn worth(&self, group: &GroupState<'_>, plan: &LayerPlan) -> f32 {
+        let horizon = self.horizon(group, plan.layer, plan.moves.len());
+
+        plan.gain * horizon * self.options.skew_weight
+    }
+
     /// Gets the time over which a gain of one unit of a layer's work counts, in milliseconds, where
     /// `moves` weights have to be loaded first.
     fn horizon(&self, group: &GroupState<'_>, layer: Layer, moves: usize) -> f32 {
@@ -147,7 +217,7 @@
         left.max(least) * group.layer_work_ms
     }
 
-    fn plan_layer(&self, group: &GroupState<'_>, layer: Layer, room: usize) -> LayerPlan {
+    fn plan_layer(&self, group: &GroupState<'_>, layer: Layer, room: usize) -> Option<LayerPlan> {
         let fractions = group.popularity.fractions(layer);
         let costs = group.rank_costs;
         let mut map = group.map.layers[usize::from(layer)].clone();
@@ -190,10 +260,29 @@
         moves.dedup_by_key(|(m, _)| (m.expert, m.rank));
 
         let gain = before - slowest(&loads, costs);
-        LayerPlan { map, moves, gain }
+
+        // What is within the noise stays as it is, so that the difference of maps stays small.
+        if gain < self.options.min_gain * ideal {
+            return None;
+        }
+
+        let same = map.experts.iter().zip(&in_use.experts).filter(|(a, b)| a == b).count();
+        let changed = map.experts.len() - same;
+        Some(LayerPlan { layer, map, moves, gain, changed })
     }
 }
 
+/// Keeps the layers that gain the most for what has to be sent of them.
+fn keep_best(plans: &mut Vec<LayerPlan>, max_changed: usize) {
+    plans.sort_by(|a, b| b.gain_per_changed().total_cmp(&a.gain_per_changed()));
+    let mut changed = 0;
+
+    plans.retain(|plan| {
+        changed += plan.changed;
+        changed <= max_changed
+    });
+}
+
 struct Candidate {
     expert: Expert,
     to: Rank,
--- /dev/null
+++ b/grebedeck-experts/tests/map.rs
@@ -0,0 +1,50 @@
+//! Maps and their differences as they travel.
+
+use grebedeck_experts::counter::{decode_count, encode_count};
+use grebedeck_experts::map::{ExpertDelta, ExpertMap, MapDelta};
+use grebedeck_experts::share::{DEFAULT_PASSES, balance};
+
+#[test]
+fn a_difference_leads_to_nearly_the_same_map_and_names_only_what_changed() {
+    let map = ExpertMap::spread(8, 32, 2, 6);
+    let mut loads = vec![0.02; 32];
+    loads[4] = 0.3;
+    let mut next = map.clone();
+    balance(&mut next.layers[1], &loads, &[1.0; 8], DEFAULT_PASSES);
+
+    let delta = map.delta_to(&next);
+    let rebuilt = map.with(&delta).unwrap();
+
+    rebuilt.assert_valid();
+    assert!(delta.experts.iter().all(|e| e.layer == 1));
+    let (exact, rounded) =
+        (next.layers[1].rank_loads(&loads, 8), rebuilt.layers[1].rank_loads(&loads, 8));
+    assert!(
+        exact.iter().zip(&rounded).all(|(e, r)| (e - r).abs() < 0.003),
+        "{exact:?} {rounded:?}"
+    );
+    assert!(map.delta_to(&map).experts.is_empty());
+}
+
+#[test]
+fn a_difference_that_does_not_fit_is_refused() {
+    let map = ExpertMap::spread(4, 8, 1, 4);
+    let with = |layer, expert, replicas| {
+        map.with(&MapDelta { experts: vec![ExpertDelta { layer, expert, replicas }] })
+    };
+
+    assert!(with(0, 0, vec![(1, 255)]).is_some());
+    assert!(with(3, 0, vec![(1, 255)]).is_none());
+    assert!(with(0, 99, vec![(1, 255)]).is_none());
+    assert!(with(0, 0, vec![(9, 255)]).is_none());
+    assert!(with(0, 0, vec![]).is_none());
+}
+
+#[test]
+fn counts_survive_their_byte_to_within_three_in_a_hundred() {
+    for count in [0u64, 1, 10, 100, 1_234, 98_765, 2_000_000] {
+        let decoded = f64::from(decode_count(encode_count(count)));
+        let off = (decoded - count as f64).abs();
+        assert!(off <= 0.6_f64.max(count as f64 * 0.031), "{count} {decoded}");
+    }
+}
--- a/grebedeck-experts/tests/plan.rs
+++ b/grebedeck-experts/tests/plan.rs
@@ -1,8 +1,10 @@
 //! The planner: worth its cost, calm when nothing changes, and valid whatever it is given.
 
+use std::time::Duration;
+
 use grebedeck_experts::plan::{GroupState, PlanOptions};
 use grebedeck_experts::popularity::LayerCounts;
-use grebedeck_experts::{ExpertMap, Planner, Popularity, PopularityOptions};
+use grebedeck_experts::{ChangeBudget, ExpertMap, Planner, Popularity, PopularityOptions};
 use proptest::prelude::*;
 
 fn popularity(tokens: &[f32], reports: u64) -> Popularity {
@@ -20,7 +22,7 @@
     popularity: &'a Popularity,
     rank_costs: &'a [f32],
 ) -> GroupState<'a> {
-    GroupState { map, popularity, layer_work_ms: 12.0, rank_costs }
+    GroupState { map, popularity, layer_work_ms: 12.0, rank_costs, max_changed: usize::MAX }
 }
 
 #[test]
@@ -75,6 +77,23 @@
     }
 }
 
+#[test]
+fn no_more_changes_than_the_budget_allows() {
+    let map = ExpertMap::spread(8, 32, 1, 6);
+    let mut tokens = vec![100.0; 32];
+    tokens[3] = 4_000.0;
+    let popularity = popularity(&tokens, 20);
+    let group = GroupState { max_changed: 3, ..state(&map, &popularity, &[1.0; 8]) };
+
+    assert!(Planner::default().plan(&group).is_none());
+
+    let mut budget = ChangeBudget::default();
+    let all = budget.available(Duration::ZERO);
+    budget.spend(all);
+    assert_eq!(budget.available(Duration::ZERO), 0);
+    assert!((190..=210).contains(&budget.available(Duration::from_secs(1))));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
--- a/grebedeck-lab/src/balance/policy.rs
+++ b/grebedeck-lab/src/balance/policy.rs
@@ -1,8 +1,10 @@
 //! The policies that are compared.
 
+use std::time::Duration;
+
 use grebedeck_core::{Layer, Step};
 use grebedeck_experts::map::ExpertMap;
-use grebedeck_experts::plan::{GroupState, PlanOptions, Planner, slowest};
+use grebedeck_experts::plan::{ChangeBudget, GroupState, PlanOptions, Planner, slowest};
 use grebedeck_experts::popularity::LayerCounts;
 use grebedeck_experts::share::{DEFAULT_PASSES, balance};
 use grebedeck_experts::{Popularity, PopularityOptions};
@@ -64,6 +66,7 @@
     kind: PolicyKind,
     setup: Setup,
     planner: Planner,
+    budget: ChangeBudget,
     popularity: Popularity,
     windows: Vec<Vec<Vec<f32>>>,
     last_pack: Step,
@@ -83,6 +86,7 @@
             kind,
             setup: setup.clone(),
             planner: Planner::new(options),
+            budget: ChangeBudget::default(),
             popularity: Popularity::new(
                 setup.layers as Layer,
                 setup.experts as u16,
@@ -112,14 +116,19 @@
         match self.kind {
             PolicyKind::Static | PolicyKind::Clairvoyant => None,
             PolicyKind::Ours => {
+                let step_ms = self.setup.base_ms + self.setup.work_ms;
+                let now = Duration::from_secs_f64(step as f64 * step_ms / 1e3);
                 let group = GroupState {
                     map,
                     popularity: &self.popularity,
                     layer_work_ms: self.setup.layer_work_ms() as f32,
                     rank_costs: costs,
+                    max_changed: self.budget.available(now),
                 };
 
-                self.planner.plan(&group).map(|plan| plan.map)
+                let next = self.planner.plan(&group)?.map;
+                self.budget.spend(map.delta_to(&next).experts.len());
+                Some(next)
             }
             PolicyKind::Repack => self.pack_if(step >= self.last_pack + REPACK_STEPS, step),
             PolicyKind::Threshold => {
--- a/grebedeck-lab/src/balance/sim.rs
+++ b/grebedeck-lab/src/balance/sim.rs
@@ -120,6 +120,8 @@
     pub late_moves: u64,
     /// Switches of the map.
     pub switches: u64,
+    /// Experts whose placement or shares changed, over all switches.
+    pub changed_experts: u64,
     /// Steps of ranks that were slowed by loading.
     pub disturbed_rank_steps: u64,
     /// Longest decision, in milliseconds.
@@ -157,6 +159,7 @@
     moves: u64,
     late_moves: u64,
     switches: u64,
+    changed_experts: u64,
     disturbed: u64,
     plan_ms_max: f64,
 }
@@ -193,6 +196,7 @@
         moves: 0,
         late_moves: 0,
         switches: 0,
+        changed_experts: 0,
         disturbed: 0,
         plan_ms_max: 0.0,
     };
@@ -305,7 +309,11 @@
         self.plan_ms_max = self.plan_ms_max.max(start.elapsed().as_secs_f64() * 1e3);
 
         if let Some(map) = next {
+            // What travels is the rounded difference, and so that is what ranks use.
+            let delta = self.map.delta_to(&map);
+            let map = self.map.with(&delta).unwrap_or(map);
             map.assert_valid();
+            self.changed_experts += delta.experts.len() as u64;
             let moves = self.map.moves_to(&map);
             let left_ms = moves.len() as f64 * self.setup.move_ms;
             self.moves += moves.len() as u64;
@@ -365,6 +373,7 @@
             moves: self.moves,
             late_moves: self.late_moves,
             switches: self.switches,
+            changed_experts: self.changed_experts,
             disturbed_rank_steps: self.disturbed,
             plan_ms_max: self.plan_ms_max,
             skew_cost_ms: self.skew_cost_ms,
--- a/grebedeck-lab/src/command/fleet.rs
+++ b/grebedeck-lab/src/command/fleet.rs
@@ -419,7 +419,7 @@
 fn organisation(number: usize) -> Organisation {
     let tier = ["gold", "silver", "bronze"][number % 3];
 
-    Organisation { labels: BTreeMap::from([("tier".to_string(), tier.to_string())]) }
+    Organisation { labels: BTreeMap::from([("tier".to_string(), tier.to_string())]).into() }
 }
 
 fn gauge(metrics: &str, name: &str) -> f64 {
--- /dev/null
+++ b/grebedeck-lab/src/cost/fit.rs
@@ -0,0 +1,52 @@
+//! Straight lines through measured points.
+
+use serde::Serialize;
+
+/// A cost measured at several sizes, with the line through the points.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slope {
+    /// What was measured.
+    pub name: &'static str,
+    /// Unit of the cost.
+    pub unit: &'static str,
+    /// What the sizes count.
+    pub per: &'static str,
+    /// Size and cost of each point.
+    pub points: Vec<(f64, f64)>,
+    /// Cost of one more.
+    pub slope: f64,
+    /// Cost of none.
+    pub intercept: f64,
+    /// Largest distance of a point from the line, as a part of the largest cost.
+    pub spread: f64,
+    /// Size in the large fleet.
+    pub size: f64,
+    /// Cost at that size, from the line.
+    pub at_size: f64,
+}
+
+impl Slope {
+    /// Fits a line by least squares, and reads it at a size.
+    pub fn fit(
+        name: &'static str,
+        unit: &'static str,
+        per: &'static str,
+        points: Vec<(f64, f64)>,
+        size: f64,
+    ) -> Slope {
+        let n = points.len() as f64;
+        let mean_x = points.iter().map(|p| p.0).sum::<f64>() / n;
+        let mean_y = points.iter().map(|p| p.1).sum::<f64>() / n;
+        let covariance: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
+        let variance: f64 = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum();
+        let slope = covariance / variance;
+        let intercept = mean_y - slope * mean_x;
+
+        let off = |p: &(f64, f64)| (p.1 - intercept - slope * p.0).abs();
+        let largest = points.iter().map(|p| p.1.abs()).fold(0.0, f64::max);
+        let spread = points.iter().map(off).fold(0.0, f64::max) / largest.max(1e-12);
+        let at_size = intercept + slope * size;
+
+        Slope { name, unit, per, points, slope, intercept, spread, size, at_size }
+    }
+}
--- a/grebedeck-lab/src/lib.rs
+++ b/grebedeck-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod balance;
 pub mod caller;
 pub mod command;
+pub mod cost;
 pub mod http;
 pub mod model;
 pub mod plain;
--- a/grebedeck-lab/src/main.rs
+++ b/grebedeck-lab/src/main.rs
@@ -1,9 +1,17 @@
 //! The experiments' program.
 
+use std::alloc::System;
+
 use anyhow::Result;
 use bpaf::Bpaf;
 use grebedeck_lab::command::{cost, experts, fleet, path, switch};
 
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+/// Counts what is allocated, for the probes of memory.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 /// Experiments with grebedeck's decisions. Each prints its figures; --json for programs.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
--- a/grebedeck-lab/src/site.rs
+++ b/grebedeck-lab/src/site.rs
@@ -295,7 +295,7 @@
 fn add_organisations(change: &mut Change) {
     for (name, tier) in [("northwind", "gold"), ("fabrikam", "silver"), ("contoso", "bronze")] {
         let labels = BTreeMap::from([("tier".to_string(), tier.to_string())]);
-        change.organisations.insert(name.to_string(), Some(Organisation { labels }));
+        change.organisations.insert(name.to_string(), Some(Organisation { labels: labels.into() }));
     }
 
     let rule = |traffic: &str, capacity: &str| {
--- a/grebedeck-lab/tests/config.rs
+++ b/grebedeck-lab/tests/config.rs
@@ -18,7 +18,10 @@
 
     Change {
         id: id.to_string(),
-        organisations: BTreeMap::from([(name.to_string(), Some(Organisation { labels }))]),
+        organisations: BTreeMap::from([(
+            name.to_string(),
+            Some(Organisation { labels: labels.into() }),
+        )]),
         ..Change::default()
     }
 }
--- a/grebedeck/src/agent/balance.rs
+++ b/grebedeck/src/agent/balance.rs
@@ -1,9 +1,10 @@
 //! Counters in, plans out: what the first member of a group knows of the group's load.
 
-use grebedeck_core::{Layer, Rank, Step};
+use grebedeck_core::{Layer, Moment, Rank, Step};
+use grebedeck_experts::counter::{decode_count, encode_count};
 use grebedeck_experts::plan::{GroupState, PlanOptions, slowest};
 use grebedeck_experts::popularity::LayerCounts;
-use grebedeck_experts::{ExpertMap, Plan, Planner, Popularity, PopularityOptions};
+use grebedeck_experts::{ChangeBudget, ExpertMap, Plan, Planner, Popularity, PopularityOptions};
 use grebedeck_net::platform::EngineState;
 
 use crate::message::GroupCounts;
@@ -22,6 +23,7 @@
 pub struct Balance {
     settings: BalanceSettings,
     planner: Planner,
+    budget: ChangeBudget,
     shape: Option<Shape>,
     first_map: Option<ExpertMap>,
     popularity: Option<Popularity>,
@@ -46,6 +48,7 @@
         Balance {
             settings,
             planner: Planner::new(options),
+            budget: ChangeBudget::default(),
             shape: None,
             first_map: None,
             popularity: None,
@@ -62,6 +65,11 @@
         self.expected_skew
     }
 
+    /// Gets the map that the group's engines start with, once one of them told the group's shape.
+    pub fn first_map(&self) -> Option<&ExpertMap> {
+        self.first_map.as_ref()
+    }
+
     /// Gets what the engine has counted since it was read last.
     pub fn since_last(&mut self, state: &EngineState) -> Option<GroupCounts> {
         let shape = shape_of(state)?;
@@ -78,8 +86,8 @@
             return None;
         }
 
-        let since = |(now, before): (&Vec<u64>, &Vec<u64>)| -> Vec<u32> {
-            now.iter().zip(before).map(|(n, b)| u32::try_from(n - b).unwrap_or(u32::MAX)).collect()
+        let since = |(now, before): (&Vec<u64>, &Vec<u64>)| -> Vec<u8> {
+            now.iter().zip(before).map(|(n, b)| encode_count(n - b)).collect()
         };
         let layers = self.last_counts.iter().zip(&last).map(since).enumerate();
 
@@ -116,15 +124,15 @@
             };
 
             for (sum, count) in gathered.iter_mut().zip(tokens) {
-                *sum += *count as f32;
+                *sum += decode_count(*count);
             }
         }
 
         self.gathered_until = self.gathered_until.max(counts.until_step);
     }
 
-    /// Gives a better map where one is worth its cost; `in_use` is `None` for the first map.
-    pub fn plan(&mut self, in_use: Option<&ExpertMap>) -> Option<Plan> {
+    /// Gives a better map where one is worth its cost.
+    pub fn plan(&mut self, map: &ExpertMap, now: Moment) -> Option<Plan> {
         let popularity = self.popularity.as_mut()?;
 
         for (layer, tokens) in self.gathered.iter_mut().enumerate() {
@@ -134,15 +142,18 @@
         }
 
         let popularity = self.popularity.as_ref()?;
-        let map = in_use.or(self.first_map.as_ref())?;
         self.expected_skew = Some(skew_of(map, popularity, &self.rank_costs));
 
-        self.planner.plan(&GroupState {
+        let plan = self.planner.plan(&GroupState {
             map,
             popularity,
             layer_work_ms: self.settings.layer_work_ms,
             rank_costs: &self.rank_costs,
-        })
+            max_changed: self.budget.available(now),
+        })?;
+
+        self.budget.spend(map.delta_to(&plan.map).experts.len());
+        Some(plan)
     }
 }
 
--- a/grebedeck/src/agent/group.rs
+++ b/grebedeck/src/agent/group.rs
@@ -12,11 +12,11 @@
 use async_channel::{Receiver, Sender};
 use futures::FutureExt;
 use grebedeck_core::{GroupName, Incarnation, Moment, Step};
-use grebedeck_experts::ExpertMap;
 use grebedeck_experts::switch::{
     Body, Coordinator, CoordinatorOptions, CoordinatorOrder, MapVersion, Member, MemberNo,
     MemberOptions, MemberOrder, Message,
 };
+use grebedeck_experts::{ExpertMap, MapDelta};
 use grebedeck_kernel::{Clock, Counter, Kernel, Metrics, Service, log};
 use grebedeck_net::platform::Engine;
 use grebedeck_net::platform::engine::{EngineAction, EngineOrder};
@@ -37,7 +37,7 @@
 
 /// What reaches the group's task from outside.
 enum Event {
-    Message(Message, Option<ExpertMap>),
+    Message(Message, Option<MapDelta>),
     Counts(GroupCounts),
 }
 
@@ -78,7 +78,7 @@
     member: Member,
     coordinator: Option<Coordinator>,
     balance: Balance,
-    proposed: Option<(MapVersion, ExpertMap)>,
+    proposed: Option<(MapVersion, MapDelta)>,
     next_step: Step,
     counts_at: Moment,
     plan_at: Moment,
@@ -115,7 +115,7 @@
     }
 
     /// Takes in a message of the switch protocol.
-    pub fn receive(&self, message: Message, map: Option<ExpertMap>) {
+    pub fn receive(&self, message: Message, map: Option<MapDelta>) {
         // A message that finds no room is as good as lost, which the protocol expects.
         let _ = self.events.try_send(Event::Message(message, map));
     }
@@ -225,8 +225,11 @@
         match event {
             Event::Counts(counts) => self.balance.count(&counts),
             Event::Message(message, map) => {
-                if let (Body::Prepare { version, .. }, Some(map)) = (&message.body, map) {
-                    self.service.keep_map(*version, map, self.member.current());
+                if let (Body::Prepare { version, base }, Some(delta)) = (&message.body, map) {
+                    // Without the base's map the proposal cannot be loaded, and comes again.
+                    if let Some(map) = self.map_in_use(*base).and_then(|m| m.with(&delta)) {
+                        self.service.keep_map(*version, map, self.member.current());
+                    }
                 }
 
                 self.take_message(message).await;
@@ -306,6 +309,15 @@
         self.load(version).await && self.order(version, action).await
     }
 
+    /// Gets the map of a version that this member has used, or that engines start with.
+    fn map_in_use(&self, version: MapVersion) -> Option<ExpertMap> {
+        if version == MapVersion::default() {
+            return self.balance.first_map().cloned();
+        }
+
+        self.service.map_of(version)
+    }
+
     async fn find_map(&self, version: MapVersion) -> Option<ExpertMap> {
         if let Some(map) = self.service.map_of(version) {
             return Some(map);
@@ -347,38 +359,54 @@
             return;
         }
 
-        let own_epoch = self.member.status().seen_epoch;
+        self.renew_coordinator();
 
-        if self.coordinator.as_ref().is_none_or(|c| c.is_idle() && c.epoch() < own_epoch) {
-            let incarnation = self.service.incarnation;
-            let options = CoordinatorOptions::default();
-            self.coordinator =
-                Some(Coordinator::new(self.roster.own, incarnation, own_epoch + 1, options));
+        if !self.coordinator.as_ref().is_some_and(Coordinator::is_idle) {
+            return;
         }
 
-        let Some(coordinator) = self.coordinator.as_mut().filter(|c| c.is_idle()) else {
+        let current = self.member.current();
+        let Some(in_use) = self.map_in_use(current) else {
             return;
         };
-
-        let current = self.member.current();
-        let in_use = self.service.map_of(current);
-        let Some(plan) = self.balance.plan(in_use.as_ref()) else {
+        let Some(plan) = self.balance.plan(&in_use, now) else {
             return;
         };
 
-        plan.map.assert_valid();
+        let delta = in_use.delta_to(&plan.map);
+        let map = in_use.with(&delta).expect("a difference fits the map that it was taken from");
+        map.assert_valid();
+
+        let Some(coordinator) = &mut self.coordinator else {
+            return;
+        };
         let version = coordinator.next_version();
         log::info!("map proposed", kv: {
             version = version_text(version),
             moves = plan.moves.len(),
+            changed_experts = delta.experts.len(),
             gain_ms_per_step = f64::from(plan.gain_ms_per_step),
         });
-        self.service.keep_map(version, plan.map.clone(), current);
-        self.proposed = Some((version, plan.map));
+        self.service.keep_map(version, map, current);
+        self.proposed = Some((version, delta));
         let orders = coordinator.propose(current, self.member.roster().to_vec(), now);
         self.carry_out_coordination(orders).await;
     }
 
+    /// Makes sure that this member coordinates in an epoch that is not fenced off.
+    fn renew_coordinator(&mut self) {
+        let seen = self.member.status().seen_epoch;
+        let current = |c: &Coordinator| !c.is_idle() || c.epoch() >= seen;
+
+        if self.coordinator.as_ref().is_some_and(current) {
+            return;
+        }
+
+        let (own, incarnation) = (self.roster.own, self.service.incarnation);
+        let options = CoordinatorOptions::default();
+        self.coordinator = Some(Coordinator::new(own, incarnation, seen + 1, options));
+    }
+
     async fn carry_out_coordination(&mut self, orders: Vec<CoordinatorOrder>) {
         for order in orders {
             match order {
@@ -463,8 +491,8 @@
         };
 
         let map = match (&message.body, &self.proposed) {
-            (Body::Prepare { version, .. }, Some((proposed, map))) if version == proposed => {
-                Some(map.clone())
+            (Body::Prepare { version, .. }, Some((proposed, delta))) if version == proposed => {
+                Some(delta.clone())
             }
             _ => None,
         };
--- a/grebedeck/src/config/service.rs
+++ b/grebedeck/src/config/service.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use grebedeck_config::{Adoption, CatchUp, Replica, Routes};
+use grebedeck_config::{Adoption, CatchUp, LogEntry, Replica, Routes, Snapshot};
 use grebedeck_core::time::unix_ms;
 use grebedeck_core::{Moment, Reason, Revision, UnixMs};
 use grebedeck_kernel::{Clock, Counter, Metrics, Service, log};
@@ -14,7 +14,7 @@
 /// The service's name.
 pub const NAME: &str = "config";
 /// How many revisions are kept to find the homes of keys.
-const KEPT_ROUTES: usize = 8;
+const KEPT_ROUTES: usize = 64;
 
 /// Routes with the time from which they hold.
 type RoutesSince = (UnixMs, Arc<Routes>);
@@ -73,11 +73,48 @@
     /// Takes in what the store or a peer offers; a newer revision is in force when this returns.
     pub fn take(&self, offer: CatchUp) -> Adoption {
         let mut replica = self.lock();
-        let adoption = replica.take(offer);
+        let adoption = match offer {
+            CatchUp::Entries(entries) => self.take_entries(&mut replica, entries),
+            CatchUp::Snapshot(snapshot) => self.take_snapshot(&mut replica, *snapshot),
+        };
         self.adoptions.add(adoption_word(adoption));
 
         if adoption == Adoption::Adopted {
-            self.put_in_force(&replica);
+            log::info!("configuration in force", kv: { revision = replica.revision() });
+            let _ = self.changed.try_send(replica.revision());
+        }
+
+        adoption
+    }
+
+    fn take_entries(&self, replica: &mut Replica, entries: Vec<LogEntry>) -> Adoption {
+        let mut whole = Adoption::Stale;
+
+        for entry in entries {
+            let change = entry.change.clone();
+
+            match replica.adopt(entry) {
+                Adoption::Adopted => {
+                    let routes =
+                        self.routes().next(replica.revision(), replica.document(), &change);
+                    self.put_in_force(replica, routes);
+                    whole = Adoption::Adopted;
+                }
+                // Entries that were known already may stand before the new ones.
+                Adoption::Stale => {}
+                fault => return if whole == Adoption::Adopted { whole } else { fault },
+            }
+        }
+
+        whole
+    }
+
+    fn take_snapshot(&self, replica: &mut Replica, snapshot: Snapshot) -> Adoption {
+        let adoption = replica.adopt_snapshot(snapshot);
+
+        if adoption == Adoption::Adopted {
+            let routes = Routes::new(replica.revision(), replica.document());
+            self.put_in_force(replica, routes);
         }
 
         adoption
@@ -118,8 +155,8 @@
         seen.map(|at| self.clock.now().saturating_sub(at))
     }
 
-    fn put_in_force(&self, replica: &Replica) {
-        let routes = Arc::new(Routes::new(replica.revision(), replica.document()));
+    fn put_in_force(&self, replica: &Replica, routes: Routes) {
+        let routes = Arc::new(routes);
         let mut in_force = self.routes.write().unwrap_or_else(PoisonError::into_inner);
 
         assert!(routes.revision() > in_force.revision(), "a configuration must never revert");
@@ -134,8 +171,6 @@
         }
 
         self.in_force_unix_ms.store(unix_ms(), Ordering::Relaxed);
-        log::info!("configuration in force", kv: { revision = replica.revision() });
-        let _ = self.changed.try_send(replica.revision());
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Replica> {
@@ -148,7 +183,7 @@
     fn dump(&self) -> Value {
         let routes = self.routes();
         let (revision, digest, accepted_unix_ms) =
-            self.with_replica(|r| (r.revision(), r.document().digest(), r.accepted_unix_ms()));
+            self.with_replica(|r| (r.revision(), r.digest(), r.accepted_unix_ms()));
 
         json!({
             "revision": revision,
--- a/grebedeck/src/message.rs
+++ b/grebedeck/src/message.rs
@@ -5,8 +5,8 @@
     AttemptId, Digest, DigestWriter, Incarnation, InstanceName, Layer, OrganisationName, Rank,
     Reason, Revision, ServiceName, Step, UnixMs,
 };
-use grebedeck_experts::ExpertMap;
 use grebedeck_experts::switch::{MapVersion, Message as SwitchMessage};
+use grebedeck_experts::{ExpertMap, MapDelta};
 use grebedeck_net::platform::Role;
 use grebedeck_routing::{Key, LoadReport, StrikeAnswer};
 use serde::{Deserialize, Serialize};
@@ -164,8 +164,9 @@
     Switch {
         /// The message.
         message: SwitchMessage,
-        /// The map, with [`Prepare`](grebedeck_experts::switch::Body::Prepare).
-        map: Option<ExpertMap>,
+        /// What differs from the base's map, with
+        /// [`Prepare`](grebedeck_experts::switch::Body::Prepare).
+        map: Option<MapDelta>,
     },
     /// Token counts of the sender's ranks since its last report.
     Counts(GroupCounts),
@@ -182,8 +183,9 @@
     pub ranks: Vec<Rank>,
     /// Time per token of each of the ranks, relative to a normal rank.
     pub rank_costs: Vec<f32>,
-    /// Tokens sent to each expert, by layer.
-    pub layers: Vec<(Layer, Vec<u32>)>,
+    /// Tokens sent to each expert, by layer, as
+    /// [`encode_count`](grebedeck_experts::counter::encode_count) writes them.
+    pub layers: Vec<(Layer, Vec<u8>)>,
 }
 
 /// Answer to a control message.
