--- a/grebedeck-lab/src/command.rs
+++ b/grebedeck-lab/src/command.rs
@@ -4,4 +4,5 @@
 pub mod experts;
 pub mod fleet;
 pub mod path;
+pub mod storm;
 pub mod switch;
--- a/grebedeck-lab/src/command/fleet.rs
+++ b/grebedeck-lab/src/command/fleet.rs
@@ -161,7 +161,7 @@
 /// Measures a running fleet and prints the figures as JSON.
 pub fn measure(options: &FleetOptions) -> Result<()> {
     async_std::task::block_on(async {
-        let fleet = Fleet::try_new(options)?;
+        let fleet = Fleet::try_new(&options.dir)?;
         fleet.wait_until_up().await?;
         let first = fleet.apply(&fleet.first_change(options.organisations)).await?;
         fleet.wait_in_force(first).await?;
@@ -187,7 +187,8 @@
     })
 }
 
-struct Fleet {
+/// The processes of a fleet, as their settings name them.
+pub struct Fleet {
     entries: Vec<EntrySettings>,
     agents: Vec<AgentSettings>,
     dir: PathBuf,
@@ -202,17 +203,29 @@
 }
 
 impl Fleet {
-    fn try_new(options: &FleetOptions) -> Result<Self> {
-        let (entries, agents) = read_settings(&options.dir)?;
+    /// Reads the settings of a fleet.
+    pub fn try_new(dir: &Path) -> Result<Self> {
+        let (entries, agents) = read_settings(dir)?;
+
+        Ok(Fleet { entries, agents, dir: dir.to_path_buf() })
+    }
+
+    /// Gets where the entries take requests.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.caller_address).collect()
+    }
 
-        Ok(Fleet { entries, agents, dir: options.dir.clone() })
+    /// Gets the address of the one target that all agents stand before.
+    pub fn target_address(&self) -> SocketAddr {
+        self.agents[0].target_address
     }
 
     fn commons(&self) -> impl Iterator<Item = &CommonSettings> {
         self.entries.iter().map(|e| &e.common).chain(self.agents.iter().map(|a| &a.common))
     }
 
-    async fn wait_until_up(&self) -> Result<()> {
+    /// Waits until all processes answer.
+    pub async fn wait_until_up(&self) -> Result<()> {
         let start = Instant::now();
 
         for common in self.commons() {
@@ -230,7 +243,8 @@
         Ok(())
     }
 
-    fn first_change(&self, organisations: usize) -> Change {
+    /// Makes the change that sets all targets and some organisations.
+    pub fn first_change(&self, organisations: usize) -> Change {
         let mut change = Change { id: format!("first-{}", unix_ms()), ..Change::default() };
 
         for agent in &self.agents {
@@ -255,7 +269,8 @@
         change
     }
 
-    async fn apply(&self, change: &Change) -> Result<u64> {
+    /// Applies a change through the first entry; gives its revision.
+    pub async fn apply(&self, change: &Change) -> Result<u64> {
         let client = OperatorClient::new(self.entries[0].common.operator_address);
         let answer = client.post("/config/changes", serde_json::to_vec(change)?).await?;
 
@@ -275,7 +290,7 @@
     }
 
     /// Waits until all have a revision in force; gives how long each took, in milliseconds.
-    async fn wait_in_force(&self, revision: u64) -> Result<Vec<f64>> {
+    pub async fn wait_in_force(&self, revision: u64) -> Result<Vec<f64>> {
         let start = Instant::now();
 
         loop {
--- a/grebedeck-lab/src/main.rs
+++ b/grebedeck-lab/src/main.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Result;
 use bpaf::Bpaf;
-use grebedeck_lab::command::{cost, experts, fleet, path, switch};
+use grebedeck_lab::command::{cost, experts, fleet, path, storm, switch};
 
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
@@ -22,6 +22,9 @@
     /// What the way through entry and agent adds, beside calls that go straight to the target
     #[bpaf(command)]
     Path(#[bpaf(external(path::path_options))] path::PathOptions),
+    /// Many requests to a fleet whose processes are killed, and a check of every promise
+    #[bpaf(command)]
+    Storm(#[bpaf(external(storm::storm_options))] storm::StormOptions),
     /// What state, messages and decisions cost, as slopes over their number
     #[bpaf(command)]
     Cost(#[bpaf(external(cost::cost_options))] cost::CostOptions),
@@ -46,6 +49,7 @@
     match options().run() {
         Options::Switch(options) => switch::run(&options),
         Options::Path(options) => path::run(&options),
+        Options::Storm(options) => storm::run(&options),
         Options::Cost(options) => cost::run(&options),
         Options::FleetSettings(options) => fleet::write_settings(&options),
         Options::FleetStandIns(options) => fleet::run_stand_ins(&options),
--- a/grebedeck-lab/src/plain.rs
+++ b/grebedeck-lab/src/plain.rs
@@ -8,11 +8,14 @@
 use futures::TryStreamExt;
 use http_types::{Body, Request, Response};
 
-use crate::http::{Server, any_port};
+use crate::http::{Server, any_port, json_answer};
 
 /// Header whose value names a run, so that doubled runs show.
 pub const RUN_HEADER: &str = "x-run";
 
+/// Path that answers how often each run was run.
+pub const RUNS_PATH: &str = "/runs-so-far";
+
 /// State of the stand-in.
 #[derive(Clone, Default)]
 pub struct Plain {
@@ -45,6 +48,10 @@
     }
 
     async fn answer(&self, mut request: Request) -> Response {
+        if request.url().path() == RUNS_PATH {
+            return json_answer(200, &self.runs());
+        }
+
         if let Some(run) = request.header(RUN_HEADER).map(|v| v.as_str().to_string()) {
             let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
             *runs.entry(run).or_insert(0) += 1;
