Group: a member without memory is a new incarnation; storm of kills and freezes

Cause: after a change of the group's targets, a member began anew without its memory but with its old incarnation, so the others could take its word for that of the member that had armed a map. Found by reading. Change: each member that starts without memory takes a new incarnation; a change of addresses alone no longer starts a member anew; one that was replaced leaves. The storm (scripts/storm.sh) kills, freezes, drains and replaces real processes under load and compares what callers were told with what the target ran.

--- a/grebedeck-lab/src/command/storm.rs
+++ b/grebedeck-lab/src/command/storm.rs
@@ -34,6 +34,8 @@
     /// Callers at the same time
     #[bpaf(long, argument("N"), fallback(64))]
     pub callers: usize,
+    /// Let callers repeat what must run once, to show that the check notices
+    pub break_callers: bool,
     /// Seed of the requests
     #[bpaf(long, argument("SEED"), fallback(1))]
     pub seed: u64,
@@ -92,6 +94,7 @@
     let workers: Vec<_> = (0..options.callers)
         .map(|worker| {
             let (next, entries, total) = (next.clone(), entries.to_vec(), options.requests);
+            let break_callers = options.break_callers;
             let mut random = SeededSource::new(options.seed + worker as u64);
 
             async_std::task::spawn(async move {
@@ -99,7 +102,7 @@
 
                 while next.fetch_add(1, Ordering::Relaxed) < total {
                     let run = format!("run-{worker}-{}", records.len());
-                    records.push(send_one(&entries, run, &mut random).await);
+                    records.push(send_one(&entries, run, break_callers, &mut random).await);
                 }
 
                 records
@@ -110,14 +113,20 @@
     futures::future::join_all(workers).await.into_iter().flatten().collect()
 }
 
-async fn send_one(entries: &[SocketAddr], run: String, random: &mut SeededSource) -> Record {
+async fn send_one(
+    entries: &[SocketAddr],
+    run: String,
+    break_callers: bool,
+    random: &mut SeededSource,
+) -> Record {
     let kind = match random.below(10) {
         0..=3 => Kind::Repeatable,
         4..=6 => Kind::NotRepeatable,
         _ => Kind::Keyed,
     };
     let issued = unix_ms();
-    let tries = if kind == Kind::Keyed { KEYED_TRIES } else { 1 };
+    let repeats = kind == Kind::Keyed || (break_callers && kind == Kind::NotRepeatable);
+    let tries = if repeats { KEYED_TRIES } else { 1 };
     let mut told = Told::NotRun;
     let mut wrong_body = false;
 
--- a/grebedeck-lab/src/cost/page.rs
+++ b/grebedeck-lab/src/cost/page.rs
@@ -43,10 +43,13 @@
 
 /// Three significant figures.
 fn figure(value: f64) -> String {
-    if value == 0.0 {
+    // Rounding comes first, or 9.9999 would get a figure more than 10.
+    let rounded: f64 = format!("{value:.2e}").parse().unwrap_or(value);
+
+    if rounded == 0.0 {
         return "0".to_string();
     }
 
-    let digits = (2 - value.abs().log10().floor() as i32).clamp(0, 9) as usize;
-    format!("{value:.digits$}")
+    let digits = (2 - rounded.abs().log10().floor() as i32).clamp(0, 9) as usize;
+    format!("{rounded:.digits$}")
 }
--- /dev/null
+++ b/grebedeck-lab/tests/group.rs
@@ -0,0 +1,98 @@
+//! A group's switches on real agents, with a replaced one.
+
+use std::time::Duration;
+
+use grebedeck_config::Change;
+use grebedeck_lab::caller::Caller;
+use grebedeck_lab::model::ModelOptions;
+use grebedeck_lab::site::{Site, SiteOptions};
+use serde_json::Value;
+
+/// How long to wait for something that takes well under a second.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+async fn site() -> Site {
+    let model = ModelOptions { shift_every: Duration::from_secs(3), ..ModelOptions::default() };
+    let options = SiteOptions { groups: 1, plain_targets: 1, model, ..SiteOptions::default() };
+
+    Site::start(&options).await.unwrap()
+}
+
+fn status(site: &Site, rank: usize) -> Value {
+    let name = format!("summary-0-rank-{rank}");
+
+    site.agents[&name].kernel.dump()["group"].clone()
+}
+
+/// Waits until all members use the same map, and one for which `wanted` holds.
+async fn wait_for_map(site: &Site, wanted: impl Fn(&Value) -> bool) -> Value {
+    let start = std::time::Instant::now();
+
+    loop {
+        let maps: Vec<Value> =
+            (0..4).map(|rank| status(site, rank)["switch"]["current"].clone()).collect();
+
+        if maps.iter().all(|m| *m == maps[0] && !m.is_null() && wanted(m)) {
+            return maps[0].clone();
+        }
+
+        assert!(start.elapsed() < PATIENCE, "{maps:?}");
+        async_std::task::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn is_switched(map: &Value) -> bool {
+    map["epoch"].as_u64() > Some(0)
+}
+
+#[test]
+fn maps_change_as_popularity_shifts_and_no_request_is_disturbed() {
+    async_std::task::block_on(async {
+        let site = site().await;
+        let caller = Caller::new(site.entry_addresses()[0], "northwind", "summary");
+        let stream = {
+            let caller = caller.clone();
+            async_std::task::spawn(async move { caller.get("/generate?tokens=600").await })
+        };
+
+        let first = wait_for_map(&site, is_switched).await;
+        wait_for_map(&site, |map| *map != first && is_switched(map)).await;
+
+        let answer = stream.await.unwrap();
+        assert_eq!(answer.text().matches("data:").count(), 600);
+        site.stop().await;
+    });
+}
+
+#[test]
+fn a_replaced_agent_joins_its_group_and_the_group_goes_on_switching() {
+    async_std::task::block_on(async {
+        let mut site = site().await;
+        let before = wait_for_map(&site, is_switched).await;
+
+        let name = "summary-0-rank-2";
+        let engine = site.servers[name].address;
+        site.agents.remove(name).unwrap().stop().await;
+        let target = site.start_agent(name, "hall-a", engine, true).await.unwrap();
+        let target = grebedeck_config::Target {
+            group: Some("summary-0".to_string()),
+            ranks: vec![2],
+            ..target
+        };
+        site.list_instances();
+        let mut change = Change { id: "replace".to_string(), ..Change::default() };
+        change.targets.insert(name.to_string(), Some(target));
+        site.apply(&change).await.unwrap();
+
+        wait_for_map(&site, |map| *map != before && is_switched(map)).await;
+        let rosters: Vec<Value> =
+            (0..4).map(|rank| status(&site, rank)["switch"]["roster"].clone()).collect();
+        assert!(rosters.iter().all(|r| *r == rosters[0]), "{rosters:?}");
+
+        // The stand-in stops the process if a step ever runs on two maps.
+        let steps = site.models[0].measure().steps;
+        async_std::task::sleep(Duration::from_millis(200)).await;
+        assert!(site.models[0].measure().steps > steps);
+        site.stop().await;
+    });
+}
--- a/grebedeck/src/agent/group.rs
+++ b/grebedeck/src/agent/group.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -52,7 +53,8 @@
 pub struct GroupService {
     clock: Clock,
     name: String,
-    incarnation: Incarnation,
+    /// The newest incarnation that a member of this process had.
+    incarnation: AtomicU64,
     settings: BalanceSettings,
     config: Arc<ConfigService>,
     directory: Arc<Directory>,
@@ -70,6 +72,15 @@
     addresses: Vec<SocketAddr>,
 }
 
+impl Roster {
+    /// Tells whether both name the same places, whatever the addresses.
+    fn is_like(&self, other: &Roster) -> bool {
+        let places = |r: &Roster| (r.group.clone(), r.own, r.addresses.len());
+
+        places(self) == places(other)
+    }
+}
+
 /// The group's task.
 struct Driver<E> {
     service: Arc<GroupService>,
@@ -80,6 +91,7 @@
     balance: Balance,
     proposed: Option<(MapVersion, MapDelta)>,
     next_step: Step,
+    incarnation: Incarnation,
     counts_at: Moment,
     plan_at: Moment,
     resumed: bool,
@@ -99,7 +111,7 @@
         GroupService {
             clock,
             name: settings.common.name.clone(),
-            incarnation,
+            incarnation: AtomicU64::new(incarnation),
             settings: settings.balance.clone(),
             config: kernel.require::<ConfigService>(config::NAME),
             directory: kernel.require::<Directory>("peers"),
@@ -150,6 +162,11 @@
         Some(Roster { group, own, addresses })
     }
 
+    /// Gets an incarnation for a member that starts without memory.
+    fn next_incarnation(&self) -> Incarnation {
+        self.incarnation.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     fn keep_map(&self, version: MapVersion, map: ExpertMap, in_use: MapVersion) {
         let mut shared = self.shared();
         shared.maps.insert(version, map);
@@ -179,8 +196,10 @@
     fn new(service: Arc<GroupService>, engine: E, roster: Roster) -> Self {
         let now = service.clock.now();
         let size = roster.addresses.len();
-        let member =
-            Member::replacing(roster.own, size, service.incarnation, now, MemberOptions::default());
+        // A member that starts without memory must not be taken for the one before it.
+        let incarnation = service.next_incarnation();
+        let options = MemberOptions::default();
+        let member = Member::replacing(roster.own, size, incarnation, now, options);
         let balance = Balance::new(service.settings.clone());
         log::info!("group joined", kv: { group = roster.group.as_str(), members = size });
 
@@ -193,13 +212,14 @@
             balance,
             proposed: None,
             next_step: 0,
+            incarnation,
             counts_at: now,
             plan_at: now,
             resumed: false,
         }
     }
 
-    /// Runs until the configuration names other members.
+    /// Runs until the configuration gives this member another place, or a successor has taken it.
     async fn run(mut self) {
         let inbox = self.service.inbox.clone();
 
@@ -214,13 +234,32 @@
 
             self.tick().await;
 
-            if self.service.find_roster().as_ref() != Some(&self.roster) {
-                log::info!("group members changed");
+            if !self.keep_place() {
                 return;
             }
         }
     }
 
+    /// Follows the configuration; tells whether this member's place is still the same.
+    fn keep_place(&mut self) -> bool {
+        if self.member.is_replaced() {
+            log::warn!("group member replaced", kv: { group = self.roster.group.as_str() });
+            return false;
+        }
+
+        match self.service.find_roster() {
+            // A member that moved to another address is still the same member, or its successor.
+            Some(roster) if roster.is_like(&self.roster) => {
+                self.roster = roster;
+                true
+            }
+            _ => {
+                log::info!("group members changed", kv: { group = self.roster.group.as_str() });
+                false
+            }
+        }
+    }
+
     async fn take(&mut self, event: Event) {
         match event {
             Event::Counts(counts) => self.balance.count(&counts),
@@ -402,7 +441,7 @@
             return;
         }
 
-        let (own, incarnation) = (self.roster.own, self.service.incarnation);
+        let (own, incarnation) = (self.roster.own, self.incarnation);
         let options = CoordinatorOptions::default();
         self.coordinator = Some(Coordinator::new(own, incarnation, seen + 1, options));
     }
