Choice: a full target refuses an attempt that need not wait there

Entries cannot know what others have sent since. Change: a target's agent refuses an attempt for which the entry expects a free place elsewhere; the entry goes there at once, with what the refusal told it, and waits only where everything looks full or at its last attempt. Such asking costs nothing from the retry budget. Where all targets are drawn, none is drawn twice.

--- a/grebedeck-lab/src/command.rs
+++ b/grebedeck-lab/src/command.rs
@@ -4,5 +4,6 @@
 pub mod experts;
 pub mod fleet;
 pub mod path;
+pub mod routing;
 pub mod storm;
 pub mod switch;
--- /dev/null
+++ b/grebedeck-lab/src/command/routing.rs
@@ -0,0 +1,115 @@
+//! Choice of a target by several policies, on the same arrivals.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use bpaf::Bpaf;
+use grebedeck_routing::ChooserOptions;
+use serde_json::json;
+
+use crate::routing::{Choice, Setup, Waits, run as run_sim};
+
+/// What to run.
+#[derive(Clone, Debug, Bpaf)]
+pub struct RoutingOptions {
+    /// Entries
+    #[bpaf(long, argument("N"), fallback(4))]
+    pub entries: usize,
+    /// Targets
+    #[bpaf(long, argument("N"), fallback(16))]
+    pub targets: usize,
+    /// Places of each target
+    #[bpaf(long, argument("N"), fallback(16))]
+    pub places: usize,
+    /// Part of all places that is busy on average
+    #[bpaf(long, argument("PART"), fallback(0.8))]
+    pub load: f64,
+    /// Age of reports in milliseconds
+    #[bpaf(long, argument("MS"), fallback(1_000))]
+    pub report_lag_ms: u64,
+    /// Mean time of a request in its place, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(2_000))]
+    pub service_ms: u64,
+    /// Deviation of the logarithm of that time
+    #[bpaf(long, argument("X"), fallback(1.0))]
+    pub tail: f64,
+    /// Seconds of a run
+    #[bpaf(long, argument("S"), fallback(300))]
+    pub time_s: u64,
+    /// Targets that `ours` draws
+    #[bpaf(long, argument("N"), fallback(ChooserOptions::default().draws))]
+    pub draws: usize,
+    /// Time of a first token without waiting, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(200.0))]
+    pub prefill_ms: f64,
+    /// Seed of the first run
+    #[bpaf(long, argument("SEED"), fallback(1))]
+    pub seed: u64,
+    /// Number of runs with seeds one after another
+    #[bpaf(long, argument("N"), fallback(4))]
+    pub seeds: u64,
+    /// Print JSON
+    pub json: bool,
+}
+
+/// Runs all policies and prints the time to the first token.
+pub fn run(options: &RoutingOptions) -> Result<()> {
+    let setup = Setup {
+        entries: options.entries,
+        targets: options.targets,
+        places: options.places,
+        load: options.load,
+        report_lag: Duration::from_millis(options.report_lag_ms),
+        service: Duration::from_millis(options.service_ms),
+        tail: options.tail,
+        time: Duration::from_secs(options.time_s),
+        options: ChooserOptions { draws: options.draws, ..ChooserOptions::default() },
+    };
+
+    if !options.json {
+        println!("policy           p50 ms  p95 ms  p99 ms (low to high)   mean ms  attempts");
+    }
+
+    for choice in Choice::ALL {
+        let seeds = options.seed..options.seed + options.seeds;
+        let workers: Vec<_> = seeds
+            .map(|seed| {
+                let setup = setup.clone();
+                std::thread::spawn(move || run_sim(choice, &setup, seed))
+            })
+            .collect();
+        let waits: Vec<Waits> =
+            workers.into_iter().map(|w| w.join().expect("a run does not panic")).collect();
+        print(choice, &waits, options);
+    }
+
+    Ok(())
+}
+
+fn print(choice: Choice, waits: &[Waits], options: &RoutingOptions) {
+    let mean = |read: fn(&Waits) -> f64| {
+        waits.iter().map(read).sum::<f64>() / waits.len() as f64 + options.prefill_ms
+    };
+    let low = waits.iter().map(|w| w.p99).fold(f64::INFINITY, f64::min) + options.prefill_ms;
+    let high = waits.iter().map(|w| w.p99).fold(0.0, f64::max) + options.prefill_ms;
+    let (p50, p95, p99) = (mean(|w| w.p50), mean(|w| w.p95), mean(|w| w.p99));
+    let all = mean(|w| w.mean);
+
+    if options.json {
+        let row = json!({
+            "policy": choice.name(),
+            "first_token_ms": { "p50": p50, "p95": p95, "p99": p99, "mean": all },
+            "attempts": waits.iter().map(|w| w.attempts).sum::<f64>() / waits.len() as f64,
+            "p99_low": low,
+            "p99_high": high,
+        });
+        println!("{row}");
+        return;
+    }
+
+    println!(
+        "{:16} {p50:6.0}  {p95:6.0}  {p99:6.0} ({low:.0} to {high:.0}) {all:9.1}  {:.2}",
+        choice.name(),
+        waits.iter().map(|w| w.attempts).sum::<f64>() / waits.len() as f64,
+    );
+}
--- a/grebedeck-lab/src/cost/probes.rs
+++ b/grebedeck-lab/src/cost/probes.rs
@@ -448,8 +448,14 @@
     let at = Duration::ZERO;
     let attempt = AttemptId { request: n, number: 0 };
     let key = Key { digest: n, issued_unix_ms: Some(9_000) };
-    let start =
-        Start { attempt, incarnation: 1, sent_unix_ms: 10_000, key: Some(key), deadline: None };
+    let start = Start {
+        attempt,
+        incarnation: 1,
+        sent_unix_ms: 10_000,
+        may_wait: true,
+        key: Some(key),
+        deadline: None,
+    };
 
     black_box(gate.admit(&start, at, 10_000));
     gate.finish(attempt, true, at);
@@ -490,6 +496,7 @@
         organisation: "organisation-00000".into(),
         service: "model-1".into(),
         revision: 365_000,
+        may_wait: true,
         key: None,
         sent_unix_ms: 1 << 40,
         deadline_ms: Some(30_000),
--- a/grebedeck-lab/src/lib.rs
+++ b/grebedeck-lab/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod model;
 pub mod plain;
 pub mod platform;
+pub mod routing;
 pub mod site;
 pub mod switch_model;
--- a/grebedeck-lab/src/main.rs
+++ b/grebedeck-lab/src/main.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Result;
 use bpaf::Bpaf;
-use grebedeck_lab::command::{cost, experts, fleet, path, storm, switch};
+use grebedeck_lab::command::{cost, experts, fleet, path, routing, storm, switch};
 
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
@@ -22,6 +22,9 @@
     /// What the way through entry and agent adds, beside calls that go straight to the target
     #[bpaf(command)]
     Path(#[bpaf(external(path::path_options))] path::PathOptions),
+    /// Choice of a target by several policies, in virtual time
+    #[bpaf(command)]
+    Routing(#[bpaf(external(routing::routing_options))] routing::RoutingOptions),
     /// Many requests to a fleet whose processes are killed, and a check of every promise
     #[bpaf(command)]
     Storm(#[bpaf(external(storm::storm_options))] storm::StormOptions),
@@ -50,6 +53,7 @@
         Options::Switch(options) => switch::run(&options),
         Options::Path(options) => path::run(&options),
         Options::Storm(options) => storm::run(&options),
+        Options::Routing(options) => routing::run(&options),
         Options::Cost(options) => cost::run(&options),
         Options::FleetSettings(options) => fleet::write_settings(&options),
         Options::FleetStandIns(options) => fleet::run_stand_ins(&options),
--- /dev/null
+++ b/grebedeck-lab/src/routing.rs
@@ -0,0 +1,331 @@
+//! A model of many entries that choose among targets, in virtual time.
+//!
+//! A target runs as many requests at the same time as it has places, and the others wait in line.
+//! Entries see their own requests at once, and everybody's only in reports that are old. The
+//! product's own [`Chooser`] decides for the policy `ours`. There is no model of a network.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use grebedeck_config::Route;
+use grebedeck_core::random::SeededSource;
+use grebedeck_core::{RandomSource, TargetName};
+use grebedeck_routing::attempt::MAX_ATTEMPTS;
+use grebedeck_routing::{Chooser, ChooserOptions, LoadReport};
+
+use crate::balance::trace::normal;
+
+/// How a target is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Any.
+    Random,
+    /// One after another, each entry for itself.
+    RoundRobin,
+    /// The one with the least load in the last report.
+    LeastReported,
+    /// The less loaded of two, by the last report.
+    TwoChoices,
+    /// The product's own.
+    Ours,
+    /// The shortest queue, known without lag.
+    Omniscient,
+}
+
+impl Choice {
+    /// All policies, in the order of reports.
+    pub const ALL: [Choice; 6] = [
+        Choice::Random,
+        Choice::RoundRobin,
+        Choice::LeastReported,
+        Choice::TwoChoices,
+        Choice::Ours,
+        Choice::Omniscient,
+    ];
+
+    /// Gets the policy's name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Choice::Random => "random",
+            Choice::RoundRobin => "round-robin",
+            Choice::LeastReported => "least-reported",
+            Choice::TwoChoices => "two-choices",
+            Choice::Ours => "ours",
+            Choice::Omniscient => "omniscient",
+        }
+    }
+}
+
+/// Parameters of the model.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Entries.
+    pub entries: usize,
+    /// Targets.
+    pub targets: usize,
+    /// Places of each target.
+    pub places: usize,
+    /// Part of all places that is busy on average.
+    pub load: f64,
+    /// Age of reports when they arrive, and time between two of them.
+    pub report_lag: Duration,
+    /// Mean time of a request in its place.
+    pub service: Duration,
+    /// Spread of that time: the deviation of its logarithm.
+    pub tail: f64,
+    /// Time of a run.
+    pub time: Duration,
+    /// Settings of the product's choice.
+    pub options: ChooserOptions,
+}
+
+/// Waits for a place, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    /// Median.
+    pub p50: f64,
+    /// 95th percentile.
+    pub p95: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// Mean.
+    pub mean: f64,
+    /// Attempts for each request.
+    pub attempts: f64,
+}
+
+/// Time in microseconds.
+type Us = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    Report,
+    End { target: usize, entry: usize },
+}
+
+#[derive(Clone, Debug, Default)]
+struct Target {
+    busy: usize,
+    waiting: VecDeque<(usize, Us)>,
+}
+
+impl Target {
+    fn load(&self) -> usize {
+        self.busy + self.waiting.len()
+    }
+}
+
+struct Sim<'a> {
+    setup: &'a Setup,
+    choice: Choice,
+    routes: Vec<Arc<Route>>,
+    targets: Vec<Target>,
+    choosers: Vec<Chooser>,
+    turns: Vec<usize>,
+    /// Loads as entries see them, and those that are on their way.
+    reported: Vec<usize>,
+    reports_sent: VecDeque<Vec<usize>>,
+    events: BinaryHeap<Reverse<(Us, Event)>>,
+    random: SeededSource,
+    waits_ms: Vec<f64>,
+    first_attempts: u64,
+    attempts: u64,
+}
+
+/// Runs a policy; the same seed gives the same arrivals.
+pub fn run(choice: Choice, setup: &Setup, seed: u64) -> Waits {
+    let route = |n: usize| Route {
+        name: format!("target-{n:03}"),
+        hall: "hall".to_string(),
+        agent_address: ([127, 0, 0, 1], 1 + n as u16).into(),
+        group: None,
+        ranks: Vec::new(),
+        checks_orders: false,
+    };
+    let chooser = || Chooser::new("hall", setup.options.clone());
+    let mut random = SeededSource::new(seed);
+    let turns = (0..setup.entries).map(|_| random.below(setup.targets)).collect();
+    let mut sim = Sim {
+        setup,
+        choice,
+        routes: (0..setup.targets).map(route).map(Arc::new).collect(),
+        targets: vec![Target::default(); setup.targets],
+        choosers: (0..setup.entries).map(|_| chooser()).collect(),
+        turns,
+        reported: vec![0; setup.targets],
+        reports_sent: VecDeque::new(),
+        events: BinaryHeap::from([Reverse((0, Event::Arrival)), Reverse((0, Event::Report))]),
+        random,
+        waits_ms: Vec::new(),
+        first_attempts: 0,
+        attempts: 0,
+    };
+
+    sim.run();
+    sim.waits()
+}
+
+impl Sim<'_> {
+    fn run(&mut self) {
+        let until = self.setup.time.as_micros() as Us;
+
+        while let Some(Reverse((now, event))) = self.events.pop() {
+            if now > until {
+                return;
+            }
+
+            match event {
+                Event::Arrival => self.arrive(now),
+                Event::Report => self.report(now),
+                Event::End { target, entry } => self.end(target, entry, now),
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: Us) {
+        let entry = self.random.below(self.setup.entries);
+        let at = if self.choice == Choice::Ours {
+            self.dispatch(entry, now)
+        } else {
+            self.choose(entry, &[], now)
+        };
+        self.choosers[entry].sent(&self.routes[at].name);
+
+        if self.targets[at].busy < self.setup.places {
+            self.begin(at, entry, now, now);
+        } else {
+            self.targets[at].waiting.push_back((entry, now));
+        }
+
+        let places = (self.setup.targets * self.setup.places) as f64;
+        let rate = places * self.setup.load / self.setup.service.as_secs_f64();
+        let gap_s = -(1.0 - self.random.unit()).ln() / rate;
+        self.events.push(Reverse((now + (gap_s * 1e6) as Us, Event::Arrival)));
+    }
+
+    /// Tries targets as an entry does: a full one refuses, unless the request may wait there.
+    fn dispatch(&mut self, entry: usize, now: Us) -> usize {
+        let mut tried = Vec::new();
+        let at_time = Duration::from_micros(now);
+        self.first_attempts += 1;
+
+        loop {
+            let at = self.choose(entry, &tried, now);
+            self.attempts += 1;
+            tried.push(self.routes[at].name.clone());
+
+            let chooser = &mut self.choosers[entry];
+            let may_wait = tried.len() >= MAX_ATTEMPTS as usize
+                || !chooser.expects_free_place(&self.routes, &tried, at_time);
+
+            if may_wait || self.targets[at].busy < self.setup.places {
+                return at;
+            }
+
+            let report = LoadReport {
+                in_flight: self.targets[at].load() as u32,
+                places: self.setup.places as u32,
+            };
+            chooser.reported(&self.routes[at].name, report, at_time);
+        }
+    }
+
+    fn begin(&mut self, at: usize, entry: usize, arrived: Us, now: Us) {
+        self.targets[at].busy += 1;
+
+        // The first tenth fills the targets and is not counted.
+        if arrived > self.setup.time.as_micros() as Us / 10 {
+            self.waits_ms.push((now - arrived) as f64 / 1e3);
+        }
+
+        let tail = self.setup.tail;
+        let factor = (tail * normal(&mut self.random) - tail * tail / 2.0).exp();
+        let took = (self.setup.service.as_secs_f64() * factor * 1e6) as Us;
+        self.events.push(Reverse((now + took.max(1), Event::End { target: at, entry })));
+    }
+
+    fn end(&mut self, at: usize, entry: usize, now: Us) {
+        self.targets[at].busy -= 1;
+
+        if let Some((entry, arrived)) = self.targets[at].waiting.pop_front() {
+            self.begin(at, entry, arrived, now);
+        }
+
+        // The end of an answer carries the target's load, as it does between real processes.
+        let report = self.load_report(self.targets[at].load());
+        let (name, now) = (&self.routes[at].name, Duration::from_micros(now));
+        self.choosers[entry].ended(name, Some(true), now);
+        self.choosers[entry].reported(name, report, now);
+    }
+
+    fn load_report(&self, load: usize) -> LoadReport {
+        LoadReport { in_flight: load as u32, places: self.setup.places as u32 }
+    }
+
+    /// Sends everybody's loads to all entries; they arrive one lag later. `ours` has no use for
+    /// them: it goes by what the ends of answers say.
+    fn report(&mut self, now: Us) {
+        self.reports_sent.push_back(self.targets.iter().map(Target::load).collect());
+
+        if self.reports_sent.len() > 1
+            && let Some(arrived) = self.reports_sent.pop_front()
+        {
+            self.reported = arrived;
+        }
+
+        let next = now + self.setup.report_lag.as_micros() as Us;
+        self.events.push(Reverse((next.max(now + 1), Event::Report)));
+    }
+
+    fn choose(&mut self, entry: usize, tried: &[TargetName], now: Us) -> usize {
+        let count = self.setup.targets;
+
+        match self.choice {
+            Choice::Random => self.random.below(count),
+            Choice::RoundRobin => {
+                self.turns[entry] = (self.turns[entry] + 1) % count;
+                self.turns[entry]
+            }
+            Choice::LeastReported => self.least((0..count).collect(), |s, t| s.reported[t]),
+            Choice::TwoChoices => {
+                let two = vec![self.random.below(count), self.random.below(count)];
+                self.least(two, |s, t| s.reported[t])
+            }
+            Choice::Omniscient => self.least((0..count).collect(), |s, t| s.targets[t].load()),
+            Choice::Ours => {
+                let now = Duration::from_micros(now);
+                let chosen =
+                    self.choosers[entry].choose(&self.routes, tried, now, &mut self.random);
+                let name = &chosen.expect("there are targets").name;
+                self.routes.iter().position(|r| r.name == *name).unwrap_or(0)
+            }
+        }
+    }
+
+    /// Gets the target with the least load; equals are drawn.
+    fn least(&mut self, among: Vec<usize>, load: impl Fn(&Self, usize) -> usize) -> usize {
+        let lowest = among.iter().map(|t| load(self, *t)).min().unwrap_or(0);
+        let lowest: Vec<usize> = among.into_iter().filter(|t| load(self, *t) == lowest).collect();
+
+        lowest[self.random.below(lowest.len())]
+    }
+
+    fn waits(mut self) -> Waits {
+        self.waits_ms.sort_by(f64::total_cmp);
+        let count = self.waits_ms.len().max(1);
+        let at = |q: f64| {
+            self.waits_ms.get(((count as f64 * q) as usize).min(count - 1)).copied().unwrap_or(0.0)
+        };
+
+        Waits {
+            p50: at(0.5),
+            p95: at(0.95),
+            p99: at(0.99),
+            mean: self.waits_ms.iter().sum::<f64>() / count as f64,
+            attempts: self.attempts as f64 / self.first_attempts.max(1) as f64,
+        }
+    }
+}
--- a/grebedeck-routing/src/attempt.rs
+++ b/grebedeck-routing/src/attempt.rs
@@ -66,6 +66,11 @@
         self.attempts - 1
     }
 
+    /// Tells whether no further attempt may follow the current one.
+    pub fn is_last(&self) -> bool {
+        self.attempts >= MAX_ATTEMPTS
+    }
+
     /// Decides what follows an attempt's end. `may_retry` is asked, only where it matters, whether
     /// budget and deadline allow another attempt.
     pub fn ended(&mut self, end: AttemptEnd, may_retry: impl FnOnce() -> bool) -> Next {
@@ -113,7 +118,7 @@
     }
 
     fn retry(&mut self, may_retry: impl FnOnce() -> bool) -> bool {
-        if self.attempts >= MAX_ATTEMPTS || !may_retry() {
+        if self.is_last() || !may_retry() {
             return false;
         }
 
--- a/grebedeck-routing/src/choice.rs
+++ b/grebedeck-routing/src/choice.rs
@@ -109,8 +109,10 @@
         let draws = self.options.draws.min(pool.len());
         let mut best: Option<(f64, &'a Arc<Route>)> = None;
 
-        for _ in 0..draws {
-            let route = pool[random.below(pool.len())];
+        for draw in 0..draws {
+            // Where all of them are looked at, none may be missed by drawing another twice.
+            let at = if draws == pool.len() { draw } else { random.below(pool.len()) };
+            let route = pool[at];
             let score = self.score(route, now) + random.unit() * 1e-6;
 
             if best.is_none_or(|(lowest, _)| score < lowest) {
@@ -129,17 +131,40 @@
             return distance;
         };
 
-        let lifetime = self.options.report_lifetime;
-        let fresh = view.report.filter(|(at, _)| *at + lifetime > now);
-        let (in_flight, places) = match fresh {
-            Some((_, report)) => {
-                let corrected = i64::from(report.in_flight) + view.since_report;
-                (corrected.max(i64::from(view.own_in_flight)) as f64, report.places.max(1))
-            }
-            None => (f64::from(view.own_in_flight), 1),
+        let unknown = (f64::from(view.own_in_flight), 1.0);
+        let (in_flight, places) = self.load(view, now).unwrap_or(unknown);
+
+        (in_flight + distance + 1.0) / places / view.health.weight(&self.options.health)
+    }
+
+    /// Tells whether, for all that is known, some target that was not tried has a free place.
+    pub fn expects_free_place(
+        &self,
+        allowed: &[Arc<Route>],
+        tried: &[TargetName],
+        now: Moment,
+    ) -> bool {
+        let is_free = |route: &Arc<Route>| match self.view(&route.name) {
+            Some(view) if !view.health.is_usable(now) => false,
+            Some(view) => self.load(view, now).is_none_or(|(used, places)| used < places),
+            None => true,
         };
+        let fresh = |r: &&Arc<Route>| !tried.contains(&r.name) && !self.is_leaving(&r.name, now);
+
+        allowed.iter().filter(fresh).any(is_free)
+    }
+
+    /// Gets the estimated requests in flight on a target and its places, if it was heard of lately.
+    fn load(&self, view: &View, now: Moment) -> Option<(f64, f64)> {
+        let (at, report) = view.report?;
+
+        if at + self.options.report_lifetime <= now {
+            return None;
+        }
 
-        (in_flight + distance + 1.0) / f64::from(places) / view.health.weight(&self.options.health)
+        let corrected = i64::from(report.in_flight) + view.since_report;
+        let in_flight = corrected.max(i64::from(view.own_in_flight)) as f64;
+        Some((in_flight, f64::from(report.places.max(1))))
     }
 
     fn view(&self, target: &str) -> Option<&View> {
--- a/grebedeck-routing/src/gate.rs
+++ b/grebedeck-routing/src/gate.rs
@@ -14,7 +14,9 @@
 /// Settings of a gate.
 #[derive(Clone, Debug)]
 pub struct GateOptions {
-    /// Most requests in flight on the target.
+    /// Requests that the target runs at the same time; more of them wait in it.
+    pub places: usize,
+    /// Most requests in flight on the target, with those that wait.
     pub max_in_flight: usize,
     /// How long a used key is remembered.
     pub key_memory: Duration,
@@ -29,6 +31,7 @@
 impl Default for GateOptions {
     fn default() -> Self {
         GateOptions {
+            places: 32,
             max_in_flight: 64,
             key_memory: Duration::from_secs(24 * 3600),
             max_keys: 200_000,
@@ -47,6 +50,8 @@
     pub incarnation: Incarnation,
     /// When the entry sent it, by the entry's wall clock.
     pub sent_unix_ms: UnixMs,
+    /// Whether it may wait for a place; otherwise it is refused where none is free.
+    pub may_wait: bool,
     /// The key, for a request that runs at most once.
     pub key: Option<Key>,
     /// When nobody waits for the answer any more.
@@ -124,9 +129,9 @@
         self.in_flight
     }
 
-    /// Gets the most requests that may be in flight.
-    pub fn max_in_flight(&self) -> usize {
-        self.options.max_in_flight
+    /// Gets how many requests the target runs at the same time.
+    pub fn places(&self) -> usize {
+        self.options.places
     }
 
     /// Gets the number of remembered keys.
@@ -219,7 +224,10 @@
 
         let keys_full = start.key.is_some() && self.keys.len() >= self.options.max_keys;
 
-        if self.in_flight >= self.options.max_in_flight || keys_full {
+        let options = &self.options;
+        let room = if start.may_wait { options.max_in_flight } else { options.places };
+
+        if self.in_flight >= room || keys_full {
             return Some(Reason::TargetBusy);
         }
 
--- a/grebedeck-routing/tests/gate.rs
+++ b/grebedeck-routing/tests/gate.rs
@@ -16,7 +16,14 @@
 fn start(request: u128, number: u32) -> Start {
     let attempt = AttemptId { request, number };
 
-    Start { attempt, incarnation: 7, sent_unix_ms: BORN_MS, key: None, deadline: None }
+    Start {
+        attempt,
+        incarnation: 7,
+        sent_unix_ms: BORN_MS,
+        may_wait: true,
+        key: None,
+        deadline: None,
+    }
 }
 
 fn keyed(request: u128, key: u128, issued: Option<u64>) -> Start {
@@ -102,7 +109,7 @@
 
 #[test]
 fn a_full_or_leaving_target_and_a_passed_deadline_refuse() {
-    let options = GateOptions { max_in_flight: 1, ..GateOptions::default() };
+    let options = GateOptions { places: 1, max_in_flight: 1, ..GateOptions::default() };
     let mut gate = Gate::new(7, BORN_MS, options);
     let passed = Start { deadline: Some(now(5)), ..start(3, 0) };
 
@@ -114,6 +121,19 @@
     assert_eq!(gate.admit(&start(4, 0), now(8), BORN_MS), Verdict::Refuse(Reason::Draining));
 }
 
+#[test]
+fn an_attempt_that_may_not_wait_is_refused_where_no_place_is_free() {
+    let options = GateOptions { places: 1, max_in_flight: 2, ..GateOptions::default() };
+    let mut gate = Gate::new(7, BORN_MS, options);
+    let asking = |n| Start { may_wait: false, ..start(n, 0) };
+    let busy = Verdict::Refuse(Reason::TargetBusy);
+
+    assert_eq!(gate.admit(&asking(1), now(0), BORN_MS), Verdict::Run);
+    assert_eq!(gate.admit(&asking(2), now(0), BORN_MS), busy);
+    assert_eq!(gate.admit(&start(3, 0), now(0), BORN_MS), Verdict::Run);
+    assert_eq!(gate.admit(&start(4, 0), now(0), BORN_MS), busy);
+}
+
 #[test]
 fn memory_is_bounded_by_time() {
     let options = GateOptions { key_memory: Duration::from_secs(60), ..GateOptions::default() };
@@ -180,7 +200,7 @@
                     // An attempt is sent once, at the start; its copies arrive at any time.
                     let sent_unix_ms = BORN_MS;
                     let start =
-                        Start { attempt, incarnation: 7, sent_unix_ms, key: key_claim, deadline: None };
+                        Start { sent_unix_ms, key: key_claim, ..start(attempt.request, attempt.number) };
 
                     if gate.admit(&start, now(at), BORN_MS + 6_000 + at) == Verdict::Run {
                         prop_assert!(!ran.contains(&attempt));
--- a/grebedeck/src/agent/service.rs
+++ b/grebedeck/src/agent/service.rs
@@ -52,6 +52,7 @@
         metrics: &Metrics,
     ) -> Self {
         let options = GateOptions {
+            places: settings.places,
             max_in_flight: settings.max_in_flight,
             key_memory: millis(settings.key_memory_ms),
             max_keys: settings.max_keys,
@@ -94,7 +95,7 @@
     pub(super) fn load(&self) -> LoadReport {
         let gate = self.gate();
 
-        LoadReport { in_flight: gate.in_flight() as u32, places: gate.max_in_flight() as u32 }
+        LoadReport { in_flight: gate.in_flight() as u32, places: gate.places() as u32 }
     }
 
     pub(super) fn now(&self) -> Moment {
@@ -114,7 +115,7 @@
 
         json!({
             "in_flight": gate.in_flight(),
-            "max_in_flight": gate.max_in_flight(),
+            "places": gate.places(),
             "keys": gate.key_count(),
             "draining": gate.is_draining(),
         })
--- a/grebedeck/src/agent/work.rs
+++ b/grebedeck/src/agent/work.rs
@@ -203,6 +203,7 @@
     Start {
         attempt: start.attempt,
         incarnation: start.incarnation,
+        may_wait: start.may_wait,
         key: start.key,
         sent_unix_ms: start.sent_unix_ms,
         deadline: start.deadline_ms.map(|ms| now + millis(ms)),
--- a/grebedeck/src/entry/attempt.rs
+++ b/grebedeck/src/entry/attempt.rs
@@ -43,6 +43,8 @@
     pub id: AttemptId,
     /// The revision under which the request was admitted.
     pub revision: u64,
+    /// Whether it may wait for a place on the target.
+    pub may_wait: bool,
     /// When the caller stops waiting.
     pub deadline: Moment,
 }
@@ -184,6 +186,7 @@
             organisation: request.organisation.clone(),
             service: request.service.clone(),
             revision: self.revision,
+            may_wait: self.may_wait,
             key: request.key,
             sent_unix_ms: unix_ms(),
             deadline_ms: Some(left.as_millis() as u64),
--- a/grebedeck/src/entry/dispatch.rs
+++ b/grebedeck/src/entry/dispatch.rs
@@ -23,6 +23,8 @@
     home: Option<Arc<Route>>,
     tried: Vec<TargetName>,
     sent: Option<SentTo>,
+    /// Whether the current attempt may wait for a place.
+    may_wait: bool,
     deadline: Moment,
 }
 
@@ -40,12 +42,14 @@
 
         loop {
             let attempt = AttemptId { request: id, number: tracker.number() };
-            let end = match dispatch.attempt(attempt).await {
+            let end = match dispatch.attempt(attempt, tracker.is_last()).await {
                 Ok(begun) => return Ok(begun.into_response(place)),
                 Err(end) => end,
             };
 
-            let mut next = tracker.ended(end, || dispatch.may_retry());
+            // A target that was only asked for a free place costs nothing from the budget.
+            let only_asked = end == AttemptEnd::Refused(Reason::TargetBusy) && !dispatch.may_wait;
+            let mut next = tracker.ended(end, || only_asked || dispatch.may_retry());
 
             if next == Next::Strike {
                 let end = dispatch.strike(attempt).await;
@@ -53,6 +57,7 @@
             }
 
             match next {
+                Next::Retry if only_asked => {}
                 Next::Retry => dispatch.wait(tracker.number()).await,
                 Next::Answer(outcome) => return Err(outcome),
                 Next::Strike => return Err(Outcome::Unknown(Reason::ConnectionLost)),
@@ -83,18 +88,32 @@
         let deadline = entry.now() + request.deadline.unwrap_or(entry.answer_limit);
         let revision = routes.revision();
         let tried = Vec::new();
-        Ok(Dispatch { entry, request, allowed, revision, home, tried, sent: None, deadline })
+        Ok(Dispatch {
+            entry,
+            request,
+            allowed,
+            revision,
+            home,
+            tried,
+            sent: None,
+            may_wait: true,
+            deadline,
+        })
     }
 
-    async fn attempt(&mut self, id: AttemptId) -> Result<Begun, AttemptEnd> {
-        let route = self.choose().ok_or(AttemptEnd::Refused(Reason::Draining))?;
+    async fn attempt(&mut self, id: AttemptId, is_last: bool) -> Result<Begun, AttemptEnd> {
+        let entry = self.entry.clone();
+        let part = subset::subset(&self.allowed, &entry.name, &entry.hall, entry.subset_targets);
+        let route = self.choose(&part).ok_or(AttemptEnd::Refused(Reason::Draining))?;
         self.tried.push(route.name.clone());
+        self.may_wait = is_last || !self.expects_free_place(&part);
 
         let attempt = Attempt {
             entry: self.entry.clone(),
             route,
             id,
             revision: self.revision,
+            may_wait: self.may_wait,
             deadline: self.deadline,
         };
 
@@ -102,19 +121,22 @@
         attempt.run(&self.request, &mut self.sent).await
     }
 
-    fn choose(&self) -> Option<Arc<Route>> {
+    fn choose(&self, part: &[Arc<Route>]) -> Option<Arc<Route>> {
         if let Some(home) = &self.home {
             return Some(home.clone());
         }
 
         let entry = &self.entry;
-        let part = subset::subset(&self.allowed, &entry.name, &entry.hall, entry.subset_targets);
-        let state = entry.state();
+        let random = &mut ProcessRandom::default();
+
+        entry.state().chooser.choose(part, &self.tried, entry.now(), random).cloned()
+    }
+
+    /// Tells whether a target that was not tried yet is expected to have a free place.
+    fn expects_free_place(&self, part: &[Arc<Route>]) -> bool {
+        let now = self.entry.now();
 
-        state
-            .chooser
-            .choose(&part, &self.tried, entry.now(), &mut ProcessRandom::default())
-            .cloned()
+        self.home.is_none() && self.entry.state().chooser.expects_free_place(part, &self.tried, now)
     }
 
     /// Tells whether time and budget allow another attempt, and takes it from the budget.
--- a/grebedeck/src/message.rs
+++ b/grebedeck/src/message.rs
@@ -44,6 +44,8 @@
     pub service: ServiceName,
     /// The revision under which the request was admitted.
     pub revision: Revision,
+    /// Whether it may wait for a place on the target.
+    pub may_wait: bool,
     /// The key of a request that runs at most once.
     pub key: Option<Key>,
     /// When the entry sent it, by the entry's wall clock.
--- a/grebedeck/src/settings.rs
+++ b/grebedeck/src/settings.rs
@@ -88,7 +88,10 @@
     /// The engine's control interface, for a rank of a group.
     #[serde(default)]
     pub engine_address: Option<SocketAddr>,
-    /// Most requests in flight on the target.
+    /// Requests that the target runs at the same time.
+    #[serde(default = "defaults::places")]
+    pub places: usize,
+    /// Most requests in flight on the target, with those that wait in it.
     #[serde(default = "defaults::target_in_flight")]
     pub max_in_flight: usize,
     /// Largest request body.
@@ -185,6 +188,9 @@
     pub fn spread_limit_ms() -> u64 {
         20_000
     }
+    pub fn places() -> usize {
+        32
+    }
     pub fn target_in_flight() -> usize {
         64
     }
@@ -260,7 +266,8 @@
     fn check(&self, faults: &mut Faults) {
         self.common.check(faults);
 
-        at_least("max_in_flight", self.max_in_flight as u64, 1, faults);
+        at_least("places", self.places as u64, 1, faults);
+        at_least("max_in_flight", self.max_in_flight as u64, self.places as u64, faults);
         at_least("max_body_bytes", self.max_body_bytes as u64, 1, faults);
         at_least("max_keys", self.max_keys as u64, 1, faults);
         at_least("balance.counts_ms", self.balance.counts_ms, 10, faults);
