--- a/grebedeck-lab/src/command/fleet.rs
+++ b/grebedeck-lab/src/command/fleet.rs
@@ -14,7 +14,7 @@
 use grebedeck::settings::{self, AgentSettings, CommonSettings, EntrySettings};
 use grebedeck_config::{AcceptResult, Change, Organisation, SelectorRule, Target};
 use grebedeck_core::time::unix_ms;
-use grebedeck_net::platform::{Instance, InstanceState, Role};
+use grebedeck_net::platform::Role;
 use serde_json::{Value, json};
 
 use crate::caller::Caller;
@@ -111,18 +111,10 @@
         let _server = platform.serve(options.address(PLATFORM_OFFSET)).await?;
         let _target = Plain::serve_at("target", options.address(TARGET_OFFSET)).await?;
         let (entries, agents) = read_settings(&options.dir)?;
-        let instance = |role, common: &CommonSettings| Instance {
-            name: common.name.clone(),
-            role,
-            hall: common.hall.clone(),
-            peer_address: common.peer_address,
-            incarnation: 1,
-            state: InstanceState::Live,
-        };
         let listed = entries
             .iter()
-            .map(|e| instance(Role::Entry, &e.common))
-            .chain(agents.iter().map(|a| instance(Role::Agent, &a.common)));
+            .map(|e| e.common.instance(Role::Entry, 1))
+            .chain(agents.iter().map(|a| a.common.instance(Role::Agent, 1)));
         platform.set_instances(listed.collect());
 
         let mut last = platform.calls();
--- a/grebedeck-lab/src/site.rs
+++ b/grebedeck-lab/src/site.rs
@@ -9,7 +9,7 @@
 use grebedeck::entry::Entry;
 use grebedeck::settings::{self, AgentSettings, EntrySettings};
 use grebedeck_config::{Change, Group, Organisation, SelectorRule, Target};
-use grebedeck_net::platform::{Instance, InstanceState, Role};
+use grebedeck_net::platform::Role;
 use serde_json::json;
 
 use crate::http::{Server, any_port};
@@ -209,16 +209,9 @@
 
     /// Lists all running processes with the platform.
     pub fn list_instances(&self) {
-        let instance = |role, common: &settings::CommonSettings| Instance {
-            name: common.name.clone(),
-            role,
-            hall: common.hall.clone(),
-            peer_address: common.peer_address,
-            incarnation: 1,
-            state: InstanceState::Live,
-        };
-        let entries = self.entries.iter().map(|e| instance(Role::Entry, &e.settings.common));
-        let agents = self.agents.values().map(|a| instance(Role::Agent, &a.settings.common));
+        let entries = self.entries.iter().map(|e| e.settings.common.instance(Role::Entry, 1));
+        let agents =
+            self.agents.values().map(|a| a.settings.common.instance(Role::Agent, a.incarnation));
 
         self.platform.set_instances(entries.chain(agents).collect());
     }
--- a/grebedeck/src/directory.rs
+++ b/grebedeck/src/directory.rs
@@ -14,6 +14,8 @@
 
 use crate::message::{CONTROL_PATH, Control, ControlAnswer, PROTOCOL_VERSION, PeerHello};
 
+/// The service's name.
+pub const NAME: &str = "peers";
 /// How long a peer may take to answer a control message.
 const CONTROL_LIMIT: Duration = Duration::from_secs(2);
 
--- a/grebedeck/src/entry/service.rs
+++ b/grebedeck/src/entry/service.rs
@@ -14,7 +14,7 @@
 use super::answer::refusal;
 use super::request::{BodyLimits, CallerRequest};
 use crate::config::{self, ConfigService};
-use crate::directory::Directory;
+use crate::directory::{self, Directory};
 use crate::settings::{EntrySettings, millis};
 
 /// What the request path counts.
@@ -89,7 +89,7 @@
             name: settings.common.name.clone(),
             hall: settings.common.hall.clone(),
             config: kernel.require::<ConfigService>(config::NAME),
-            directory: kernel.require::<Directory>("peers"),
+            directory: kernel.require::<Directory>(directory::NAME),
             counters,
             answer_limit: millis(settings.answer_limit_ms),
             spread_limit: millis(settings.spread_limit_ms),
--- a/grebedeck/src/lib.rs
+++ b/grebedeck/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod message;
 pub mod operator;
 pub mod peer;
+pub mod process;
 pub mod random;
 pub mod settings;
 pub mod stop;
--- a/grebedeck/src/settings.rs
+++ b/grebedeck/src/settings.rs
@@ -4,7 +4,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use grebedeck_core::Faults;
+use grebedeck_core::{Faults, Incarnation};
+use grebedeck_net::platform::{Instance, InstanceState, Role};
 use serde::{Deserialize, Serialize};
 
 /// Settings that every process has.
@@ -229,6 +230,20 @@
     fn check(&self, faults: &mut Faults);
 }
 
+impl CommonSettings {
+    /// Gets the process as the platform would list it while it is live.
+    pub fn instance(&self, role: Role, incarnation: Incarnation) -> Instance {
+        Instance {
+            name: self.name.clone(),
+            role,
+            hall: self.hall.clone(),
+            peer_address: self.peer_address,
+            incarnation,
+            state: InstanceState::Live,
+        }
+    }
+}
+
 impl Check for CommonSettings {
     fn check(&self, faults: &mut Faults) {
         for (field, value) in [("common.name", &self.name), ("common.hall", &self.hall)] {
