A frozen agent is noticed within two seconds

Cause: a frozen process keeps its connections, so requests waited for it until their deadline, 120 s by default. Found by reading; the storm froze agents for 1.5 s only. Change: while a request or a stream waits for an agent, that agent is asked once a second whether it is there, once for all that wait; silence for a second ends the attempt as lost and counts against the target's health. The storm freezes for up to 4 s.

--- a/grebedeck/src/directory.rs
+++ b/grebedeck/src/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 use grebedeck_core::error::{protocol_error, timeout_error};
@@ -19,16 +19,30 @@
 /// How long a peer may take to answer a control message.
 const CONTROL_LIMIT: Duration = Duration::from_secs(2);
 
+/// How often a peer that somebody waits for is asked whether it is still there.
+const LIVENESS_PERIOD: Duration = Duration::from_secs(1);
+/// How long it may take to answer that.
+const LIVENESS_LIMIT: Duration = Duration::from_secs(1);
+
+/// When a peer was last asked whether it is there, and whether it was. Whoever asks holds the lock,
+/// so that a peer is asked once, however many requests wait for it.
+type Liveness = async_std::sync::Arc<async_std::sync::Mutex<Option<(Instant, bool)>>>;
+
 /// Links to peers, with what each peer said of itself on the link.
 pub struct Directory {
     pool: LinkPool,
     known: Mutex<HashMap<SocketAddr, (u64, PeerHello)>>,
+    liveness: Mutex<HashMap<SocketAddr, Liveness>>,
 }
 
 impl Directory {
     /// Makes an empty directory.
     pub fn new(connect_limit: Duration) -> Self {
-        Directory { pool: LinkPool::new(connect_limit), known: Mutex::default() }
+        Directory {
+            pool: LinkPool::new(connect_limit),
+            known: Mutex::default(),
+            liveness: Mutex::default(),
+        }
     }
 
     /// Gets a link to a peer and who it is.
@@ -54,10 +68,45 @@
         control_on(&link, message).await
     }
 
+    /// Completes when a peer no longer answers, be it dead, frozen or cut off.
+    ///
+    /// A frozen process keeps its connections, so that waiting on them alone shows nothing.
+    pub async fn silent(&self, address: SocketAddr) {
+        loop {
+            async_std::task::sleep(LIVENESS_PERIOD).await;
+
+            if !self.is_alive(address).await {
+                return;
+            }
+        }
+    }
+
+    async fn is_alive(&self, address: SocketAddr) -> bool {
+        let liveness = {
+            let mut all = self.liveness.lock().unwrap_or_else(PoisonError::into_inner);
+            all.entry(address).or_default().clone()
+        };
+        let mut last = liveness.lock().await;
+
+        if let Some((at, alive)) = *last
+            && at.elapsed() < LIVENESS_PERIOD
+        {
+            return alive;
+        }
+
+        let hello = Control::Hello { protocol: PROTOCOL_VERSION };
+        let asked = timeout(LIVENESS_LIMIT, self.control(address, &hello)).await;
+        let alive = matches!(asked, Ok(Ok(_)));
+        *last = Some((Instant::now(), alive));
+        alive
+    }
+
     /// Drops what is kept of peers that are no longer wanted.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.pool.retain(&keep);
         self.lock().retain(|address, _| keep(address));
+        let mut liveness = self.liveness.lock().unwrap_or_else(PoisonError::into_inner);
+        liveness.retain(|address, _| keep(address));
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, (u64, PeerHello)>> {
--- a/grebedeck/src/entry/answer.rs
+++ b/grebedeck/src/entry/answer.rs
@@ -5,10 +5,12 @@
 //! a whole one.
 
 use std::io;
+use std::net::SocketAddr;
 use std::str::FromStr;
 
 use futures::TryStreamExt;
-use grebedeck_core::error::protocol_error;
+use futures::future::Either;
+use grebedeck_core::error::{protocol_error, timeout_error};
 use grebedeck_core::{AttemptId, Outcome, Reason, Result};
 use grebedeck_net::{FrameReader, Stream};
 use http_types::headers::{HeaderName, HeaderValue};
@@ -26,6 +28,7 @@
 
 /// The part of an answer that is still to come.
 pub struct AnswerStream {
+    agent_address: SocketAddr,
     digest: BodyDigest,
     reader: FrameReader,
     // Dropping the stream before its end tells the agent that nobody waits any more.
@@ -37,11 +40,14 @@
     /// Makes the stream of an attempt's answer.
     pub fn new(
         attempt: AttemptId,
+        agent_address: SocketAddr,
         reader: FrameReader,
         stream: Stream,
         in_flight: InFlight,
     ) -> Self {
-        AnswerStream { digest: BodyDigest::new(attempt), reader, _stream: stream, in_flight }
+        let digest = BodyDigest::new(attempt);
+
+        AnswerStream { agent_address, digest, reader, _stream: stream, in_flight }
     }
 
     /// Reads the next part, or `None` at the end of a whole answer.
@@ -58,7 +64,7 @@
     }
 
     async fn next_checked(&mut self) -> Result<Option<Vec<u8>>> {
-        match self.reader.expect().await? {
+        match self.next_frame().await? {
             FromAgent::Body(part) => {
                 self.digest.update(&part);
                 Ok(Some(part))
@@ -78,6 +84,18 @@
         }
     }
 
+    /// Reads the next frame, as long as the agent shows that it is there.
+    async fn next_frame(&mut self) -> Result<FromAgent> {
+        let reading = self.reader.expect();
+        let silent = self.in_flight.entry().directory.silent(self.agent_address);
+        futures::pin_mut!(reading, silent);
+
+        match futures::future::select(reading, silent).await {
+            Either::Left((frame, _)) => frame,
+            Either::Right(_) => timeout_error("the agent's next frame"),
+        }
+    }
+
     /// Reads all parts.
     pub async fn read_whole(&mut self) -> Result<Vec<u8>> {
         let mut body = Vec::new();
--- a/grebedeck/src/entry/attempt.rs
+++ b/grebedeck/src/entry/attempt.rs
@@ -5,6 +5,7 @@
 
 use async_std::future::timeout;
 use bytes::BytesMut;
+use futures::future::Either;
 use grebedeck_config::Route;
 use grebedeck_core::time::unix_ms;
 use grebedeck_core::{AttemptId, Incarnation, Moment, Reason, Result};
@@ -142,9 +143,20 @@
         let agent_address = self.route.agent_address;
         *sent = Some(SentTo { agent_address, incarnation: hello.incarnation });
 
-        match self.talk(request, &hello, &mut stream).await {
-            Ok((first, reader)) => self.take_first(first, reader, stream, in_flight).await,
-            Err(_) => {
+        let answered = {
+            let talking = self.talk(request, &hello, &mut stream);
+            let silent = self.entry.directory.silent(agent_address);
+            futures::pin_mut!(talking, silent);
+
+            match futures::future::select(talking, silent).await {
+                Either::Left((answered, _)) => answered.ok(),
+                Either::Right(_) => None,
+            }
+        };
+
+        match answered {
+            Some((first, reader)) => self.take_first(first, reader, stream, in_flight).await,
+            None => {
                 in_flight.judge(false);
                 Err(AttemptEnd::Lost)
             }
@@ -229,7 +241,8 @@
         };
 
         let whole = head.len_bytes.is_some_and(|len| len <= MAX_WHOLE_BYTES);
-        let mut answer = AnswerStream::new(self.id, reader, stream, in_flight);
+        let mut answer =
+            AnswerStream::new(self.id, self.route.agent_address, reader, stream, in_flight);
 
         if !whole {
             return Ok(Begun::Streaming(head, Box::new(answer)));
--- a/scripts/storm.sh
+++ b/scripts/storm.sh
@@ -25,7 +25,7 @@
 
         case $((RANDOM % 8)) in
             0 | 1 | 2) kill -9 "$(cat "$dir/$agent.pid")" && sleep 0.2 && start "$agent" ;;
-            3 | 4) kill -STOP "$(cat "$dir/$agent.pid")" && sleep 1.5 && kill -CONT "$(cat "$dir/$agent.pid")" ;;
+            3 | 4) kill -STOP "$(cat "$dir/$agent.pid")" && sleep $((1 + RANDOM % 4)) && kill -CONT "$(cat "$dir/$agent.pid")" ;;
             5) kill -TERM "$(cat "$dir/$agent.pid")" && sleep 0.6 && start "$agent" ;;
             6) kill -9 "$(cat "$dir/$entry.pid")" && sleep 0.2 && start "$entry" ;;
             7) kill -STOP "$(cat "$dir/$entry.pid")" && sleep 1 && kill -CONT "$(cat "$dir/$entry.pid")" ;;
