Memory of request bodies is bounded; links and views of what is gone are dropped

Change: max_buffered_bytes for all bodies together, taken before a body is read and given back with the request; links that neither the list nor the configuration names are dropped with each reading of the list, views once a minute.

--- a/grebedeck/src/config/spread.rs
+++ b/grebedeck/src/config/spread.rs
@@ -4,6 +4,7 @@
 //! every heartbeat and at once when it has a new one; whoever is behind is brought up. The store's
 //! head is read rarely by each process, so that the whole fleet together reads it at a fixed rate.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -154,6 +155,7 @@
             // While the list cannot be read, the last one is the best there is.
             if let Ok(instances) = list.read().await {
                 self.members.set(instances);
+                self.forget_gone();
             }
 
             let fleet = self.members.len().max(1) as f64;
@@ -165,6 +167,21 @@
         }
     }
 
+    /// Drops links to processes that neither the list nor the configuration names any more.
+    fn forget_gone(&self) {
+        let listed = self.members.all();
+        let routes = self.config.routes();
+        let targets = routes.targets().values().map(|r| r.agent_address);
+        let known: HashSet<SocketAddr> = listed
+            .iter()
+            .map(|i| i.peer_address)
+            .chain(targets)
+            .chain(self.settings.seed_peers.iter().copied())
+            .collect();
+
+        self.directory.retain(|address| known.contains(address));
+    }
+
     /// Exchanges revisions with the peers until the task is dropped.
     pub async fn follow_peers(self) {
         let changed = self.config.on_change();
--- a/grebedeck/src/entry.rs
+++ b/grebedeck/src/entry.rs
@@ -35,6 +35,7 @@
         let entry = kernel.register("entry", service);
         let mut tasks = process.start(AgentParts::default());
 
+        tasks.push(async_std::task::spawn(entry.clone().forget_gone()));
         let options = ServerOptions { max_connections: settings.max_connections };
         let (on_request, on_reject) = (entry.clone(), entry);
         tasks.push(async_std::task::spawn(serve_http(
--- a/grebedeck/src/entry/request.rs
+++ b/grebedeck/src/entry/request.rs
@@ -1,5 +1,7 @@
 //! Reading a caller's request.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -22,6 +24,8 @@
 /// When the caller issued the key, in milliseconds since the Unix epoch.
 pub const KEY_ISSUED_HEADER: &str = "idempotency-issued-ms";
 
+/// How long a caller is told to wait where the budget for bodies is used up.
+const BUDGET_WAIT: Duration = Duration::from_secs(1);
 /// Longest key, in bytes.
 const MAX_KEY_BYTES: usize = 255;
 
@@ -34,8 +38,51 @@
     pub limit: Duration,
 }
 
+/// Bytes that all requests of an entry may hold in memory together.
+#[derive(Debug)]
+pub struct BodyBudget {
+    max_bytes: usize,
+    used_bytes: AtomicUsize,
+}
+
+/// Part of a budget, given back when it is dropped.
+#[derive(Debug)]
+pub struct Reserved {
+    budget: Arc<BodyBudget>,
+    bytes: usize,
+}
+
+impl BodyBudget {
+    /// Makes an unused budget.
+    pub fn new(max_bytes: usize) -> Self {
+        BodyBudget { max_bytes, used_bytes: AtomicUsize::new(0) }
+    }
+
+    /// Takes a part, or says that there is not enough left.
+    pub fn reserve(self: &Arc<Self>, bytes: usize) -> Result<Reserved, Reason> {
+        let take = |used: usize| Some(used + bytes).filter(|sum| *sum <= self.max_bytes);
+        let taken = self.used_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+
+        match taken {
+            Ok(_) => Ok(Reserved { budget: self.clone(), bytes }),
+            Err(_) => Err(Reason::Overloaded(BUDGET_WAIT)),
+        }
+    }
+
+    /// Gets the bytes that are taken.
+    pub fn used_bytes(&self) -> usize {
+        self.used_bytes.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        self.budget.used_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// A caller's request, whole.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct CallerRequest {
     /// The organisation that it names.
     pub organisation: OrganisationName,
@@ -55,12 +102,26 @@
     pub headers: Vec<(String, String)>,
     /// The whole body.
     pub body: Vec<u8>,
+    /// What it holds of the entry's budget for bodies.
+    pub reserved: Option<Reserved>,
 }
 
 impl CallerRequest {
     /// Reads a request with its body.
-    pub async fn try_new(mut request: Request, limits: BodyLimits) -> Result<Self, Reason> {
+    pub async fn try_new(
+        mut request: Request,
+        limits: BodyLimits,
+        budget: &Arc<BodyBudget>,
+    ) -> Result<Self, Reason> {
         let mut read = Self::read_head(&request)?;
+        // A body without a length may be as long as any.
+        let expected = request.len().unwrap_or(limits.max_bytes);
+
+        if expected > limits.max_bytes {
+            return Err(Reason::TooLarge(limits.max_bytes as u64));
+        }
+
+        read.reserved = Some(budget.reserve(expected)?);
         read.body = read_body(&mut request, limits).await?;
 
         Ok(read)
@@ -98,6 +159,7 @@
             path,
             headers: end_to_end_headers(request.as_ref()),
             body: Vec::new(),
+            reserved: None,
         })
     }
 }
@@ -118,10 +180,6 @@
 async fn read_body(request: &mut Request, limits: BodyLimits) -> Result<Vec<u8>, Reason> {
     let too_large = Reason::TooLarge(limits.max_bytes as u64);
 
-    if request.len().is_some_and(|len| len > limits.max_bytes) {
-        return Err(too_large);
-    }
-
     let mut body = Vec::with_capacity(request.len().unwrap_or(0));
     let mut limited = request.take_body().take(limits.max_bytes as u64 + 1);
 
--- a/grebedeck/src/entry/service.rs
+++ b/grebedeck/src/entry/service.rs
@@ -12,11 +12,14 @@
 use serde_json::{Value, json};
 
 use super::answer::refusal;
-use super::request::{BodyLimits, CallerRequest};
+use super::request::{BodyBudget, BodyLimits, CallerRequest};
 use crate::config::{self, ConfigService};
 use crate::directory::{self, Directory};
 use crate::settings::{EntrySettings, millis};
 
+/// How often views of targets that are gone are dropped.
+const FORGET_PERIOD: Duration = Duration::from_secs(60);
+
 /// What the request path counts.
 pub struct EntryCounters {
     /// Requests by outcome.
@@ -50,6 +53,7 @@
     pub(super) spread_limit: Duration,
     pub(super) subset_targets: usize,
     body_limits: BodyLimits,
+    body_budget: Arc<BodyBudget>,
     state: Mutex<EntryState>,
 }
 
@@ -98,6 +102,7 @@
                 max_bytes: settings.max_body_bytes,
                 limit: millis(settings.body_limit_ms),
             },
+            body_budget: Arc::new(BodyBudget::new(settings.max_buffered_bytes)),
             state: Mutex::new(state),
         }
     }
@@ -118,7 +123,7 @@
             return Err(Outcome::NotRun(Reason::Draining));
         }
 
-        let read = CallerRequest::try_new(request, self.body_limits).await;
+        let read = CallerRequest::try_new(request, self.body_limits, &self.body_budget).await;
         let request = read.map_err(Outcome::Refused)?;
         let place = self.enter(&request.organisation)?;
 
@@ -140,6 +145,16 @@
         Ok(Place { entry: self.clone(), organisation: organisation.to_string() })
     }
 
+    /// Drops the views of targets that the configuration no longer has, now and then, until the task
+    /// is dropped.
+    pub async fn forget_gone(self: Arc<Self>) {
+        loop {
+            async_std::task::sleep(FORGET_PERIOD).await;
+            let routes = self.config.routes();
+            self.state().chooser.retain(|name| routes.targets().contains_key(name));
+        }
+    }
+
     /// Counts a request whose head could not be read.
     pub fn count_rejected(&self) {
         self.counters.outcomes.add("unreadable");
@@ -162,6 +177,7 @@
         json!({
             "in_flight": state.admission.in_flight(),
             "active_organisations": state.admission.active_organisations(),
+            "buffered_bytes": self.body_budget.used_bytes(),
             "target_views": state.chooser.view_count(),
             "stopping": state.stopping,
         })
--- a/grebedeck/src/settings.rs
+++ b/grebedeck/src/settings.rs
@@ -61,6 +61,9 @@
     /// Largest request body.
     #[serde(default = "defaults::max_body_bytes")]
     pub max_body_bytes: usize,
+    /// Bytes of request bodies that may be held in memory together.
+    #[serde(default = "defaults::max_buffered_bytes")]
+    pub max_buffered_bytes: usize,
     /// How long a request's body may take to arrive.
     #[serde(default = "defaults::body_limit_ms")]
     pub body_limit_ms: u64,
@@ -174,6 +177,9 @@
     pub fn max_body_bytes() -> usize {
         4 << 20
     }
+    pub fn max_buffered_bytes() -> usize {
+        256 << 20
+    }
     pub fn body_limit_ms() -> u64 {
         30_000
     }
@@ -270,6 +276,12 @@
         at_least("max_in_flight", self.max_in_flight as u64, 1, faults);
         at_least("max_connections", self.max_connections as u64, 1, faults);
         at_least("max_body_bytes", self.max_body_bytes as u64, 1, faults);
+        at_least(
+            "max_buffered_bytes",
+            self.max_buffered_bytes as u64,
+            self.max_body_bytes as u64,
+            faults,
+        );
         at_least("body_limit_ms", self.body_limit_ms, 1, faults);
         at_least("answer_limit_ms", self.answer_limit_ms, 1, faults);
         at_least("connect_limit_ms", self.connect_limit_ms, 1, faults);
