--- a/grebedeck-experts/src/switch.rs
+++ b/grebedeck-experts/src/switch.rs
@@ -19,6 +19,7 @@
 //! armed.
 
 pub mod coordinator;
+mod join;
 pub mod member;
 pub mod message;
 
--- a/grebedeck-experts/src/switch/member.rs
+++ b/grebedeck-experts/src/switch/member.rs
@@ -4,6 +4,7 @@
 
 use grebedeck_core::{Epoch, Incarnation, Moment, Step};
 
+use super::join::Joining;
 use super::message::{Body, GroupView, MapVersion, MemberNo, Message, Standing};
 
 /// Settings of a member.
@@ -72,13 +73,6 @@
     roster: Vec<Incarnation>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Joining {
-    /// What each other member knew when it answered.
-    acks: Vec<Option<GroupView>>,
-    ask_at: Moment,
-}
-
 /// A member's state, for a dump.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct MemberStatus {
@@ -149,7 +143,7 @@
         roster[no as usize] = incarnation;
 
         let mut member = Member::new(no, roster, MapVersion::default(), options);
-        member.joining = Some(Joining { acks: vec![None; size], ask_at: now });
+        member.joining = Some(Joining::new(size, now));
 
         member
     }
@@ -212,19 +206,7 @@
         let again = now + self.options.ask_again_after;
 
         if let Some(joining) = &mut self.joining {
-            if now < joining.ask_at {
-                return Vec::new();
-            }
-
-            joining.ask_at = again;
-            let missing = self.missing_acks();
-
-            if missing.is_empty() {
-                self.finish_join();
-            }
-
-            let body = Body::Join { roster: self.known.roster.clone() };
-            return missing.into_iter().map(|to| self.send(to, body.clone())).collect();
+            return if joining.is_due(now, again) { self.ask_to_join() } else { Vec::new() };
         }
 
         if let Some(armed) = &mut self.armed {
@@ -283,7 +265,7 @@
 
             // What the earlier incarnation had said no longer stands.
             if let Some(joining) = &mut self.joining {
-                joining.acks[usize::from(from)] = None;
+                joining.forget(from);
             }
 
             if let Some(armed) = &mut self.armed {
@@ -506,7 +488,7 @@
         self.note_roster(&known.roster);
 
         if let Some(joining) = &mut self.joining {
-            joining.acks[usize::from(from)] = Some(known.clone());
+            joining.take(from, known);
         }
 
         if self.missing_acks().is_empty() {
@@ -522,36 +504,28 @@
         }
     }
 
-    fn finish_join(&mut self) {
-        let Some(joining) = self.joining.take() else {
-            return;
-        };
+    fn ask_to_join(&mut self) -> Vec<MemberOrder> {
+        let missing = self.missing_acks();
 
-        for ack in joining.acks.into_iter().flatten() {
-            if ack.current > self.known.current {
-                self.known.current = ack.current;
-                self.known.current_from = ack.current_from;
-                self.known.previous = ack.previous;
-            }
+        // A group of one has nobody to ask.
+        if missing.is_empty() {
+            self.finish_join();
+        }
 
-            self.known.settled = self.known.settled.max(ack.settled).max(ack.current);
-            self.known.seen_epoch = self.known.seen_epoch.max(ack.seen_epoch);
+        let body = Body::Join { roster: self.known.roster.clone() };
+        missing.into_iter().map(|to| self.send(to, body.clone())).collect()
+    }
+
+    fn finish_join(&mut self) {
+        if let Some(joining) = self.joining.take() {
+            joining.merge_into(&mut self.known);
         }
     }
 
-    /// Gets the members whose answer is still needed.
-    ///
-    /// An answer counts only if its sender knows of the same replacements: a sender that does not
-    /// could still be told by a replaced process that a version was committed.
     fn missing_acks(&self) -> Vec<MemberNo> {
-        let acks = self.joining.as_ref().map_or(&[][..], |j| &j.acks);
-        let counts = |no: &MemberNo| {
-            let ack = acks.get(usize::from(*no)).and_then(Option::as_ref);
-
-            ack.is_some_and(|a| a.roster == self.known.roster)
-        };
+        let joining = self.joining.as_ref();
 
-        self.others().filter(|no| !counts(no)).collect()
+        joining.map_or_else(Vec::new, |j| j.missing(self.no, &self.known.roster))
     }
 
     fn acknowledge_join(&self, message: &Message) -> MemberOrder {
--- a/grebedeck/src/entry/dispatch.rs
+++ b/grebedeck/src/entry/dispatch.rs
@@ -69,10 +69,8 @@
 impl Dispatch {
     fn try_new(entry: Arc<EntryService>, request: CallerRequest) -> Result<Self, Outcome> {
         let routes = entry.config.routes();
-        let refused = |reason| Outcome::Refused(reason);
-
         let Some(allowed) = routes.allowed(&request.organisation, &request.service).cloned() else {
-            return Err(refused(Reason::NoCapacity));
+            return Err(Outcome::Refused(Reason::NoCapacity));
         };
 
         let home = match &request.key {
--- a/grebedeck/src/main.rs
+++ b/grebedeck/src/main.rs
@@ -10,6 +10,7 @@
 use grebedeck::entry::Entry;
 use grebedeck::settings::{self, AgentSettings, EntrySettings, millis};
 use grebedeck::stop;
+use grebedeck_kernel::Kernel;
 
 fn main() -> ExitCode {
     let command = options().run();
@@ -47,26 +48,33 @@
 
 async fn run_entry(file: &Path) -> Result<u8> {
     let settings: EntrySettings = settings::read(file)?;
-    grebedeck_kernel::log::start(spdlog::Level::Info)?;
-    stop_on_broken_invariant();
-
-    let limit = millis(settings.common.drain_limit_ms);
+    prepare()?;
+    let limit_ms = settings.common.drain_limit_ms;
     let entry = Entry::try_new(settings).await?;
-    stop::signal().await?;
-    let whole = stop::drain(&entry.kernel, limit).await;
 
-    Ok(if whole { 0 } else { EXIT_UNKNOWN })
+    run_until_stopped(&entry.kernel, limit_ms).await
 }
 
 async fn run_agent(file: &Path) -> Result<u8> {
     let settings: AgentSettings = settings::read(file)?;
+    prepare()?;
+    let limit_ms = settings.common.drain_limit_ms;
+    let agent = Agent::try_new(settings).await?;
+
+    run_until_stopped(&agent.kernel, limit_ms).await
+}
+
+fn prepare() -> Result<()> {
     grebedeck_kernel::log::start(spdlog::Level::Info)?;
     stop_on_broken_invariant();
 
-    let limit = millis(settings.common.drain_limit_ms);
-    let agent = Agent::try_new(settings).await?;
+    Ok(())
+}
+
+/// Waits for a signal, then for what is in flight.
+async fn run_until_stopped(kernel: &Kernel, drain_limit_ms: u64) -> Result<u8> {
     stop::signal().await?;
-    let whole = stop::drain(&agent.kernel, limit).await;
+    let whole = stop::drain(kernel, millis(drain_limit_ms)).await;
 
     Ok(if whole { 0 } else { EXIT_UNKNOWN })
 }
