One loop that adopts a log; an entry's targets found once for each request

Change: Replica::take_each holds the one loop, and take and the service call it; the part and its revision are found once, from one reading, and go with the request; what had no user is gone, but for the stand-in's slow_down, a fault that the experiments will want. Behaviour: the same answers. One order differs: a service that an organisation may not use is now refused with 403 before a full entry would say 429.

--- a/grebedeck-config/src/replica.rs
+++ b/grebedeck-config/src/replica.rs
@@ -9,7 +9,7 @@
 use grebedeck_core::{Digest, Revision, UnixMs};
 use serde::{Deserialize, Serialize};
 
-use crate::change::{LogEntry, Snapshot};
+use crate::change::{Change, LogEntry, Snapshot};
 use crate::document::Document;
 
 /// How many log entries a replica keeps to hand on to its peers.
@@ -63,11 +63,6 @@
         self.digest
     }
 
-    /// Gets the newest log entry that was adopted.
-    pub fn last_entry(&self) -> Option<&LogEntry> {
-        self.entries.back()
-    }
-
     /// Gets the kept entries after a revision, or `None` where the log does not reach back so far.
     pub fn entries_after(&self, revision: Revision) -> Option<Vec<LogEntry>> {
         if revision >= self.revision {
@@ -110,24 +105,56 @@
         Some(caught)
     }
 
-    /// Takes in what another process sent to catch up; tells what became of the last part.
+    /// Takes in what another process sent to catch up; tells what became of it.
     pub fn take(&mut self, catch_up: CatchUp) -> Adoption {
+        self.take_each(catch_up, |_, _| ())
+    }
+
+    /// Takes in what another process sent to catch up. `adopted` is called at each new revision,
+    /// with the change that made it, or without one after a whole document.
+    pub fn take_each(
+        &mut self,
+        catch_up: CatchUp,
+        mut adopted: impl FnMut(&Replica, Option<&Change>),
+    ) -> Adoption {
         match catch_up {
-            CatchUp::Snapshot(snapshot) => self.adopt_snapshot(*snapshot),
-            CatchUp::Entries(entries) => {
-                let before = self.revision;
-                let last = entries.into_iter().map(|e| self.adopt(e)).last();
+            CatchUp::Entries(entries) => self.take_entries(entries, adopted),
+            CatchUp::Snapshot(snapshot) => {
+                let adoption = self.adopt_snapshot(*snapshot);
 
-                // Entries that were known already may stand before the new ones.
-                match last {
-                    _ if self.revision > before => Adoption::Adopted,
-                    Some(adoption) => adoption,
-                    None => Adoption::Stale,
+                if adoption == Adoption::Adopted {
+                    adopted(self, None);
                 }
+
+                adoption
             }
         }
     }
 
+    fn take_entries(
+        &mut self,
+        entries: Vec<LogEntry>,
+        mut adopted: impl FnMut(&Replica, Option<&Change>),
+    ) -> Adoption {
+        let mut whole = Adoption::Stale;
+
+        for entry in entries {
+            let change = entry.change.clone();
+
+            match self.adopt(entry) {
+                Adoption::Adopted => {
+                    adopted(self, Some(&change));
+                    whole = Adoption::Adopted;
+                }
+                // Entries that were known already may stand before the new ones.
+                Adoption::Stale => {}
+                fault => return if whole == Adoption::Adopted { whole } else { fault },
+            }
+        }
+
+        whole
+    }
+
     /// Adopts the next log entry.
     pub fn adopt(&mut self, entry: LogEntry) -> Adoption {
         if entry.revision <= self.revision {
--- a/grebedeck-core/src/outcome.rs
+++ b/grebedeck-core/src/outcome.rs
@@ -30,11 +30,6 @@
             Outcome::Unknown(_) => "unknown",
         }
     }
-
-    /// Tells whether it is certain that the request was not run.
-    pub fn is_certainly_not_run(&self) -> bool {
-        matches!(self, Outcome::Refused(_) | Outcome::NotRun(_))
-    }
 }
 
 /// Why a request was not served.
--- a/grebedeck-experts/src/popularity.rs
+++ b/grebedeck-experts/src/popularity.rs
@@ -141,16 +141,6 @@
         &self.layers[usize::from(layer)].fractions
     }
 
-    /// Gets the number of layers.
-    pub fn layer_count(&self) -> Layer {
-        self.layers.len() as Layer
-    }
-
-    /// Gets the standard error of each expert's fraction.
-    pub fn errors(&self, layer: Layer) -> impl Iterator<Item = f32> {
-        self.layers[usize::from(layer)].variances.iter().map(|v| v.sqrt())
-    }
-
     /// Gets for how many steps a layer's popularity is expected to stay much as it is.
     ///
     /// That is until slow drift has moved about a tenth of the tokens, or until the next sharp
--- a/grebedeck/src/config/service.rs
+++ b/grebedeck/src/config/service.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
-use grebedeck_config::{Adoption, CatchUp, LogEntry, Replica, Routes, Snapshot};
+use grebedeck_config::{Adoption, CatchUp, Replica, Routes};
 use grebedeck_core::time::unix_ms;
 use grebedeck_core::{Moment, Reason, Revision, UnixMs};
 use grebedeck_kernel::{Clock, Counter, Metrics, Service, log};
@@ -73,10 +73,15 @@
     /// Takes in what the store or a peer offers; a newer revision is in force when this returns.
     pub fn take(&self, offer: CatchUp) -> Adoption {
         let mut replica = self.lock();
-        let adoption = match offer {
-            CatchUp::Entries(entries) => self.take_entries(&mut replica, entries),
-            CatchUp::Snapshot(snapshot) => self.take_snapshot(&mut replica, *snapshot),
-        };
+        let adoption = replica.take_each(offer, |replica, change| {
+            let (revision, document) = (replica.revision(), replica.document());
+            let routes = match change {
+                Some(change) => self.routes().next(revision, document, change),
+                None => Routes::new(revision, document),
+            };
+
+            self.put_in_force(replica, routes);
+        });
         self.adoptions.add(adoption_word(adoption));
 
         if adoption == Adoption::Adopted {
@@ -87,39 +92,6 @@
         adoption
     }
 
-    fn take_entries(&self, replica: &mut Replica, entries: Vec<LogEntry>) -> Adoption {
-        let mut whole = Adoption::Stale;
-
-        for entry in entries {
-            let change = entry.change.clone();
-
-            match replica.adopt(entry) {
-                Adoption::Adopted => {
-                    let routes =
-                        self.routes().next(replica.revision(), replica.document(), &change);
-                    self.put_in_force(replica, routes);
-                    whole = Adoption::Adopted;
-                }
-                // Entries that were known already may stand before the new ones.
-                Adoption::Stale => {}
-                fault => return if whole == Adoption::Adopted { whole } else { fault },
-            }
-        }
-
-        whole
-    }
-
-    fn take_snapshot(&self, replica: &mut Replica, snapshot: Snapshot) -> Adoption {
-        let adoption = replica.adopt_snapshot(snapshot);
-
-        if adoption == Adoption::Adopted {
-            let routes = Routes::new(replica.revision(), replica.document());
-            self.put_in_force(replica, routes);
-        }
-
-        adoption
-    }
-
     /// Gets a signal for each new revision; signals that nobody waits for are merged.
     pub fn on_change(&self) -> async_channel::Receiver<Revision> {
         self.on_change.clone()
--- a/grebedeck/src/entry/dispatch.rs
+++ b/grebedeck/src/entry/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use grebedeck_config::Route;
-use grebedeck_core::{AttemptId, Moment, Outcome, RandomSource, Reason, TargetName};
+use grebedeck_core::{AttemptId, Moment, Outcome, RandomSource, Reason, Revision, TargetName};
 use grebedeck_routing::attempt::{AttemptTracker, retry_wait};
 use grebedeck_routing::{AttemptEnd, Next, StrikeAnswer};
 use http_types::Response;
@@ -18,8 +18,9 @@
 struct Dispatch {
     entry: Arc<EntryService>,
     request: CallerRequest,
-    allowed: Arc<[Arc<Route>]>,
-    revision: u64,
+    /// The targets that the request may go to from this entry.
+    part: Vec<Arc<Route>>,
+    revision: Revision,
     home: Option<Arc<Route>>,
     tried: Vec<TargetName>,
     sent: Option<SentTo>,
@@ -33,9 +34,11 @@
     pub(super) async fn dispatch(
         self: Arc<Self>,
         request: CallerRequest,
+        revision: Revision,
+        part: Vec<Arc<Route>>,
         place: Place,
     ) -> Result<Response, Outcome> {
-        let mut dispatch = Dispatch::try_new(self, request)?;
+        let mut dispatch = Dispatch::try_new(self, request, revision, part)?;
         let mut tracker = AttemptTracker::new(dispatch.request.traits);
         let id = request_id();
         dispatch.entry.state().retries.earn();
@@ -67,12 +70,12 @@
 }
 
 impl Dispatch {
-    fn try_new(entry: Arc<EntryService>, request: CallerRequest) -> Result<Self, Outcome> {
-        let routes = entry.config.routes();
-        let Some(allowed) = routes.allowed(&request.organisation, &request.service).cloned() else {
-            return Err(Outcome::Refused(Reason::NoCapacity));
-        };
-
+    fn try_new(
+        entry: Arc<EntryService>,
+        request: CallerRequest,
+        revision: Revision,
+        part: Vec<Arc<Route>>,
+    ) -> Result<Self, Outcome> {
         let home = match &request.key {
             Some(key) => Some(
                 entry
@@ -84,12 +87,11 @@
         };
 
         let deadline = entry.now() + request.deadline.unwrap_or(entry.answer_limit);
-        let revision = routes.revision();
         let tried = Vec::new();
         Ok(Dispatch {
             entry,
             request,
-            allowed,
+            part,
             revision,
             home,
             tried,
@@ -100,10 +102,9 @@
     }
 
     async fn attempt(&mut self, id: AttemptId, is_last: bool) -> Result<Begun, AttemptEnd> {
-        let part = self.entry.part_of(&self.allowed);
-        let route = self.choose(&part).ok_or(AttemptEnd::Refused(Reason::Draining))?;
+        let route = self.choose().ok_or(AttemptEnd::Refused(Reason::Draining))?;
         self.tried.push(route.name.clone());
-        self.may_wait = is_last || !self.expects_free_place(&part);
+        self.may_wait = is_last || !self.expects_free_place();
 
         let attempt = Attempt {
             entry: self.entry.clone(),
@@ -118,7 +119,7 @@
         attempt.run(&self.request, &mut self.sent).await
     }
 
-    fn choose(&self, part: &[Arc<Route>]) -> Option<Arc<Route>> {
+    fn choose(&self) -> Option<Arc<Route>> {
         if let Some(home) = &self.home {
             return Some(home.clone());
         }
@@ -126,14 +127,15 @@
         let entry = &self.entry;
         let random = &mut ProcessRandom::default();
 
-        entry.state().chooser.choose(part, &self.tried, entry.now(), random).cloned()
+        entry.state().chooser.choose(&self.part, &self.tried, entry.now(), random).cloned()
     }
 
     /// Tells whether a target that was not tried yet is expected to have a free place.
-    fn expects_free_place(&self, part: &[Arc<Route>]) -> bool {
+    fn expects_free_place(&self) -> bool {
         let now = self.entry.now();
 
-        self.home.is_none() && self.entry.state().chooser.expects_free_place(part, &self.tried, now)
+        self.home.is_none()
+            && self.entry.state().chooser.expects_free_place(&self.part, &self.tried, now)
     }
 
     /// Tells whether time and budget allow another attempt, and takes it from the budget.
--- a/grebedeck/src/entry/service.rs
+++ b/grebedeck/src/entry/service.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use grebedeck_config::Route;
+use grebedeck_config::{Route, Routes};
 use grebedeck_core::{Moment, OrganisationName, Outcome, Reason};
 use grebedeck_kernel::{Clock, Counter, Kernel, Metrics, Service};
 use grebedeck_routing::{
@@ -126,35 +126,44 @@
 
         let read = CallerRequest::try_new(request, self.body_limits, &self.body_budget).await;
         let request = read.map_err(Outcome::Refused)?;
-        let place = self.enter(&request)?;
+        let routes = self.config.routes();
+        let allowed = self.allowed(&routes, &request)?;
+        let part = self.part_of(&allowed);
+        let place = self.enter(&request.organisation, &part)?;
 
-        self.dispatch(request, place).await
+        self.dispatch(request, routes.revision(), part, place).await
     }
 
-    fn enter(self: &Arc<Self>, request: &CallerRequest) -> Result<Place, Outcome> {
-        let routes = self.config.routes();
-        let organisation = request.organisation.clone();
-
+    /// Gets the targets that the selectors allow, or why there are none.
+    fn allowed(
+        &self,
+        routes: &Routes,
+        request: &CallerRequest,
+    ) -> Result<Arc<[Arc<Route>]>, Outcome> {
         if routes.revision() == 0 {
             return Err(Outcome::NotRun(Reason::NoConfiguration));
         }
 
-        if !routes.knows(&organisation) {
+        if !routes.knows(&request.organisation) {
+            let organisation = request.organisation.clone();
             return Err(Outcome::Refused(Reason::UnknownOrganisation(organisation)));
         }
 
-        let allowed = routes.allowed(&organisation, &request.service);
-        let part = allowed.map(|all| self.part_of(all)).unwrap_or_default();
+        let allowed = routes.allowed(&request.organisation, &request.service);
+        allowed.cloned().ok_or(Outcome::Refused(Reason::NoCapacity))
+    }
+
+    fn enter(self: &Arc<Self>, organisation: &str, part: &[Arc<Route>]) -> Result<Place, Outcome> {
         let now = self.now();
         let mut state = self.state();
-        let crowded = state.chooser.is_crowded(&part, now);
+        let crowded = state.chooser.is_crowded(part, now);
 
-        state.admission.enter(&organisation, crowded).map_err(Outcome::Refused)?;
-        Ok(Place { entry: self.clone(), organisation })
+        state.admission.enter(organisation, crowded).map_err(Outcome::Refused)?;
+        Ok(Place { entry: self.clone(), organisation: organisation.to_string() })
     }
 
     /// Gets the allowed targets that this entry spreads its requests over.
-    pub(super) fn part_of(&self, allowed: &[Arc<Route>]) -> Vec<Arc<Route>> {
+    fn part_of(&self, allowed: &[Arc<Route>]) -> Vec<Arc<Route>> {
         subset::subset(allowed, &self.name, &self.hall, self.subset_targets)
     }
 
