--- /dev/null
+++ b/grebedeck-gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! Decisions on requests that go from a gateway straight to their targets.
+//!
+//! A gateway is an entry on a platform whose targets name themselves: each request carries the id of
+//! the target that it is meant for, and another target refuses it. So no agent has to stand between
+//! them. All of this crate is pure; the shells are in the `grebedeck` crate, and [`source`] names what
+//! they need of a platform.
+
+#![forbid(unsafe_code)]
+
+pub mod answer;
+pub mod events;
+pub mod retry;
+pub mod routes;
+pub mod site;
+pub mod source;
+pub mod targets;
+pub mod wire;
+
+pub use answer::{RunState, Verdict, judge};
+pub use events::{Event, EventBuffer};
+pub use retry::{WindowBudget, WindowOptions};
+pub use routes::{Admitted, Denied, RouteTable};
+pub use site::{
+    CallerLimits, EngineSpec, Kind, Organisation, RouteRule, ServiceSpec, Site, Weighted,
+};
+pub use source::{
+    GatewayEntry, GatewayInfo, SiteStore, Snapshot, StoreVersion, TargetChange, Watched,
+};
+pub use targets::{TargetEntry, TargetId, TargetList, TargetState};
+pub use wire::HeaderNames;
--- /dev/null
+++ b/grebedeck-gateway/src/retry.rs
@@ -0,0 +1,91 @@
+//! Budget for sending a request to a second target, kept per service over a sliding window.
+//!
+//! All gateways together may send a part of a window's requests again, and a fixed number on top. Each
+//! gateway counts its own requests, so the parts add up; the fixed number is divided among them.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use grebedeck_core::Moment;
+
+/// Slots that a window is counted in.
+const SLOTS_PER_WINDOW: u32 = 20;
+
+/// Settings of a budget.
+#[derive(Clone, Copy, Debug)]
+pub struct WindowOptions {
+    /// Length of the window.
+    pub window: Duration,
+    /// Repeats for each request in the window.
+    pub ratio: f64,
+    /// Repeats on top of that.
+    pub allowance: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    from: Moment,
+    requests: u32,
+    repeats: u32,
+}
+
+/// A budget.
+#[derive(Clone, Debug)]
+pub struct WindowBudget {
+    options: WindowOptions,
+    slots: VecDeque<Slot>,
+}
+
+impl WindowBudget {
+    /// Makes a budget that nothing was taken of.
+    pub fn new(options: WindowOptions) -> Self {
+        WindowBudget { options, slots: VecDeque::new() }
+    }
+
+    /// Notes a first attempt.
+    pub fn earn(&mut self, now: Moment) {
+        self.slot(now).requests += 1;
+    }
+
+    /// Takes one repeat, where the window has one left.
+    pub fn take(&mut self, now: Moment) -> bool {
+        let requests: u32 = self.in_window(now).map(|s| s.requests).sum();
+        let repeats: u32 = self.in_window(now).map(|s| s.repeats).sum();
+        let allowed = f64::from(requests) * self.options.ratio + self.options.allowance;
+
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+
+        self.slot(now).repeats += 1;
+        true
+    }
+
+    fn in_window(&self, now: Moment) -> impl Iterator<Item = &Slot> {
+        // A slot that is partly outside counts whole, which errs on the careful side for repeats.
+        let from = now.saturating_sub(self.options.window + self.slot_length());
+
+        self.slots.iter().filter(move |s| s.from >= from)
+    }
+
+    fn slot_length(&self) -> Duration {
+        self.options.window / SLOTS_PER_WINDOW
+    }
+
+    fn slot(&mut self, now: Moment) -> &mut Slot {
+        let length = self.slot_length();
+        let oldest = now.saturating_sub(self.options.window * 2);
+
+        while self.slots.front().is_some_and(|s| s.from < oldest) {
+            self.slots.pop_front();
+        }
+
+        let is_current = |s: &Slot| now < s.from + length;
+
+        if !self.slots.back().is_some_and(is_current) {
+            self.slots.push_back(Slot { from: now, requests: 0, repeats: 0 });
+        }
+
+        self.slots.back_mut().expect("a slot was pushed where there was none")
+    }
+}
--- /dev/null
+++ b/grebedeck-gateway/src/routes.rs
@@ -0,0 +1,177 @@
+//! The compiled form of a site: the route and the organisation of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use grebedeck_core::{OrganisationName, RandomSource, ServiceName};
+
+use crate::site::{ApiKey, CallerLimits, RouteRule, ServiceSpec, Site, SiteVersion};
+
+/// Why a request has no route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route fits the host and path.
+    NoRoute,
+    /// The route needs a key that the configuration holds.
+    UnknownKey,
+}
+
+impl Denied {
+    /// Gets the status that goes with the reason.
+    pub fn status(self) -> u16 {
+        match self {
+            Denied::NoConfiguration => 503,
+            Denied::NoRoute => 404,
+            Denied::UnknownKey => 401,
+        }
+    }
+
+    /// Gets a short word for logs and counters.
+    pub fn word(self) -> &'static str {
+        match self {
+            Denied::NoConfiguration => "no_configuration",
+            Denied::NoRoute => "no_route",
+            Denied::UnknownKey => "unknown_key",
+        }
+    }
+}
+
+/// A request that the configuration allows.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// Its route.
+    pub rule: Arc<RouteRule>,
+    /// Its organisation, where the route needs a key.
+    pub organisation: Option<OrganisationName>,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
+    /// The version that allowed it.
+    pub version: SiteVersion,
+}
+
+#[derive(Clone, Debug)]
+struct KeyHolder {
+    name: OrganisationName,
+    priority: Option<u8>,
+}
+
+type RulesByPrefix = HashMap<String, Arc<RouteRule>>;
+
+/// All routes of one version.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    version: SiteVersion,
+    hosts: HashMap<String, RulesByPrefix>,
+    holders: HashMap<ApiKey, KeyHolder>,
+    services: HashMap<ServiceName, Arc<ServiceSpec>>,
+    limits: CallerLimits,
+    needs_keys: bool,
+}
+
+impl RouteTable {
+    /// Compiles a site.
+    pub fn new(site: &Site) -> Self {
+        let mut hosts: HashMap<String, RulesByPrefix> = HashMap::new();
+        let mut holders = HashMap::new();
+
+        for rule in &site.routes {
+            let rules = hosts.entry(rule.host.to_ascii_lowercase()).or_default();
+            rules.insert(rule.path_prefix.clone(), Arc::new(rule.clone()));
+        }
+
+        for organisation in &site.organisations {
+            for key in &organisation.keys {
+                let (name, priority) = (organisation.name.clone(), organisation.priority);
+                holders.insert(key.clone(), KeyHolder { name, priority });
+            }
+        }
+
+        let services = site.services.iter().map(|s| (s.name.clone(), Arc::new(s.clone())));
+
+        RouteTable {
+            version: site.version,
+            hosts,
+            holders,
+            services: services.collect(),
+            limits: site.limits,
+            needs_keys: !site.organisations.is_empty(),
+        }
+    }
+
+    /// Gets the version; 0 where there is no configuration yet.
+    pub fn version(&self) -> SiteVersion {
+        self.version
+    }
+
+    /// Gets the limits on callers.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// Gets a service.
+    pub fn service(&self, name: &str) -> Option<&Arc<ServiceSpec>> {
+        self.services.get(name)
+    }
+
+    /// Gets all services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
+        self.services.values()
+    }
+
+    /// Finds a request's route and organisation. `host` may have a port; `key` is what the caller
+    /// proves its organisation with.
+    pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admitted, Denied> {
+        if self.version == 0 {
+            return Err(Denied::NoConfiguration);
+        }
+
+        let rule = self.find_rule(host, path).ok_or(Denied::NoRoute)?;
+        let holder = match (rule.is_public || !self.needs_keys, key) {
+            (true, _) => None,
+            (false, key) => Some(key.and_then(|k| self.holders.get(k)).ok_or(Denied::UnknownKey)?),
+        };
+
+        Ok(Admitted {
+            rule: rule.clone(),
+            organisation: holder.map(|h| h.name.clone()),
+            priority: holder.and_then(|h| h.priority).unwrap_or(rule.priority),
+            version: self.version,
+        })
+    }
+
+    /// Finds the rule with the longest prefix of the path: prefixes end with a slash, so only the
+    /// path's own slashes have to be tried.
+    fn find_rule(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let rules = self.hosts.get(&host.to_ascii_lowercase())?;
+        let slashes = path.bytes().enumerate().filter(|(_, byte)| *byte == b'/');
+        let prefixes = slashes.map(|(at, _)| &path[..=at]);
+
+        prefixes.filter_map(|prefix| rules.get(prefix)).next_back()
+    }
+}
+
+/// Draws one of a route's services by weight.
+pub fn draw_service<'a>(rule: &'a RouteRule, random: &mut impl RandomSource) -> Option<&'a str> {
+    let total: u64 = rule.services.iter().map(|s| u64::from(s.weight)).sum();
+
+    if total == 0 {
+        return rule.services.first().map(|s| s.service.as_str());
+    }
+
+    let mut left = (random.unit() * total as f64) as u64;
+
+    for weighted in &rule.services {
+        let weight = u64::from(weighted.weight);
+
+        if left < weight {
+            return Some(&weighted.service);
+        }
+
+        left -= weight;
+    }
+
+    rule.services.last().map(|s| s.service.as_str())
+}
--- /dev/null
+++ b/grebedeck-gateway/src/source.rs
@@ -0,0 +1,106 @@
+//! What a gateway needs of a platform.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use grebedeck_core::Result;
+use serde::{Deserialize, Serialize};
+
+use crate::site::Site;
+use crate::targets::{TargetEntry, TargetId};
+
+/// Count of the store's changes; it only grows.
+pub type StoreVersion = u64;
+
+/// What the store held at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Snapshot<T> {
+    /// The store's version at that moment.
+    pub version: StoreVersion,
+    /// What it held.
+    pub value: T,
+}
+
+/// What became of a watch.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Watched<T> {
+    /// These changes came, in order, up to a version.
+    Changed {
+        /// The version to go on from.
+        version: StoreVersion,
+        /// The changes.
+        changes: Vec<T>,
+    },
+    /// Nothing has changed.
+    Quiet,
+    /// The store has forgotten changes since then; it must be read whole.
+    HistoryGone,
+}
+
+/// A change of the list of targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TargetChange {
+    /// A target was listed, or its entry changed.
+    Set {
+        /// The store's version of the entry.
+        version: StoreVersion,
+        /// The entry.
+        entry: TargetEntry,
+    },
+    /// A target's entry was removed.
+    Removed {
+        /// The store's version of the removal.
+        version: StoreVersion,
+        /// The target.
+        id: TargetId,
+    },
+}
+
+/// A gateway as others find it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayEntry {
+    /// The gateway's name.
+    pub name: String,
+    /// What others need to know of it.
+    pub info: GatewayInfo,
+}
+
+/// What gateways publish of themselves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayInfo {
+    /// Where it answers other processes of grebedeck.
+    pub peer_address: SocketAddr,
+    /// The hall that it stands in.
+    pub hall: String,
+}
+
+/// The platform's store. Every answer holds all that was acknowledged before; after an error it is not
+/// known whether a write took effect.
+pub trait SiteStore: Clone + 'static {
+    /// Reads the newest configuration.
+    fn read_site(&self) -> impl Future<Output = Result<Snapshot<Option<Site>>>>;
+
+    /// Waits for a newer configuration.
+    fn watch_site(
+        &self,
+        after: StoreVersion,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Watched<Site>>>;
+
+    /// Reads the list of targets.
+    fn read_targets(&self) -> impl Future<Output = Result<Snapshot<Vec<TargetEntry>>>>;
+
+    /// Waits for changes of the list of targets.
+    fn watch_targets(
+        &self,
+        after: StoreVersion,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Watched<TargetChange>>>;
+
+    /// Publishes a gateway.
+    fn publish(&self, gateway: &GatewayEntry) -> impl Future<Output = Result<()>>;
+
+    /// Reads all gateways that were published.
+    fn read_gateways(&self) -> impl Future<Output = Result<Vec<GatewayEntry>>>;
+}
--- /dev/null
+++ b/grebedeck-gateway/src/targets.rs
@@ -0,0 +1,253 @@
+//! The targets that the platform lists, as one process knows them.
+//!
+//! A target is known by its id, which each of its starts has anew; addresses are used again by
+//! others. The list lags, and while the store is away entries lapse although their targets live. Such
+//! a target is kept until the store has been back for long enough that it would be listed again.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use grebedeck_core::{HallName, Moment, ServiceName};
+use grebedeck_routing::Candidate;
+use serde::{Deserialize, Serialize};
+
+use crate::source::{StoreVersion, TargetChange};
+
+/// Id of one start of a target.
+pub type TargetId = String;
+
+/// How long after the store's return a missing target may still be listed again. The operators
+/// promise that targets that live are back within about two seconds of it.
+const RELIST_LIMIT: Duration = Duration::from_secs(2);
+
+/// Whether a target takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TargetState {
+    /// It takes work.
+    Serving,
+    /// It will end soon and takes no new work.
+    Leaving,
+}
+
+/// A target as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetEntry {
+    /// Id of this start of the target.
+    pub id: TargetId,
+    /// The service that it offers.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The hall that it stands in.
+    pub hall: HallName,
+    /// Requests that it works on at the same time.
+    pub slots: u32,
+    /// Whether it takes work.
+    pub state: TargetState,
+}
+
+impl Candidate for TargetEntry {
+    fn name(&self) -> &str {
+        &self.id
+    }
+
+    fn hall(&self) -> &str {
+        &self.hall
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    entry: Arc<TargetEntry>,
+    version: StoreVersion,
+    /// When a target that the list has lost is taken for gone.
+    lapses_at: Option<Moment>,
+}
+
+/// What a change of the list did to one target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListEvent {
+    /// It was listed for the first time, or again.
+    Listed(Arc<TargetEntry>),
+    /// It takes no new work from now on.
+    Leaving(TargetId),
+    /// It is gone.
+    Gone(TargetId),
+    /// The list has lost it while the store was not itself; it is kept for a while.
+    Lapsed(TargetId),
+}
+
+/// All targets that are known.
+#[derive(Clone, Debug, Default)]
+pub struct TargetList {
+    known: BTreeMap<TargetId, Known>,
+    serving: HashMap<ServiceName, Arc<[Arc<TargetEntry>]>>,
+    version: StoreVersion,
+    trouble_at: Option<Moment>,
+}
+
+impl TargetList {
+    /// Takes in a whole list; gives what changed.
+    pub fn take_snapshot(
+        &mut self,
+        version: StoreVersion,
+        entries: Vec<TargetEntry>,
+        now: Moment,
+    ) -> Vec<ListEvent> {
+        if version < self.version {
+            return Vec::new();
+        }
+
+        let listed: HashMap<TargetId, ()> = entries.iter().map(|e| (e.id.clone(), ())).collect();
+        let missing: Vec<TargetId> =
+            self.known.keys().filter(|id| !listed.contains_key(*id)).cloned().collect();
+        let mut events = Vec::new();
+
+        for entry in entries {
+            events.extend(self.set(version, entry));
+        }
+
+        for id in missing {
+            events.extend(self.lose(&id, version, now));
+        }
+
+        self.finish(version);
+        events
+    }
+
+    /// Takes in changes in their order; gives what changed.
+    pub fn take_changes(
+        &mut self,
+        version: StoreVersion,
+        changes: Vec<TargetChange>,
+        now: Moment,
+    ) -> Vec<ListEvent> {
+        let mut events = Vec::new();
+
+        for change in changes {
+            match change {
+                TargetChange::Set { version, entry } => events.extend(self.set(version, entry)),
+                TargetChange::Removed { version, id } => {
+                    events.extend(self.lose(&id, version, now));
+                }
+            }
+        }
+
+        self.finish(version);
+        events
+    }
+
+    /// Notes that the store did not answer, or not as it should.
+    pub fn store_failed(&mut self, now: Moment) {
+        self.trouble_at = Some(now);
+    }
+
+    /// Drops lapsed targets whose time is over; gives what changed.
+    pub fn tick(&mut self, now: Moment) -> Vec<ListEvent> {
+        let is_over = |known: &Known| known.lapses_at.is_some_and(|at| at <= now);
+        let over: Vec<TargetId> =
+            self.known.iter().filter(|(_, k)| is_over(k)).map(|(id, _)| id.clone()).collect();
+
+        if over.is_empty() {
+            return Vec::new();
+        }
+
+        for id in &over {
+            self.known.remove(id);
+        }
+
+        self.index();
+        over.into_iter().map(ListEvent::Gone).collect()
+    }
+
+    /// Takes a target for gone, as another one has answered at its address.
+    pub fn remove(&mut self, id: &str) {
+        if self.known.remove(id).is_some() {
+            self.index();
+        }
+    }
+
+    /// Gets the targets of a service that take work.
+    pub fn serving(&self, service: &str) -> Option<&Arc<[Arc<TargetEntry>]>> {
+        self.serving.get(service)
+    }
+
+    /// Gets a target.
+    pub fn get(&self, id: &str) -> Option<&Arc<TargetEntry>> {
+        self.known.get(id).map(|k| &k.entry)
+    }
+
+    /// Gets all targets, those that leave included.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<TargetEntry>> {
+        self.known.values().map(|k| &k.entry)
+    }
+
+    /// Gets the version of the store up to which the list is known.
+    pub fn version(&self) -> StoreVersion {
+        self.version
+    }
+
+    fn set(&mut self, version: StoreVersion, entry: TargetEntry) -> Option<ListEvent> {
+        let before = self.known.get(&entry.id);
+
+        if before.is_some_and(|k| k.version > version) {
+            return None;
+        }
+
+        let was_leaving = before.is_some_and(|k| k.entry.state == TargetState::Leaving);
+        let is_new = before.is_none_or(|k| k.lapses_at.is_some());
+        let (id, state) = (entry.id.clone(), entry.state);
+        let entry = Arc::new(entry);
+        self.known.insert(id.clone(), Known { entry: entry.clone(), version, lapses_at: None });
+
+        match state {
+            TargetState::Leaving if !was_leaving => Some(ListEvent::Leaving(id)),
+            _ if is_new => Some(ListEvent::Listed(entry)),
+            _ => None,
+        }
+    }
+
+    fn lose(&mut self, id: &str, version: StoreVersion, now: Moment) -> Option<ListEvent> {
+        let known = self.known.get_mut(id)?;
+
+        if known.version > version || known.lapses_at.is_some() {
+            return None;
+        }
+
+        let relisted_by = self.trouble_at.map(|at| at + RELIST_LIMIT);
+        let is_serving = known.entry.state == TargetState::Serving;
+
+        match relisted_by {
+            Some(at) if at > now && is_serving => {
+                known.lapses_at = Some(at);
+                Some(ListEvent::Lapsed(id.to_string()))
+            }
+            _ => {
+                self.known.remove(id);
+                Some(ListEvent::Gone(id.to_string()))
+            }
+        }
+    }
+
+    fn finish(&mut self, version: StoreVersion) {
+        self.version = self.version.max(version);
+        self.index();
+    }
+
+    fn index(&mut self) {
+        let mut by_service: HashMap<ServiceName, Vec<Arc<TargetEntry>>> = HashMap::new();
+
+        for known in self.known.values() {
+            if known.entry.state == TargetState::Serving {
+                by_service
+                    .entry(known.entry.service.clone())
+                    .or_default()
+                    .push(known.entry.clone());
+            }
+        }
+
+        self.serving = by_service.into_iter().map(|(name, list)| (name, list.into())).collect();
+    }
+}
--- /dev/null
+++ b/grebedeck-gateway/src/wire.rs
@@ -0,0 +1,53 @@
+//! Names of the headers that a platform gives a meaning.
+
+/// Header names; each platform has its own.
+#[derive(Clone, Copy, Debug)]
+pub struct HeaderNames {
+    /// Id of a caller's request; targets echo it.
+    pub request_id: &'static str,
+    /// Milliseconds for which the sender waits.
+    pub deadline_ms: &'static str,
+    /// The target's signature of an answer; without it, a success is not the target's.
+    pub signature: &'static str,
+    /// The organisation, towards targets.
+    pub organisation: &'static str,
+    /// Id of the only target that may run the request.
+    pub expected_target: &'static str,
+    /// A target's own id, in its answers.
+    pub target_id: &'static str,
+    /// A target's load: requests running, requests waiting, slots.
+    pub load: &'static str,
+    /// Says that the target has not run the request.
+    pub not_run: &'static str,
+    /// Id of the last event that the caller of a stream has.
+    pub last_event_id: &'static str,
+    /// A caller's proof of its organisation.
+    pub authorization: &'static str,
+    /// The scheme in front of a caller's key.
+    pub key_scheme: &'static str,
+    /// A request's rank towards a model's engine.
+    pub priority: &'static str,
+    /// Seconds after which the caller may come back.
+    pub retry_after: &'static str,
+}
+
+/// What a target's answer says of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at the same time.
+    pub slots: u32,
+}
+
+impl TargetLoad {
+    /// Reads the value of the load header.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>().ok());
+        let (running, waiting, slots) = (numbers.next()??, numbers.next()??, numbers.next()??);
+
+        Some(TargetLoad { running, waiting, slots })
+    }
+}
--- /dev/null
+++ b/grebedeck-http/src/body.rs
@@ -0,0 +1,215 @@
+//! Where a body ends, and taking it out of a connection's bytes.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::error::{HttpError, Result};
+use crate::head::{Headers, RequestHead, ResponseHead};
+
+/// Longest line with a chunk's length or a trailer, in bytes.
+const MAX_LINE_BYTES: usize = 4096;
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// There is no body.
+    Empty,
+    /// The body has a known length in bytes.
+    Length(u64),
+    /// The body comes in chunks with an end mark.
+    Chunked,
+    /// The body ends with its connection.
+    UntilClose,
+}
+
+/// Gets how a request's body ends; a head that could be understood in two ways is refused.
+pub fn request_framing(head: &RequestHead) -> Result<Framing> {
+    let length = content_length(&head.headers)?;
+
+    match (is_chunked(&head.headers)?, length) {
+        (true, Some(_)) => Err(HttpError::Malformed("length and chunks together")),
+        (true, None) if head.minor_version == 0 => Err(HttpError::Malformed("chunks in HTTP/1.0")),
+        (true, None) => Ok(Framing::Chunked),
+        (false, Some(0) | None) => Ok(Framing::Empty),
+        (false, Some(length)) => Ok(Framing::Length(length)),
+    }
+}
+
+/// Gets how a response's body ends.
+pub fn response_framing(head: &ResponseHead, request_method: &str) -> Result<Framing> {
+    if request_method == "HEAD" || head.status < 200 || matches!(head.status, 204 | 304) {
+        return Ok(Framing::Empty);
+    }
+
+    let length = content_length(&head.headers)?;
+
+    match (is_chunked(&head.headers)?, length) {
+        (true, Some(_)) => Err(HttpError::Malformed("length and chunks together")),
+        (true, None) => Ok(Framing::Chunked),
+        (false, Some(length)) => Ok(Framing::Length(length)),
+        (false, None) => Ok(Framing::UntilClose),
+    }
+}
+
+fn content_length(headers: &Headers) -> Result<Option<u64>> {
+    let mut values = headers.all("content-length");
+    let Some(first) = values.next() else {
+        return Ok(None);
+    };
+
+    if values.any(|other| other != first) {
+        return Err(HttpError::Malformed("two lengths"));
+    }
+
+    // `parse` would also take a sign.
+    let text = std::str::from_utf8(first).ok().filter(|t| t.bytes().all(|b| b.is_ascii_digit()));
+    let length = text.and_then(|t| t.parse().ok());
+
+    length.map(Some).ok_or(HttpError::Malformed("length"))
+}
+
+fn is_chunked(headers: &Headers) -> Result<bool> {
+    let mut codings = headers.all("transfer-encoding");
+
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(HttpError::Malformed("transfer encoding")),
+    }
+}
+
+/// What a decoder found at the front of a buffer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decoded {
+    /// The next part of the body.
+    Data(Bytes),
+    /// More bytes are needed.
+    NeedMore,
+    /// The body is whole.
+    End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    UntilClose,
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailers,
+    Ended,
+}
+
+/// Takes one body out of a connection's bytes, and leaves what follows it.
+#[derive(Clone, Debug)]
+pub struct BodyDecoder {
+    state: State,
+}
+
+impl BodyDecoder {
+    /// Makes a decoder.
+    pub fn new(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Empty | Framing::Length(0) => State::Ended,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        };
+
+        BodyDecoder { state }
+    }
+
+    /// Takes the next part from the front of the buffer.
+    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Decoded> {
+        loop {
+            match self.state {
+                State::Ended => return Ok(Decoded::End),
+                _ if buffer.is_empty() => return Ok(Decoded::NeedMore),
+                State::Length(left) => {
+                    let (data, left) = take_data(buffer, left);
+                    self.state = if left == 0 { State::Ended } else { State::Length(left) };
+                    return Ok(Decoded::Data(data));
+                }
+                State::UntilClose => return Ok(Decoded::Data(buffer.split().freeze())),
+                State::ChunkData(left) => {
+                    let (data, left) = take_data(buffer, left);
+                    self.state = if left == 0 { State::ChunkEnd } else { State::ChunkData(left) };
+                    return Ok(Decoded::Data(data));
+                }
+                State::ChunkSize | State::ChunkEnd | State::Trailers => {
+                    let Some(line) = take_line(buffer)? else {
+                        return Ok(Decoded::NeedMore);
+                    };
+                    self.state = self.after_line(&line)?;
+                }
+            }
+        }
+    }
+
+    /// Tells whether the body is whole if the peer closes the connection properly now.
+    pub fn ends_with_connection(&self) -> bool {
+        matches!(self.state, State::UntilClose | State::Ended)
+    }
+
+    /// Tells whether the body is whole.
+    pub fn is_ended(&self) -> bool {
+        self.state == State::Ended
+    }
+
+    fn after_line(&self, line: &[u8]) -> Result<State> {
+        match self.state {
+            State::ChunkSize => match chunk_size(line)? {
+                0 => Ok(State::Trailers),
+                size => Ok(State::ChunkData(size)),
+            },
+            State::ChunkEnd if line.is_empty() => Ok(State::ChunkSize),
+            State::ChunkEnd => Err(HttpError::Malformed("end of a chunk")),
+            _ if line.is_empty() => Ok(State::Ended),
+            state => Ok(state),
+        }
+    }
+}
+
+fn take_data(buffer: &mut BytesMut, left: u64) -> (Bytes, u64) {
+    let length = buffer.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+
+    (buffer.split_to(length).freeze(), left - length as u64)
+}
+
+fn take_line(buffer: &mut BytesMut) -> Result<Option<BytesMut>> {
+    let Some(end) = buffer.iter().position(|b| *b == b'\n') else {
+        return match buffer.len() {
+            0..MAX_LINE_BYTES => Ok(None),
+            _ => Err(HttpError::Malformed("line of a chunk")),
+        };
+    };
+
+    let mut line = buffer.split_to(end);
+    buffer.advance(1);
+
+    match line.split_off(line.len().saturating_sub(1)).as_ref() {
+        b"\r" => Ok(Some(line)),
+        _ => Err(HttpError::Malformed("line of a chunk")),
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64> {
+    let size = line.split(|b| *b == b';').next().unwrap_or_default();
+    let text = std::str::from_utf8(size).map(str::trim).unwrap_or_default();
+    let is_hex = !text.is_empty() && text.bytes().all(|b| b.is_ascii_hexdigit());
+
+    match u64::from_str_radix(text, 16) {
+        Ok(size) if is_hex => Ok(size),
+        _ => Err(HttpError::Malformed("length of a chunk")),
+    }
+}
+
+/// Writes one chunk; an empty one would end the body and is left out.
+pub fn write_chunk(data: &[u8], out: &mut Vec<u8>) {
+    if data.is_empty() {
+        return;
+    }
+
+    out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    out.extend_from_slice(data);
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/grebedeck-http/src/connection.rs
@@ -0,0 +1,166 @@
+//! A TCP connection with the bytes that were read and not yet taken.
+
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Poll, ready};
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use bytes::BytesMut;
+use futures::{AsyncRead, AsyncWriteExt, FutureExt};
+
+use crate::body::{BodyDecoder, Decoded};
+use crate::error::{HttpError, Result};
+use crate::head::{RequestHead, ResponseHead};
+
+/// Bytes asked for in one read: enough for a head or some events, small enough for many
+/// connections.
+const READ_BYTES: usize = 4096;
+
+/// A connection.
+pub struct Connection {
+    stream: TcpStream,
+    buffer: BytesMut,
+}
+
+impl Connection {
+    /// Takes over a stream that was accepted.
+    pub fn new(stream: TcpStream) -> Self {
+        // Without this, small writes wait for the peer's delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
+
+        Connection { stream, buffer: BytesMut::new() }
+    }
+
+    /// Connects to an address.
+    pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self> {
+        match timeout(limit, TcpStream::connect(address)).await {
+            Ok(stream) => Ok(Connection::new(stream?)),
+            Err(_) => Err(HttpError::TimedOut),
+        }
+    }
+
+    /// Gets the bytes that were read and not yet taken.
+    pub fn buffer(&mut self) -> &mut BytesMut {
+        &mut self.buffer
+    }
+
+    /// Reads what is there, or waits for more; 0 means that the peer closed its side.
+    ///
+    /// Giving up while it waits loses nothing: bytes are in the buffer as soon as they are read.
+    pub async fn read_more(&mut self) -> Result<usize> {
+        let Connection { stream, buffer } = self;
+
+        let read = poll_fn(|cx| {
+            let mut bytes = [0; READ_BYTES];
+            let read = ready!(Pin::new(&mut &*stream).poll_read(cx, &mut bytes));
+            buffer.extend_from_slice(&bytes[..read.as_ref().copied().unwrap_or(0)]);
+            Poll::Ready(read)
+        });
+
+        Ok(read.await?)
+    }
+
+    /// Reads a request's head.
+    pub async fn read_request_head(&mut self, max_bytes: usize) -> Result<RequestHead> {
+        loop {
+            if let Some(head) = RequestHead::take(&mut self.buffer)? {
+                return Ok(head);
+            }
+
+            self.read_more_of_head(max_bytes).await?;
+        }
+    }
+
+    /// Reads a response's head.
+    pub async fn read_response_head(&mut self, max_bytes: usize) -> Result<ResponseHead> {
+        loop {
+            if let Some(head) = ResponseHead::take(&mut self.buffer)? {
+                return Ok(head);
+            }
+
+            self.read_more_of_head(max_bytes).await?;
+        }
+    }
+
+    async fn read_more_of_head(&mut self, max_bytes: usize) -> Result<()> {
+        if self.buffer.len() >= max_bytes {
+            return Err(HttpError::HeadTooLarge(max_bytes));
+        }
+
+        match self.read_more().await? {
+            0 => Err(HttpError::Closed),
+            _ => Ok(()),
+        }
+    }
+
+    /// Reads the next part of a body, or `None` at its end.
+    pub async fn read_body(&mut self, decoder: &mut BodyDecoder) -> Result<Option<bytes::Bytes>> {
+        loop {
+            match decoder.decode(&mut self.buffer)? {
+                Decoded::Data(data) => return Ok(Some(data)),
+                Decoded::End => return Ok(None),
+                Decoded::NeedMore => {}
+            }
+
+            match self.read_more().await? {
+                0 if decoder.ends_with_connection() => return Ok(None),
+                0 => return Err(HttpError::Closed),
+                _ => {}
+            }
+        }
+    }
+
+    /// Reads a whole body.
+    pub async fn read_whole(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        max_bytes: usize,
+    ) -> Result<Vec<u8>> {
+        let mut body = Vec::new();
+
+        while let Some(part) = self.read_body(decoder).await? {
+            if body.len() + part.len() > max_bytes {
+                return Err(HttpError::BodyTooLarge(max_bytes));
+            }
+
+            body.extend_from_slice(&part);
+        }
+
+        Ok(body)
+    }
+
+    /// Writes all bytes.
+    pub async fn write_all(&self, bytes: &[u8]) -> Result<()> {
+        (&self.stream).write_all(bytes).await?;
+
+        Ok(())
+    }
+
+    /// Completes when the peer has closed the connection.
+    ///
+    /// Bytes that come meanwhile are kept for the next message. Beyond `max_bytes` of them nothing
+    /// more is read, and a close behind them shows only when they have been taken.
+    pub async fn closed(&mut self, max_bytes: usize) {
+        while self.buffer.len() < max_bytes {
+            match self.read_more().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+
+        futures::future::pending().await
+    }
+
+    /// Tells whether the connection is open and nothing was sent on it that nobody asked for.
+    pub fn is_quiet(&mut self) -> bool {
+        self.buffer.is_empty() && self.read_more().now_or_never().is_none()
+    }
+
+    /// Gets another handle to write with.
+    pub fn writer(&self) -> TcpStream {
+        self.stream.clone()
+    }
+}
--- /dev/null
+++ b/grebedeck-http/src/head.rs
@@ -0,0 +1,238 @@
+//! Heads of requests and responses.
+
+use bytes::{Buf, BytesMut};
+
+use crate::error::{HttpError, Result};
+
+/// Most headers in one head. The longest head that is allowed holds fewer in practice.
+const MAX_HEADERS: usize = 128;
+
+/// Headers that concern one connection only and are not passed on (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Tells whether a header concerns one connection or the framing of one message; `connection` is the
+/// message's own list.
+pub fn is_hop_by_hop(name: &str, connection: &str) -> bool {
+    let listed = connection.split(',').any(|n| n.trim().eq_ignore_ascii_case(name));
+
+    listed || HOP_BY_HOP.iter().any(|h| h.eq_ignore_ascii_case(name))
+}
+
+/// Headers in the order in which they came.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers {
+    fields: Vec<(String, Vec<u8>)>,
+}
+
+impl Headers {
+    /// Gets a header's first value.
+    pub fn get(&self, name: &str) -> Option<&[u8]> {
+        let same = |(field, _): &&(String, Vec<u8>)| field.eq_ignore_ascii_case(name);
+
+        self.fields.iter().find(same).map(|(_, value)| value.as_slice())
+    }
+
+    /// Gets a header's first value where it is text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.get(name).and_then(|value| std::str::from_utf8(value).ok()).map(str::trim)
+    }
+
+    /// Gets all values of a header.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let same = move |(field, _): &&(String, Vec<u8>)| field.eq_ignore_ascii_case(name);
+
+        self.fields.iter().filter(same).map(|(_, value)| value.as_slice())
+    }
+
+    /// Gets all headers.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.fields.iter().map(|(name, value)| (name.as_str(), value.as_slice()))
+    }
+
+    /// Adds a header behind the others.
+    pub fn push(&mut self, name: &str, value: impl Into<Vec<u8>>) {
+        self.fields.push((name.to_string(), value.into()));
+    }
+
+    /// Removes all values of a header.
+    pub fn remove(&mut self, name: &str) {
+        self.fields.retain(|(field, _)| !field.eq_ignore_ascii_case(name));
+    }
+
+    /// Gets the headers that are passed on from one connection to another.
+    pub fn end_to_end(&self) -> Headers {
+        let connection = self.text("connection").unwrap_or_default();
+        let keep = |(name, _): &&(String, Vec<u8>)| !is_hop_by_hop(name, connection);
+
+        Headers { fields: self.fields.iter().filter(keep).cloned().collect() }
+    }
+
+    /// Tells whether the message's `connection` header holds a word.
+    pub fn connection_has(&self, word: &str) -> bool {
+        let is_word = |part: &str| part.trim().eq_ignore_ascii_case(word);
+        let texts = self.all("connection").filter_map(|value| std::str::from_utf8(value).ok());
+
+        texts.flat_map(|text| text.split(',')).any(is_word)
+    }
+
+    fn write(&self, out: &mut Vec<u8>) {
+        for (name, value) in &self.fields {
+            out.extend_from_slice(name.as_bytes());
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(value);
+            out.extend_from_slice(b"\r\n");
+        }
+
+        out.extend_from_slice(b"\r\n");
+    }
+
+    fn parsed(headers: &[httparse::Header<'_>]) -> Self {
+        let field = |h: &httparse::Header<'_>| (h.name.to_string(), h.value.to_vec());
+
+        Headers { fields: headers.iter().map(field).collect() }
+    }
+}
+
+/// Head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method, as it was sent.
+    pub method: String,
+    /// Path and query, as they were sent.
+    pub target: String,
+    /// 0 for HTTP/1.0 and 1 for HTTP/1.1.
+    pub minor_version: u8,
+    /// The headers.
+    pub headers: Headers,
+}
+
+/// Head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// The status.
+    pub status: u16,
+    /// 0 for HTTP/1.0 and 1 for HTTP/1.1.
+    pub minor_version: u8,
+    /// The headers.
+    pub headers: Headers,
+}
+
+impl RequestHead {
+    /// Takes a head from the front of a buffer, or gives `None` while it is not whole.
+    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut headers);
+
+        let length = match parsed.parse(buffer) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(HttpError::Malformed("request head")),
+        };
+
+        let head = RequestHead {
+            method: parsed.method.unwrap_or_default().to_string(),
+            target: parsed.path.unwrap_or_default().to_string(),
+            minor_version: parsed.version.unwrap_or_default(),
+            headers: Headers::parsed(parsed.headers),
+        };
+
+        buffer.advance(length);
+        Ok(Some(head))
+    }
+
+    /// Writes the head.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        out.extend_from_slice(self.method.as_bytes());
+        out.push(b' ');
+        out.extend_from_slice(self.target.as_bytes());
+        out.extend_from_slice(b" HTTP/1.1\r\n");
+        self.headers.write(out);
+    }
+
+    /// Gets the path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// Tells whether the connection may carry another request after this one.
+    pub fn keeps_alive(&self) -> bool {
+        self.minor_version >= 1 && !self.headers.connection_has("close")
+    }
+}
+
+impl ResponseHead {
+    /// Makes the head of a response of this process.
+    pub fn new(status: u16) -> Self {
+        ResponseHead { status, minor_version: 1, headers: Headers::default() }
+    }
+
+    /// Takes a head from the front of a buffer, or gives `None` while it is not whole.
+    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut headers);
+
+        let length = match parsed.parse(buffer) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(HttpError::Malformed("response head")),
+        };
+
+        let head = ResponseHead {
+            status: parsed.code.unwrap_or_default(),
+            minor_version: parsed.version.unwrap_or_default(),
+            headers: Headers::parsed(parsed.headers),
+        };
+
+        buffer.advance(length);
+        Ok(Some(head))
+    }
+
+    /// Writes the head.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        let line = format!("HTTP/1.1 {} {}\r\n", self.status, reason_phrase(self.status));
+        out.extend_from_slice(line.as_bytes());
+        self.headers.write(out);
+    }
+
+    /// Tells whether the connection may carry another request after this response.
+    pub fn keeps_alive(&self) -> bool {
+        self.minor_version >= 1 && !self.headers.connection_has("close")
+    }
+
+    /// Tells whether the status is a success.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        // The phrase carries no meaning, so a short word does for the others.
+        _ => "Status",
+    }
+}
--- a/grebedeck-routing/src/choice.rs
+++ b/grebedeck-routing/src/choice.rs
@@ -15,6 +15,25 @@
 
 use crate::health::{Health, HealthOptions};
 
+/// What the choice has to know of a target.
+pub trait Candidate {
+    /// Gets the name that its load and health are noted under.
+    fn name(&self) -> &str;
+
+    /// Gets the hall that it stands in.
+    fn hall(&self) -> &str;
+}
+
+impl Candidate for Route {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn hall(&self) -> &str {
+        &self.hall
+    }
+}
+
 /// Settings of the choice.
 #[derive(Clone, Debug)]
 pub struct ChooserOptions {
@@ -60,6 +79,8 @@
 #[derive(Clone, Debug, Default)]
 struct View {
     own_in_flight: u32,
+    /// Places that the target has by the platform's list, for as long as it has not reported.
+    listed_places: Option<u32>,
     report: Option<(Moment, LoadReport)>,
     /// Own requests sent minus ended since the report.
     since_report: i64,
@@ -82,16 +103,16 @@
     }
 
     /// Chooses a target among the allowed ones, without those in `avoid` where others are left.
-    pub fn choose<'a>(
+    pub fn choose<'a, T: Candidate>(
         &self,
-        allowed: &'a [Arc<Route>],
+        allowed: &'a [Arc<T>],
         avoid: &[TargetName],
         now: Moment,
         random: &mut impl RandomSource,
-    ) -> Option<&'a Arc<Route>> {
-        let staying: Vec<_> = allowed.iter().filter(|r| !self.is_leaving(&r.name, now)).collect();
-        let fresh = |r: &&Arc<Route>| !avoid.contains(&r.name);
-        let usable = |r: &&Arc<Route>| self.view(&r.name).is_none_or(|v| v.health.is_usable(now));
+    ) -> Option<&'a Arc<T>> {
+        let staying: Vec<_> = allowed.iter().filter(|r| !self.is_leaving(r.name(), now)).collect();
+        let fresh = |r: &&Arc<T>| !avoid.iter().any(|name| name == r.name());
+        let usable = |r: &&Arc<T>| self.view(r.name()).is_none_or(|v| v.health.is_usable(now));
 
         let well: Vec<_> = staying.iter().copied().filter(usable).collect();
         let enough = well.len() as f64 >= staying.len() as f64 * self.options.min_usable;
@@ -103,20 +124,20 @@
         self.least_loaded(&pool, now, random)
     }
 
-    fn least_loaded<'a>(
+    fn least_loaded<'a, T: Candidate>(
         &self,
-        pool: &[&'a Arc<Route>],
+        pool: &[&'a Arc<T>],
         now: Moment,
         random: &mut impl RandomSource,
-    ) -> Option<&'a Arc<Route>> {
+    ) -> Option<&'a Arc<T>> {
         let draws = self.options.draws.min(pool.len());
-        let mut best: Option<(f64, &'a Arc<Route>)> = None;
+        let mut best: Option<(f64, &'a Arc<T>)> = None;
 
         for draw in 0..draws {
             // Where all of them are looked at, none may be missed by drawing another twice.
             let at = if draws == pool.len() { draw } else { random.below(pool.len()) };
             let route = pool[at];
-            let score = self.score(route, now) + random.unit() * 1e-6;
+            let score = self.score(route.as_ref(), now) + random.unit() * 1e-6;
 
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, route));
@@ -126,44 +147,44 @@
         best.map(|(_, route)| route)
     }
 
-    fn score(&self, route: &Route, now: Moment) -> f64 {
+    fn score(&self, target: &impl Candidate, now: Moment) -> f64 {
         let distance =
-            if route.hall == self.own_hall { 0.0 } else { self.options.other_hall_places };
+            if target.hall() == self.own_hall { 0.0 } else { self.options.other_hall_places };
 
-        let Some(view) = self.view(&route.name) else {
+        let Some(view) = self.view(target.name()) else {
             return distance;
         };
 
-        let unknown = (f64::from(view.own_in_flight), 1.0);
-        let (in_flight, places) = self.load(view, now).unwrap_or(unknown);
+        let (in_flight, places) = self.load_or_own(view, now);
 
         (in_flight + distance + 1.0) / places / view.health.weight(&self.options.health)
     }
 
     /// Tells whether, for all that is known, some target that was not tried has a free place.
-    pub fn expects_free_place(
+    pub fn expects_free_place<T: Candidate>(
         &self,
-        allowed: &[Arc<Route>],
+        allowed: &[Arc<T>],
         tried: &[TargetName],
         now: Moment,
     ) -> bool {
-        let is_free = |route: &Arc<Route>| match self.view(&route.name) {
+        let is_free = |target: &Arc<T>| match self.view(target.name()) {
             Some(view) if !view.health.is_usable(now) => false,
             Some(view) => self.load(view, now).is_none_or(|(used, places)| used < places),
             None => true,
         };
-        let fresh = |r: &&Arc<Route>| !tried.contains(&r.name) && !self.is_leaving(&r.name, now);
+        let untried = |name: &str| !tried.iter().any(|t| t == name);
+        let fresh = |r: &&Arc<T>| untried(r.name()) && !self.is_leaving(r.name(), now);
 
         allowed.iter().filter(fresh).any(is_free)
     }
 
     /// Tells whether, for all that is known, fewer places are free than must be kept for whoever has
     /// little in flight.
-    pub fn is_crowded(&self, allowed: &[Arc<Route>], now: Moment) -> bool {
+    pub fn is_crowded<T: Candidate>(&self, allowed: &[Arc<T>], now: Moment) -> bool {
         let (mut free, mut all) = (0.0, 0.0);
 
-        for route in allowed.iter().filter(|r| !self.is_leaving(&r.name, now)) {
-            let view = self.view(&route.name).filter(|v| v.health.is_usable(now));
+        for target in allowed.iter().filter(|r| !self.is_leaving(r.name(), now)) {
+            let view = self.view(target.name()).filter(|v| v.health.is_usable(now));
 
             // A target that nothing is known of is taken for a free one, or it would never be tried.
             match view.and_then(|v| self.load(v, now)) {
@@ -194,6 +215,28 @@
         Some((in_flight, f64::from(report.places.max(1))))
     }
 
+    /// Gets the estimated load, or what this entry itself has in flight where nothing was heard.
+    fn load_or_own(&self, view: &View, now: Moment) -> (f64, f64) {
+        let places = f64::from(view.listed_places.unwrap_or(1).max(1));
+
+        self.load(view, now).unwrap_or((f64::from(view.own_in_flight), places))
+    }
+
+    /// Tells whether a target has less in flight than a multiple of its places.
+    pub fn has_room(&self, target: &str, per_place: f64, now: Moment) -> bool {
+        let Some(view) = self.view(target) else {
+            return true;
+        };
+        let (in_flight, places) = self.load_or_own(view, now);
+
+        in_flight < places * per_place
+    }
+
+    /// Notes how many places a target has by the platform's list.
+    pub fn listed(&mut self, target: &str, places: u32) {
+        self.views.entry(target.to_string()).or_default().listed_places = Some(places);
+    }
+
     fn view(&self, target: &str) -> Option<&View> {
         self.views.get(target)
     }
--- a/grebedeck/src/command/options.rs
+++ b/grebedeck/src/command/options.rs
@@ -21,6 +21,15 @@
         #[bpaf(long, argument("FILE"))]
         settings: PathBuf,
     },
+    /// Run a gateway, which takes callers' requests on the Cedarline platform.
+    ///
+    /// The settings file is named by the environment where the option is left out.
+    #[bpaf(command)]
+    Gateway {
+        /// Settings file
+        #[bpaf(long, argument("FILE"), env("GREBEDECK_CONFIG"))]
+        settings: PathBuf,
+    },
     /// Run an agent, which stands beside one target.
     ///
     /// Example: grebedeck agent --settings agent.json
--- /dev/null
+++ b/grebedeck/src/gateway/attempt.rs
@@ -0,0 +1,290 @@
+//! One attempt of a request at one target.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use grebedeck_core::Moment;
+use grebedeck_gateway::wire::TargetLoad;
+use grebedeck_gateway::{RunState, TargetEntry, Verdict, judge};
+use grebedeck_http::{BodyDecoder, Connection, HttpError, ResponseHead, response_framing};
+use grebedeck_routing::LoadReport;
+
+use super::options::{CONNECT_LIMIT, MAX_ANSWER_HEAD_BYTES, MAX_WHOLE_BYTES};
+use super::request::RoutedRequest;
+use super::service::Gateway;
+
+/// Answers of earlier requests that are read away before a connection is given up.
+const MAX_SURPLUS_ANSWERS: u32 = 2;
+
+/// Why an attempt has no answer.
+#[derive(Debug)]
+pub struct Failure {
+    /// Whether the request may have run.
+    pub run: RunState,
+    /// What went wrong.
+    pub cause: FailureCause,
+}
+
+/// What went wrong with an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureCause {
+    /// No connection could be made.
+    Connect,
+    /// The target refused the request.
+    Refused,
+    /// Another target has the address.
+    OtherTarget,
+    /// The connection ended without a whole answer.
+    Broken,
+    /// What came is no answer to this request.
+    Unusable,
+    /// The time was over.
+    TimedOut,
+}
+
+impl FailureCause {
+    /// Gets a short word for logs and counters.
+    pub fn word(self) -> &'static str {
+        match self {
+            FailureCause::Connect => "connect",
+            FailureCause::Refused => "refused",
+            FailureCause::OtherTarget => "other_target",
+            FailureCause::Broken => "broken",
+            FailureCause::Unusable => "unusable",
+            FailureCause::TimedOut => "timed_out",
+        }
+    }
+}
+
+impl Failure {
+    /// Makes the failure of an attempt that did not run.
+    pub fn not_run(cause: FailureCause) -> Self {
+        Failure { run: RunState::NotRun, cause }
+    }
+
+    /// Makes the failure of an attempt that may have run.
+    pub fn may_have_run(cause: FailureCause) -> Self {
+        Failure { run: RunState::MayHaveRun, cause }
+    }
+}
+
+/// Counts a request as in flight on a target until it is dropped.
+pub struct InFlight {
+    gateway: Rc<Gateway>,
+    target: Arc<TargetEntry>,
+    success: Option<bool>,
+}
+
+impl InFlight {
+    /// Notes that a request is sent to a target.
+    pub fn new(gateway: &Rc<Gateway>, target: &Arc<TargetEntry>) -> Self {
+        gateway.chooser.borrow_mut().sent(&target.id);
+
+        InFlight { gateway: gateway.clone(), target: target.clone(), success: None }
+    }
+
+    /// Notes what the request showed of the target's health.
+    pub fn judge(&mut self, success: bool) {
+        self.success = Some(success);
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let now = self.gateway.now();
+        self.gateway.chooser.borrow_mut().ended(&self.target.id, self.success, now);
+        // All that wait look again: which of them goes first is decided by who can wait longest.
+        self.gateway.freed.notify(1);
+    }
+}
+
+/// An answer whose head is here.
+pub struct Opened {
+    /// The head.
+    pub head: ResponseHead,
+    /// What it says.
+    pub verdict: Verdict,
+    connection: Connection,
+    decoder: BodyDecoder,
+    target: Arc<TargetEntry>,
+    in_flight: InFlight,
+    gateway: Rc<Gateway>,
+}
+
+impl Opened {
+    /// Reads the next part of the body, or `None` at its end.
+    pub async fn next_part(&mut self) -> Result<Option<bytes::Bytes>, HttpError> {
+        self.connection.read_body(&mut self.decoder).await
+    }
+
+    /// Reads the whole body and keeps the connection for other requests.
+    pub async fn read_whole(mut self) -> Result<(ResponseHead, Vec<u8>), HttpError> {
+        let body = self.connection.read_whole(&mut self.decoder, MAX_WHOLE_BYTES).await?;
+        let head = self.head.clone();
+        let is_well = self.verdict != Verdict::Failure;
+        self.finish(is_well);
+
+        Ok((head, body))
+    }
+
+    /// Ends an attempt whose body has been read to its end.
+    pub fn finish(mut self, is_well: bool) {
+        self.in_flight.judge(is_well);
+
+        if self.decoder.is_ended() {
+            let now = self.gateway.now();
+            self.gateway.pool.put(self.target.address, self.connection, &self.head, now);
+        }
+    }
+
+    /// Ends an attempt whose answer broke.
+    pub fn broken(mut self) {
+        self.in_flight.judge(false);
+    }
+}
+
+/// Sends a request to a target and waits for the head of its answer.
+pub async fn open(
+    gateway: &Rc<Gateway>,
+    request: &RoutedRequest,
+    target: &Arc<TargetEntry>,
+    last_event_id: Option<u64>,
+) -> Result<Opened, Failure> {
+    let mut in_flight = InFlight::new(gateway, target);
+    let left = request.deadline.saturating_sub(gateway.now());
+
+    let Ok(mut connection) = connect(gateway, target, left).await else {
+        in_flight.judge(false);
+        return Err(Failure::not_run(FailureCause::Connect));
+    };
+
+    let left = request.deadline.saturating_sub(gateway.now());
+    let bytes = request.bytes_for(target, left, last_event_id, &gateway.names);
+    let exchange = async {
+        connection.write_all(&bytes).await?;
+        read_own_head(gateway, request, &mut connection).await
+    };
+
+    let head = match timeout(left, exchange).await {
+        Ok(Ok(head)) => head,
+        Ok(Err(HttpError::Malformed(_))) => {
+            in_flight.judge(false);
+            return Err(Failure::may_have_run(FailureCause::Unusable));
+        }
+        Ok(Err(_)) => {
+            in_flight.judge(false);
+            return Err(Failure::may_have_run(FailureCause::Broken));
+        }
+        Err(_) => {
+            in_flight.judge(false);
+            return Err(Failure::may_have_run(FailureCause::TimedOut));
+        }
+    };
+
+    note_load(gateway, target, &head);
+    accept_head(gateway, request, target, connection, head, in_flight)
+}
+
+async fn connect(
+    gateway: &Gateway,
+    target: &TargetEntry,
+    left: Duration,
+) -> Result<Connection, HttpError> {
+    match gateway.pool.take(target.address, gateway.now()) {
+        Some(connection) => Ok(connection),
+        None => Connection::connect(target.address, CONNECT_LIMIT.min(left)).await,
+    }
+}
+
+/// Reads the head of the answer to this request. Answers to earlier requests on the connection, which
+/// a faulty target may send again, are read away.
+async fn read_own_head(
+    gateway: &Gateway,
+    request: &RoutedRequest,
+    connection: &mut Connection,
+) -> Result<ResponseHead, HttpError> {
+    let id = request.request.id(&gateway.names);
+
+    for _ in 0..=MAX_SURPLUS_ANSWERS {
+        let head = read_final_head(connection).await?;
+        let echoed = head.headers.text(gateway.names.request_id);
+
+        if echoed.is_none_or(|echoed| echoed == id) {
+            return Ok(head);
+        }
+
+        let framing = response_framing(&head, &request.request.head.method)?;
+        let mut decoder = BodyDecoder::new(framing);
+        connection.read_whole(&mut decoder, MAX_WHOLE_BYTES).await?;
+    }
+
+    Err(HttpError::Malformed("answers of other requests"))
+}
+
+/// Reads a head that is not an interim one.
+async fn read_final_head(connection: &mut Connection) -> Result<ResponseHead, HttpError> {
+    loop {
+        let head = connection.read_response_head(MAX_ANSWER_HEAD_BYTES).await?;
+
+        if head.status >= 200 {
+            return Ok(head);
+        }
+    }
+}
+
+fn note_load(gateway: &Gateway, target: &TargetEntry, head: &ResponseHead) {
+    let text = head.headers.text(gateway.names.load);
+
+    if let Some(load) = text.and_then(TargetLoad::parse) {
+        let report = LoadReport { in_flight: load.running + load.waiting, places: load.slots };
+        gateway.note_load(&target.id, report);
+    }
+}
+
+fn accept_head(
+    gateway: &Rc<Gateway>,
+    request: &RoutedRequest,
+    target: &Arc<TargetEntry>,
+    connection: Connection,
+    head: ResponseHead,
+    mut in_flight: InFlight,
+) -> Result<Opened, Failure> {
+    let is_signed = head.headers.get(gateway.names.signature).is_some();
+    let says_not_run = head.headers.get(gateway.names.not_run).is_some();
+    let verdict = judge(head.status, is_signed, says_not_run);
+
+    match verdict {
+        Verdict::Refused => return Err(Failure::not_run(FailureCause::Refused)),
+        Verdict::OtherTarget => {
+            in_flight.judge(false);
+            return Err(Failure::not_run(FailureCause::OtherTarget));
+        }
+        Verdict::Unusable => {
+            in_flight.judge(false);
+            return Err(Failure::may_have_run(FailureCause::Unusable));
+        }
+        Verdict::Pass | Verdict::Failure => {}
+    }
+
+    let Ok(framing) = response_framing(&head, &request.request.head.method) else {
+        in_flight.judge(false);
+        return Err(Failure::may_have_run(FailureCause::Unusable));
+    };
+
+    Ok(Opened {
+        head,
+        verdict,
+        connection,
+        decoder: BodyDecoder::new(framing),
+        target: target.clone(),
+        in_flight,
+        gateway: gateway.clone(),
+    })
+}
+
+/// Tells whether there is time left for another attempt.
+pub fn has_time(request: &RoutedRequest, now: Moment) -> bool {
+    request.deadline > now + super::options::MIN_ATTEMPT
+}
--- /dev/null
+++ b/grebedeck/src/gateway/caller.rs
@@ -0,0 +1,218 @@
+//! One caller's connection: its requests, one after another.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use futures::FutureExt;
+use grebedeck_gateway::routes::draw_service;
+use grebedeck_gateway::{CallerLimits, Denied};
+use grebedeck_http::{
+    BodyDecoder, Connection, Framing, HttpError, RequestHead, ResponseHead, request_framing,
+};
+
+use super::options::READ_AHEAD_BYTES;
+use super::request::{CallerRequest, RoutedRequest};
+use super::service::Gateway;
+use super::whole::WholeAnswer;
+use super::{stop, stream, whole};
+use crate::random::ProcessRandom;
+use crate::settings::millis;
+
+/// How long a caller's body may take: longer than any route holds a request.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// How long a caller may take to read an answer that is sent whole.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Whether a connection may carry another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum After {
+    /// It may.
+    Keep,
+    /// It must be closed.
+    Close,
+}
+
+/// Serves a connection until it ends.
+pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let mut connection = Connection::new(stream);
+    let mut is_new = true;
+
+    loop {
+        // A connection that was accepted after the signal to stop may still bring one request.
+        let closes_at_stop = !std::mem::take(&mut is_new);
+
+        if !wait_for_request(&gateway, &mut connection, closes_at_stop).await {
+            return;
+        }
+
+        let _serving = stop::serving(&gateway);
+
+        if serve_one(&gateway, &mut connection).await == After::Close {
+            return;
+        }
+    }
+}
+
+/// Waits until a request begins to arrive; tells whether one did.
+async fn wait_for_request(
+    gateway: &Gateway,
+    connection: &mut Connection,
+    closes_at_stop: bool,
+) -> bool {
+    if !connection.buffer().is_empty() {
+        return true;
+    }
+
+    let stopping = gateway.stop.listen();
+    let stopping = async {
+        match (gateway.stop.is_stopping(), closes_at_stop) {
+            (true, true) => {}
+            (true, false) => futures::future::pending().await,
+            (false, _) => stopping.await,
+        }
+    };
+    let idle_limit = gateway.table().limits().idle_limit;
+
+    futures::select! {
+        read = timeout(idle_limit, connection.read_more()).fuse() => {
+            matches!(read, Ok(Ok(1..)))
+        }
+        () = stopping.fuse() => false,
+    }
+}
+
+async fn serve_one(gateway: &Rc<Gateway>, connection: &mut Connection) -> After {
+    let request = match read_request(gateway, connection).await {
+        Ok(request) => request,
+        Err(error) => {
+            refuse_unread(connection, &error).await;
+            return After::Close;
+        }
+    };
+
+    let keep = request.head.keeps_alive() && !gateway.stop.is_stopping();
+    let after = if keep { After::Keep } else { After::Close };
+    let key = request.key(&gateway.names);
+    let host = request.head.headers.text("host").unwrap_or_default();
+    let table = gateway.table();
+    let leave = millis(gateway.settings.leave_ms);
+
+    if gateway.stop.refuses(leave, gateway.now()) {
+        let answer = WholeAnswer::not_ready(&request, &gateway.names);
+        return write_whole(connection, answer, After::Close).await;
+    }
+
+    let admitted = match table.admit(host, request.head.path(), key) {
+        Ok(admitted) => admitted,
+        Err(denied) => {
+            let answer = WholeAnswer::denied(denied, &request, &gateway.names);
+            return write_whole(connection, answer, after).await;
+        }
+    };
+
+    let Some(service) = draw_service(&admitted.rule, &mut ProcessRandom::default()) else {
+        let answer = WholeAnswer::denied(Denied::NoRoute, &request, &gateway.names);
+        return write_whole(connection, answer, after).await;
+    };
+    let service = service.to_string();
+    let routed = RoutedRequest::new(request, admitted, service, &gateway.names);
+
+    if routed.admitted.rule.kind.is_stream() {
+        return stream::serve(gateway, &routed, connection, after).await;
+    }
+
+    let answered = {
+        let answering = whole::serve(gateway, &routed);
+        futures::select! {
+            answer = answering.fuse() => Some(answer),
+            // Dropping the attempt closes the connection to the target, which drops the request.
+            () = connection.closed(READ_AHEAD_BYTES).fuse() => None,
+        }
+    };
+
+    match answered {
+        Some(answer) => write_whole(connection, answer, after).await,
+        None => After::Close,
+    }
+}
+
+/// Reads a request whole.
+async fn read_request(
+    gateway: &Rc<Gateway>,
+    connection: &mut Connection,
+) -> Result<CallerRequest, HttpError> {
+    let arrived = gateway.now();
+    let limits = gateway.table().limits();
+    let head = read_head(connection, &limits).await?;
+    let framing = request_framing(&head)?;
+
+    if matches!(framing, Framing::Length(length) if length > limits.max_body_bytes as u64) {
+        return Err(HttpError::BodyTooLarge(limits.max_body_bytes));
+    }
+
+    if framing != Framing::Empty && head.headers.text("expect").is_some() {
+        connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+    }
+
+    let mut reserved = gateway.bodies.reserve();
+    let mut decoder = BodyDecoder::new(framing);
+    let reading = async {
+        let mut body = Vec::new();
+
+        while let Some(part) = connection.read_body(&mut decoder).await? {
+            if body.len() + part.len() > limits.max_body_bytes || !reserved.grow(part.len()) {
+                return Err(HttpError::BodyTooLarge(limits.max_body_bytes));
+            }
+
+            body.extend_from_slice(&part);
+        }
+
+        Ok(body)
+    };
+    let body = timeout(BODY_LIMIT, reading).await.unwrap_or(Err(HttpError::TimedOut))?;
+
+    Ok(CallerRequest { head, body, arrived, reserved })
+}
+
+async fn read_head(
+    connection: &mut Connection,
+    limits: &CallerLimits,
+) -> Result<RequestHead, HttpError> {
+    let reading = connection.read_request_head(limits.max_head_bytes);
+    let head = timeout(limits.head_limit, reading).await.unwrap_or(Err(HttpError::TimedOut))?;
+
+    match head.headers.all("host").count() {
+        1 => Ok(head),
+        _ => Err(HttpError::Malformed("one host is needed")),
+    }
+}
+
+/// Answers a request that could not be read.
+async fn refuse_unread(connection: &Connection, error: &HttpError) {
+    let status = match error {
+        HttpError::Io(_) | HttpError::Closed => return,
+        HttpError::Malformed(_) => 400,
+        HttpError::HeadTooLarge(_) => 431,
+        HttpError::BodyTooLarge(_) => 413,
+        HttpError::TimedOut => 408,
+    };
+    let mut head = ResponseHead::new(status);
+    head.headers.push("content-length", "0");
+    head.headers.push("connection", "close");
+    let mut bytes = Vec::new();
+    head.write(&mut bytes);
+    // The caller is gone or gets its answer; there is nobody else to tell.
+    let _ = timeout(WRITE_LIMIT, connection.write_all(&bytes)).await;
+}
+
+/// Writes an answer that is here whole.
+pub async fn write_whole(connection: &Connection, answer: WholeAnswer, after: After) -> After {
+    let bytes = answer.into_bytes(after);
+
+    match timeout(WRITE_LIMIT, connection.write_all(&bytes)).await {
+        Ok(Ok(())) => after,
+        _ => After::Close,
+    }
+}
--- /dev/null
+++ b/grebedeck/src/gateway/options.rs
@@ -0,0 +1,174 @@
+//! Settings of a gateway, and the constants that it works with.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use grebedeck_core::Faults;
+use serde::{Deserialize, Serialize};
+
+use crate::settings::Check;
+
+/// Pause after a failed accept, such as for lack of file descriptors.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How often rested connections and lapsed targets are looked for: well below the two seconds within
+/// which a lapsed target is to be listed again.
+pub const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(250);
+/// How long a connection to a target may take to be made: some round trips between halls, and less
+/// than the second after which a lost first packet is sent again.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// Longest head of a target's answer, in bytes.
+pub const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
+/// Longest answer that is read whole before the caller gets it, in bytes.
+pub const MAX_WHOLE_BYTES: usize = 8 << 20;
+/// Bytes that are read ahead from a caller while its request is served.
+pub const READ_AHEAD_BYTES: usize = 16 << 10;
+/// How long a refused caller is told to wait, as a part of its route's objective: by then some of the
+/// requests that fill the targets have ended.
+pub const RETRY_AFTER_PART: f64 = 0.5;
+/// How long a request may wait for a place, as a part of its route's objective. A refusal within a
+/// quarter of it leaves the caller time to be served in time elsewhere.
+pub const PATIENCE_PART: f64 = 0.2;
+/// Time left to a request below which it is not sent to a target any more.
+pub const MIN_ATTEMPT: Duration = Duration::from_millis(5);
+
+/// Settings of a gateway.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// The process's name.
+    pub name: String,
+    /// The data hall that it stands in.
+    pub hall: String,
+    /// Where it takes callers' requests.
+    pub caller_address: SocketAddr,
+    /// Where it tells the platform's balancer whether it is ready.
+    pub ready_address: SocketAddr,
+    /// Where it answers other processes of grebedeck.
+    pub peer_address: SocketAddr,
+    /// Other gateways to ask while the store is away; some may be gone.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// How long a call to the store may take beyond what it is asked to wait.
+    #[serde(default = "defaults::store_limit_ms")]
+    pub store_limit_ms: u64,
+    /// How long the store is asked to wait for a change of the configuration.
+    #[serde(default = "defaults::site_wait_ms")]
+    pub site_wait_ms: u64,
+    /// How long the store is asked to wait for a change of the list of targets.
+    #[serde(default = "defaults::targets_wait_ms")]
+    pub targets_wait_ms: u64,
+    /// Pause between two reads of the list of targets, since heartbeats change it all the time.
+    #[serde(default = "defaults::targets_pause_ms")]
+    pub targets_pause_ms: u64,
+    /// How long the process goes on after a signal to stop.
+    pub stop_limit_ms: u64,
+    /// How long the platform's balancer may go on to send connections to a process that is not ready.
+    #[serde(default = "defaults::leave_ms")]
+    pub leave_ms: u64,
+    /// Limits on requests that are sent to more than one target.
+    pub retry: RetrySettings,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: usize,
+    /// Most callers' connections.
+    #[serde(default = "defaults::max_callers")]
+    pub max_callers: usize,
+    /// Requests that a target may have, as a multiple of those that it works on at the same time.
+    #[serde(default)]
+    pub load: LoadSettings,
+}
+
+/// Limits on requests that are sent to more than one target.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Repeats for each request of a service, by all gateways together.
+    pub ratio: f64,
+    /// Length of the window in which they are counted, in seconds.
+    pub window_s: f64,
+    /// Repeats on top of that, by all gateways together.
+    pub allowance: f64,
+    /// Gateways that the allowance is divided among, with some to spare for replaced ones.
+    #[serde(default = "defaults::gateways")]
+    pub gateways: f64,
+}
+
+/// Requests that a target may have, as a multiple of those that it works on at the same time.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadSettings {
+    /// For a model's ranks: those that wait only make the passes of the whole group longer.
+    pub model: f64,
+    /// For plain targets, where some may wait for a short while.
+    pub plain: f64,
+}
+
+impl Default for LoadSettings {
+    fn default() -> Self {
+        LoadSettings { model: 1.0, plain: 2.0 }
+    }
+}
+
+impl Check for GatewaySettings {
+    fn check(&self, faults: &mut Faults) {
+        let mut positive = |field: &str, value: f64| {
+            if value.is_nan() || value <= 0.0 {
+                faults.add(field, value.to_string(), "a number above 0");
+            }
+        };
+
+        positive("store_limit_ms", self.store_limit_ms as f64);
+        positive("site_wait_ms", self.site_wait_ms as f64);
+        positive("targets_wait_ms", self.targets_wait_ms as f64);
+        positive("stop_limit_ms", self.stop_limit_ms as f64);
+        positive("memory_mb", self.memory_mb as f64);
+        positive("max_callers", self.max_callers as f64);
+        positive("retry.window_s", self.retry.window_s);
+        positive("retry.gateways", self.retry.gateways);
+        positive("load.model", self.load.model);
+        positive("load.plain", self.load.plain);
+
+        if self.name.is_empty() {
+            faults.add("name", "", "a name");
+        }
+
+        if self.retry.ratio < 0.0 || self.retry.allowance < 0.0 {
+            faults.add("retry", format!("{:?}", self.retry), "no negative numbers");
+        }
+    }
+}
+
+mod defaults {
+    pub fn store_limit_ms() -> u64 {
+        // Answers take some milliseconds; beyond this, asking a peer is faster.
+        400
+    }
+
+    pub fn site_wait_ms() -> u64 {
+        // A change must be in force two seconds after the store has taken it, also if a watch misses it.
+        1000
+    }
+
+    pub fn targets_wait_ms() -> u64 {
+        1000
+    }
+
+    pub fn targets_pause_ms() -> u64 {
+        // Targets that leave must be known well within the two seconds that they go on.
+        400
+    }
+
+    pub fn leave_ms() -> u64 {
+        // The balancer asks each second and gives up after two misses.
+        2300
+    }
+
+    pub fn max_callers() -> usize {
+        3000
+    }
+
+    pub fn gateways() -> f64 {
+        12.0
+    }
+}
--- /dev/null
+++ b/grebedeck/src/gateway/pool.rs
@@ -0,0 +1,83 @@
+//! Kept connections to targets.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use grebedeck_core::Moment;
+use grebedeck_http::{Connection, ResponseHead};
+
+/// How long a connection may rest where the target does not say: long enough for a quiet service's
+/// next request, short enough that most targets still have it.
+const DEFAULT_REST: Duration = Duration::from_secs(4);
+/// Part of the time that a target promises to keep a connection which is made use of; near its end a
+/// request and the target's close may cross.
+const SAFE_REST_PART: f64 = 0.6;
+/// Most connections kept to one target.
+const MAX_KEPT: usize = 16;
+
+struct Kept {
+    connection: Connection,
+    until: Moment,
+}
+
+/// Connections that carry no request just now.
+#[derive(Default)]
+pub struct Pool {
+    kept: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+}
+
+impl Pool {
+    /// Takes a connection that is open, and on which nothing came that nobody asked for.
+    pub fn take(&self, address: SocketAddr, now: Moment) -> Option<Connection> {
+        let mut all = self.kept.borrow_mut();
+        let kept = all.get_mut(&address)?;
+
+        while let Some(mut last) = kept.pop() {
+            if last.until > now && last.connection.is_quiet() {
+                return Some(last.connection);
+            }
+        }
+
+        None
+    }
+
+    /// Keeps a connection after a whole answer, if its head allows that.
+    pub fn put(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        head: &ResponseHead,
+        now: Moment,
+    ) {
+        if !head.keeps_alive() {
+            return;
+        }
+
+        let rest = rest_limit(head);
+        let mut all = self.kept.borrow_mut();
+        let kept = all.entry(address).or_default();
+
+        if kept.len() < MAX_KEPT {
+            kept.push(Kept { connection, until: now + rest });
+        }
+    }
+
+    /// Closes connections that have rested for too long.
+    pub fn drop_rested(&self, now: Moment) {
+        self.kept.borrow_mut().retain(|_, kept| {
+            kept.retain(|k| k.until > now);
+            !kept.is_empty()
+        });
+    }
+}
+
+/// Gets how long a connection may rest after an answer.
+fn rest_limit(head: &ResponseHead) -> Duration {
+    let text = head.headers.text("keep-alive").unwrap_or_default();
+    let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    let seconds: Option<u64> = timeout.and_then(|t| t.trim().parse().ok());
+
+    seconds.map_or(DEFAULT_REST, |s| Duration::from_secs(s).mul_f64(SAFE_REST_PART))
+}
--- /dev/null
+++ b/grebedeck/src/gateway/request.rs
@@ -0,0 +1,133 @@
+//! A caller's request, whole, and how it looks towards a target.
+
+use std::time::Duration;
+
+use grebedeck_core::Moment;
+use grebedeck_gateway::{Admitted, HeaderNames, TargetEntry};
+use grebedeck_http::{Headers, RequestHead};
+
+use super::body::Reserved;
+
+/// A caller's request.
+pub struct CallerRequest {
+    /// Its head, as it came.
+    pub head: RequestHead,
+    /// Its body, whole.
+    pub body: Vec<u8>,
+    /// When it began to arrive.
+    pub arrived: Moment,
+    /// What its body takes of the memory for bodies.
+    pub reserved: Reserved,
+}
+
+/// A request that the configuration allows, with what is needed to send it.
+pub struct RoutedRequest {
+    /// The caller's request.
+    pub request: CallerRequest,
+    /// Its route and organisation.
+    pub admitted: Admitted,
+    /// The service that it goes to.
+    pub service: String,
+    /// When it is given up.
+    pub deadline: Moment,
+    /// The headers that are passed on to any target.
+    headers: Headers,
+}
+
+impl CallerRequest {
+    /// Gets the caller's id of the request, for logs.
+    pub fn id<'a>(&'a self, names: &HeaderNames) -> &'a str {
+        self.head.headers.text(names.request_id).unwrap_or("-")
+    }
+
+    /// Gets the key with which the caller proves its organisation.
+    pub fn key<'a>(&'a self, names: &HeaderNames) -> Option<&'a str> {
+        let (scheme, key) =
+            self.head.headers.text(names.authorization)?.split_once(char::is_whitespace)?;
+
+        scheme.eq_ignore_ascii_case(names.key_scheme).then(|| key.trim())
+    }
+
+    /// Gets how long the caller waits, if it says so.
+    pub fn patience(&self, names: &HeaderNames) -> Option<Duration> {
+        let text = self.head.headers.text(names.deadline_ms)?;
+
+        text.parse().ok().map(Duration::from_millis)
+    }
+}
+
+impl RoutedRequest {
+    /// Makes the request for its route.
+    pub fn new(
+        request: CallerRequest,
+        admitted: Admitted,
+        service: String,
+        names: &HeaderNames,
+    ) -> Self {
+        let limit = admitted.rule.time_limit;
+        let patience = request.patience(names).unwrap_or(limit).min(limit);
+        let deadline = request.arrived + patience;
+        let headers = passed_on(&request, &admitted, names);
+
+        RoutedRequest { request, admitted, service, deadline, headers }
+    }
+
+    /// Gets the bytes to send to a target, with `left` of the time and, for a stream that another
+    /// target goes on with, the id of the last event that the caller has.
+    pub fn bytes_for(
+        &self,
+        target: &TargetEntry,
+        left: Duration,
+        last_event_id: Option<u64>,
+        names: &HeaderNames,
+    ) -> Vec<u8> {
+        let mut headers = self.headers.clone();
+        headers.push(names.deadline_ms, left.as_millis().to_string());
+        headers.push(names.expected_target, target.id.as_str());
+
+        if let Some(id) = last_event_id {
+            headers.remove(names.last_event_id);
+            headers.push(names.last_event_id, id.to_string());
+        }
+
+        let head = RequestHead {
+            method: self.request.head.method.clone(),
+            target: self.request.head.target.clone(),
+            minor_version: 1,
+            headers,
+        };
+        let mut bytes = Vec::with_capacity(512 + self.request.body.len());
+        head.write(&mut bytes);
+        bytes.extend_from_slice(&self.request.body);
+        bytes
+    }
+}
+
+/// Gets the headers that go to every target: the caller's own, without those that this process sets.
+fn passed_on(request: &CallerRequest, admitted: &Admitted, names: &HeaderNames) -> Headers {
+    let received = &request.head.headers;
+    let mut headers = received.end_to_end();
+    // A body that came in chunks is sent whole, so its length is always known.
+    let has_body =
+        received.get("content-length").is_some() || received.get("transfer-encoding").is_some();
+
+    if has_body {
+        headers.push("content-length", request.body.len().to_string());
+    }
+
+    for name in [
+        names.deadline_ms,
+        names.expected_target,
+        names.organisation,
+        names.authorization,
+        names.priority,
+    ] {
+        headers.remove(name);
+    }
+
+    if let Some(organisation) = &admitted.organisation {
+        headers.push(names.organisation, organisation.as_str());
+    }
+
+    headers
+}
--- /dev/null
+++ b/grebedeck/src/gateway/watch.rs
@@ -0,0 +1,148 @@
+//! Following the configuration and the list of targets in the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::task::sleep;
+use grebedeck_core::Result;
+use grebedeck_gateway::{SiteStore, StoreVersion, TargetList, Watched};
+use grebedeck_kernel::log;
+
+use super::service::Gateway;
+use crate::settings::millis;
+
+/// First wait after a failed call.
+const FIRST_RETRY_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait after failed calls: what the store brings when it returns is known soon after.
+const MAX_RETRY_WAIT: Duration = Duration::from_millis(500);
+
+/// Waits longer after each failure, and tells of the first and of the end of a series.
+struct Backoff {
+    what: &'static str,
+    failures: u32,
+}
+
+impl Backoff {
+    fn new(what: &'static str) -> Self {
+        Backoff { what, failures: 0 }
+    }
+
+    async fn failed(&mut self, error: &grebedeck_core::Error) {
+        if self.failures == 0 {
+            log::warn!("store lost", kv: { what = self.what, error = error.to_string() });
+        }
+
+        let wait = FIRST_RETRY_WAIT * (1 << self.failures.min(4));
+        self.failures = self.failures.saturating_add(1);
+        sleep(wait.min(MAX_RETRY_WAIT)).await;
+    }
+
+    fn succeeded(&mut self) {
+        if self.failures > 0 {
+            log::info!("store back", kv: { what = self.what, failures = self.failures });
+        }
+
+        self.failures = 0;
+    }
+}
+
+/// Follows the configuration until the task is dropped.
+pub async fn follow_site<S: SiteStore>(gateway: Rc<Gateway>, store: S) {
+    let mut backoff = Backoff::new("configuration");
+    let mut after = None;
+
+    loop {
+        match next_site(&gateway, &store, after).await {
+            Ok(next) => {
+                backoff.succeeded();
+                after = next;
+            }
+            Err(error) => {
+                // What changed meanwhile is found by reading whole.
+                after = None;
+                backoff.failed(&error).await;
+            }
+        }
+    }
+}
+
+/// Takes one step: reads the configuration whole, or waits for a change after a version. Gives the
+/// version to go on from, or `None` to read whole.
+async fn next_site<S: SiteStore>(
+    gateway: &Gateway,
+    store: &S,
+    after: Option<StoreVersion>,
+) -> Result<Option<StoreVersion>> {
+    let Some(after) = after else {
+        let snapshot = store.read_site().await?;
+
+        if let Some(site) = snapshot.value {
+            gateway.take_site(&site, "store");
+        }
+
+        return Ok(Some(snapshot.version));
+    };
+
+    match store.watch_site(after, millis(gateway.settings.site_wait_ms)).await? {
+        Watched::Changed { version, changes } => {
+            for site in &changes {
+                gateway.take_site(site, "store");
+            }
+
+            Ok(Some(version))
+        }
+        Watched::Quiet => Ok(Some(after)),
+        Watched::HistoryGone => Ok(None),
+    }
+}
+
+/// Follows the list of targets until the task is dropped.
+pub async fn follow_targets<S: SiteStore>(gateway: Rc<Gateway>, store: S) {
+    let mut backoff = Backoff::new("targets");
+    let mut after = None;
+
+    loop {
+        match next_targets(&gateway, &store, after).await {
+            Ok(next) => {
+                backoff.succeeded();
+                after = next;
+                sleep(millis(gateway.settings.targets_pause_ms)).await;
+            }
+            Err(error) => {
+                after = None;
+                gateway.change_targets(|targets, now| {
+                    targets.store_failed(now);
+                    Vec::new()
+                });
+                backoff.failed(&error).await;
+            }
+        }
+    }
+}
+
+async fn next_targets<S: SiteStore>(
+    gateway: &Gateway,
+    store: &S,
+    after: Option<StoreVersion>,
+) -> Result<Option<StoreVersion>> {
+    let Some(after) = after else {
+        let snapshot = store.read_targets().await?;
+        let take = |targets: &mut TargetList, now| {
+            targets.take_snapshot(snapshot.version, snapshot.value, now)
+        };
+        gateway.change_targets(take);
+        gateway.set_targets_known();
+
+        return Ok(Some(snapshot.version));
+    };
+
+    match store.watch_targets(after, millis(gateway.settings.targets_wait_ms)).await? {
+        Watched::Changed { version, changes } => {
+            gateway.change_targets(|targets, now| targets.take_changes(version, changes, now));
+
+            Ok(Some(version))
+        }
+        Watched::Quiet => Ok(Some(after)),
+        Watched::HistoryGone => Ok(None),
+    }
+}
--- a/grebedeck/src/lib.rs
+++ b/grebedeck/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod directory;
 pub mod entry;
+pub mod gateway;
 pub mod message;
 pub mod operator;
 pub mod peer;
--- a/grebedeck/src/main.rs
+++ b/grebedeck/src/main.rs
@@ -8,14 +8,18 @@
 use grebedeck::command::client::OperatorClient;
 use grebedeck::command::{Command, EXIT_REFUSED, EXIT_UNKNOWN, changes, options};
 use grebedeck::entry::Entry;
+use grebedeck::gateway::{self, GatewaySettings};
 use grebedeck::settings::{self, AgentSettings, EntrySettings, millis};
 use grebedeck::stop;
 use grebedeck_kernel::Kernel;
+use grebedeck_platform::{HEADER_NAMES, Store};
 
 fn main() -> ExitCode {
     let command = options().run();
 
-    match async_std::task::block_on(run(command)) {
+    // Waiting on this thread's own reactor keeps a gateway, which has no other thread, from starting the
+    // pool of async-std.
+    match async_io::block_on(run(command)) {
         Ok(code) => ExitCode::from(code),
         Err(error) => {
             eprintln!("{error:#}");
@@ -26,6 +30,7 @@
 
 async fn run(command: Command) -> Result<u8> {
     match command {
+        Command::Gateway { settings } => run_gateway(&settings).await,
         Command::Entry { settings } => run_entry(&settings).await,
         Command::Agent { settings } => run_agent(&settings).await,
         Command::Apply { operator, file, dry_run, wait, json } => {
@@ -64,6 +69,16 @@
     run_until_stopped(&agent.kernel, limit_ms).await
 }
 
+async fn run_gateway(file: &Path) -> Result<u8> {
+    let settings: GatewaySettings = settings::read(file)?;
+    prepare()?;
+    let store = Store::new(settings.store_address, millis(settings.store_limit_ms));
+    let tasks = gateway::Tasks::default();
+
+    tasks.run(gateway::run(tasks.clone(), settings, HEADER_NAMES, store)).await?;
+    Ok(0)
+}
+
 fn prepare() -> Result<()> {
     grebedeck_kernel::log::start(spdlog::Level::Info)?;
     stop_on_broken_invariant();
