Rank processes: placements rolled out to all ranks of a group

Cause: at map 0 the busiest rank has 3.3 times the mean load; pauses are over 120 ms and most streams late.

Ruled out: the older switch protocol (a hold at every rank: one frozen process stops the group until it wakes, since nobody else can let its rank go).

--- /dev/null
+++ b/grebedeck-experts/src/placement.rs
@@ -0,0 +1,69 @@
+//! Which rank holds which experts, on engines that spread an expert's tokens evenly over its ranks.
+
+use grebedeck_core::{Expert, Rank};
+use serde::{Deserialize, Serialize};
+
+/// Experts of one set of layers, by rank.
+pub type SetPlacement = Vec<Vec<Expert>>;
+
+/// Experts by set and rank.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The sets of layers.
+    pub sets: Vec<SetPlacement>,
+}
+
+impl Placement {
+    /// Makes the placement that engines start with: experts are dealt to the ranks in turn.
+    pub fn dealt(ranks: Rank, sets: usize, experts: Expert) -> Self {
+        let held_by = |rank: Rank| (rank..experts).step_by(usize::from(ranks)).collect();
+        let set: SetPlacement = (0..ranks).map(held_by).collect();
+
+        Placement { sets: vec![set; sets] }
+    }
+
+    /// Gets the number of experts that ranks must copy to get from this placement to the next.
+    pub fn copies_to(&self, next: &Placement) -> usize {
+        let copies = |(before, after): (&SetPlacement, &SetPlacement)| -> usize {
+            let ranks = before.iter().zip(after);
+            ranks.map(|(had, has)| has.iter().filter(|e| !had.contains(e)).count()).sum()
+        };
+
+        self.sets.iter().zip(&next.sets).map(copies).sum()
+    }
+
+    /// Gets the load of the busiest rank relative to the mean, averaged over the sets.
+    pub fn skew(&self, popularity: &[Vec<f32>], costs: &[f32]) -> f32 {
+        let skews = self.sets.iter().zip(popularity).map(|(set, p)| set_skew(set, p, costs));
+        let sum: f32 = skews.sum();
+
+        sum / self.sets.len().max(1) as f32
+    }
+}
+
+/// Gets the number of ranks that hold each expert.
+pub fn holders(set: &SetPlacement, experts: usize) -> Vec<u32> {
+    let mut holders = vec![0; experts];
+
+    for expert in set.iter().flatten() {
+        holders[usize::from(*expert)] += 1;
+    }
+
+    holders
+}
+
+/// Gets the time of each rank, for the experts' popularity and the ranks' costs.
+pub fn rank_times(set: &SetPlacement, popularity: &[f32], costs: &[f32]) -> Vec<f32> {
+    let holders = holders(set, popularity.len());
+    let share = |e: &Expert| popularity[usize::from(*e)] / holders[usize::from(*e)] as f32;
+    let load = |held: &Vec<Expert>| held.iter().map(share).sum::<f32>();
+
+    set.iter().zip(costs).map(|(held, cost)| load(held) * cost).collect()
+}
+
+fn set_skew(set: &SetPlacement, popularity: &[f32], costs: &[f32]) -> f32 {
+    let total: f32 = popularity.iter().sum();
+    let busiest = rank_times(set, popularity, costs).into_iter().fold(0.0, f32::max);
+
+    if total > 0.0 { busiest * set.len() as f32 / total } else { 1.0 }
+}
--- a/grebedeck/src/command/options.rs
+++ b/grebedeck/src/command/options.rs
@@ -30,6 +30,15 @@
         #[bpaf(long, argument("FILE"), env("GREBEDECK_CONFIG"))]
         settings: PathBuf,
     },
+    /// Run a rank process, which stands beside a rank of a model's group on the Cedarline platform.
+    ///
+    /// The settings file is named by the environment where the option is left out.
+    #[bpaf(command)]
+    Rank {
+        /// Settings file
+        #[bpaf(long, argument("FILE"), env("GREBEDECK_CONFIG"))]
+        settings: PathBuf,
+    },
     /// Run an agent, which stands beside one target.
     ///
     /// Example: grebedeck agent --settings agent.json
--- a/grebedeck/src/lib.rs
+++ b/grebedeck/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peer;
 pub mod process;
 pub mod random;
+pub mod rank;
 pub mod settings;
 pub mod stop;
 pub mod wire;
--- a/grebedeck/src/main.rs
+++ b/grebedeck/src/main.rs
@@ -9,10 +9,11 @@
 use grebedeck::command::{Command, EXIT_REFUSED, EXIT_UNKNOWN, changes, options};
 use grebedeck::entry::Entry;
 use grebedeck::gateway::{self, GatewaySettings};
+use grebedeck::rank::{self, RankSettings};
 use grebedeck::settings::{self, AgentSettings, EntrySettings, millis};
 use grebedeck::stop;
 use grebedeck_kernel::Kernel;
-use grebedeck_platform::{HEADER_NAMES, Store};
+use grebedeck_platform::{Engine, HEADER_NAMES, Store};
 
 fn main() -> ExitCode {
     let command = options().run();
@@ -33,6 +34,7 @@
         Command::Gateway { settings } => run_gateway(&settings).await,
         Command::Entry { settings } => run_entry(&settings).await,
         Command::Agent { settings } => run_agent(&settings).await,
+        Command::Rank { settings } => run_rank(&settings).await,
         Command::Apply { operator, file, dry_run, wait, json } => {
             changes::apply(operator, &file, dry_run, wait, json).await
         }
@@ -79,6 +81,17 @@
     Ok(0)
 }
 
+async fn run_rank(file: &Path) -> Result<u8> {
+    let settings: RankSettings = settings::read(file)?;
+    prepare()?;
+    let store = Store::new(settings.store_address, millis(settings.store_limit_ms));
+    let engine = Engine::new(settings.target_address, rank::options::ENGINE_LIMIT);
+    let tasks = gateway::Tasks::default();
+
+    tasks.run(rank::run(tasks.clone(), settings, store, engine)).await?;
+    Ok(0)
+}
+
 fn prepare() -> Result<()> {
     grebedeck_kernel::log::start(spdlog::Level::Info)?;
     stop_on_broken_invariant();
--- /dev/null
+++ b/grebedeck/src/rank/balance.rs
@@ -0,0 +1,97 @@
+//! The leader's estimate of what is popular, and its plans.
+
+use std::time::Duration;
+
+use grebedeck_core::Moment;
+use grebedeck_experts::assign::AssignOptions;
+use grebedeck_experts::balancer::Change;
+use grebedeck_experts::{Balancer, BalancerOptions, CountReport, Placement, RankReport};
+use grebedeck_gateway::{EngineSpec, Site};
+
+use super::options::BalanceSettings;
+
+/// Follows a group's counts as soon as its engine's figures are known.
+pub struct Balance {
+    settings: BalanceSettings,
+    service: String,
+    spec: Option<EngineSpec>,
+    balancer: Option<Balancer>,
+}
+
+impl Balance {
+    /// Makes the balance of a service's group.
+    pub fn new(settings: BalanceSettings, service: &str) -> Self {
+        Balance { settings, service: service.to_string(), spec: None, balancer: None }
+    }
+
+    /// Tells whether the engine's figures are known.
+    pub fn knows_engine(&self) -> bool {
+        self.spec.is_some()
+    }
+
+    /// Takes the engine's figures from the configuration.
+    pub fn take_site(&mut self, site: &Site) {
+        let service = site.services.iter().find(|s| s.name == self.service);
+
+        if let Some(spec) = service.and_then(|s| s.engine.clone()) {
+            self.balancer = Some(Balancer::new(options(&self.settings, &spec)));
+            self.spec = Some(spec);
+        }
+    }
+
+    /// Gets the placement that engines start with.
+    pub fn first_placement(&self, ranks: u16) -> Option<Placement> {
+        let spec = self.spec.as_ref()?;
+
+        Some(Placement::dealt(ranks, usize::from(spec.sets), spec.experts))
+    }
+
+    /// Takes in what a rank counted.
+    pub fn count(&mut self, report: &CountReport) {
+        if let Some(balancer) = &mut self.balancer {
+            balancer.count(report);
+        }
+    }
+
+    /// Starts anew with a group that has formed anew.
+    pub fn restart(&mut self) {
+        if let Some(balancer) = &mut self.balancer {
+            balancer.restart();
+        }
+    }
+
+    /// Gives a better placement, where one is worth rolling out.
+    pub fn plan(
+        &mut self,
+        in_use: &Placement,
+        reports: &[RankReport],
+        now: Moment,
+    ) -> Option<Change> {
+        let balancer = self.balancer.as_mut()?;
+        let running: u32 = reports.iter().map(|r| r.running).sum();
+        let costs: Vec<f32> = reports.iter().map(|r| r.pace.max(1.0)).collect();
+
+        // A group without requests gains nothing, and makes no pass to take a placement at.
+        if running == 0 {
+            return None;
+        }
+
+        balancer.observe();
+        balancer.plan(in_use, &costs, now)
+    }
+}
+
+fn options(settings: &BalanceSettings, spec: &EngineSpec) -> BalancerOptions {
+    BalancerOptions {
+        sets: spec.sets,
+        experts: spec.experts,
+        assign: AssignOptions {
+            places: usize::from(spec.places),
+            max_new: usize::from(spec.spare),
+            target_skew: settings.target_skew,
+            min_gain_per_copy: settings.min_gain_per_copy,
+        },
+        trigger_skew: settings.trigger_skew,
+        pause: Duration::from_millis(settings.pause_ms),
+    }
+}
--- /dev/null
+++ b/grebedeck/src/rank/driver.rs
@@ -0,0 +1,438 @@
+//! Drives a node: reads its engine, carries messages and orders, and has the leader plan.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_signal::{Signal, Signals};
+use async_std::net::UdpSocket;
+use futures::{FutureExt, StreamExt};
+use grebedeck_core::{Moment, Rank, Result};
+use grebedeck_experts::balancer::CountDelta;
+use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote};
+use grebedeck_experts::{OrderEnd, RankCounts, RankEngine, RankOrder, RankReport};
+use grebedeck_gateway::{SiteStore, TargetEntry};
+use grebedeck_kernel::{Clock, log};
+
+use super::balance::Balance;
+use super::message::{Body, Datagram, MAX_DATAGRAM_BYTES};
+use super::options::{BUSY_POLL, IDLE_POLL, LIST_PAUSE, RankSettings, STOP_LIMIT};
+use crate::settings::millis;
+
+/// Outcomes of calls that may wait to be taken in.
+const OUTCOMES_WAITING: usize = 256;
+
+/// What became of a call.
+enum Outcome {
+    Report(Result<RankReport>),
+    Asked(Result<RankReport>),
+    Counts(Result<RankCounts>),
+    Ordered { rank: Rank, order: RankOrder, end: OrderEnd },
+    Listed(Result<Vec<TargetEntry>>),
+    Site(Result<Option<grebedeck_gateway::Site>>),
+}
+
+/// When something is to be done next, so that at most one call of a kind is under way.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    At(Moment),
+    UnderWay,
+}
+
+impl Due {
+    fn is_now(self, now: Moment) -> bool {
+        matches!(self, Due::At(at) if now >= at)
+    }
+}
+
+/// A rank process.
+pub struct Driver<S, E> {
+    tasks: Rc<LocalExecutor<'static>>,
+    settings: RankSettings,
+    store: S,
+    engine: E,
+    clock: Clock,
+    socket: UdpSocket,
+    node: Node<SocketAddr>,
+    balance: Balance,
+    delta: CountDelta,
+    outcomes: (Sender<Outcome>, Receiver<Outcome>),
+    report_due: Due,
+    counts_due: Due,
+    list_due: Due,
+    site_due: Due,
+    plan_at: Moment,
+    is_engine_lost: bool,
+}
+
+impl<S: SiteStore, E: RankEngine> Driver<S, E> {
+    /// Listens for datagrams.
+    pub async fn try_new(
+        tasks: Rc<LocalExecutor<'static>>,
+        settings: RankSettings,
+        store: S,
+        engine: E,
+    ) -> anyhow::Result<Self> {
+        let clock = Clock::default();
+        let now = clock.now();
+        let socket = UdpSocket::bind((settings.ip, settings.group_port)).await?;
+        let node = Node::new(settings.target_address, now, NodeOptions::default());
+        let balance = Balance::new(settings.balance, &settings.service);
+
+        Ok(Driver {
+            tasks,
+            settings,
+            store,
+            engine,
+            clock,
+            socket,
+            node,
+            balance,
+            delta: CountDelta::default(),
+            outcomes: async_channel::bounded(OUTCOMES_WAITING),
+            report_due: Due::At(now),
+            counts_due: Due::At(now),
+            list_due: Due::At(now),
+            site_due: Due::At(now),
+            plan_at: now,
+            is_engine_lost: false,
+        })
+    }
+
+    /// Runs until the process is told to stop, and a plan that is under way has ended.
+    pub async fn run(mut self) -> anyhow::Result<()> {
+        let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        let mut stop_by: Option<Moment> = None;
+
+        loop {
+            let wait = self.wait();
+            let outcomes = self.outcomes.1.clone();
+
+            futures::select! {
+                signal = signals.next().fuse() => {
+                    if !matches!(signal, Some(Ok(Signal::Hup)) | None) && stop_by.is_none() {
+                        log::info!("stopping", kv: { busy = self.node.is_busy() });
+                        stop_by = Some(self.clock.now() + STOP_LIMIT);
+                    }
+                }
+                received = self.socket.recv_from(&mut buffer).fuse() => {
+                    if let Ok((length, _)) = received {
+                        self.take_datagram(&buffer[..length]).await;
+                    }
+                }
+                outcome = outcomes.recv().fuse() => {
+                    if let Ok(outcome) = outcome {
+                        self.take_outcome(outcome).await;
+                    }
+                }
+                _ = async_std::task::sleep(wait).fuse() => {}
+            }
+
+            self.tick().await;
+
+            if stop_by.is_some_and(|by| !self.node.is_busy() || self.clock.now() >= by) {
+                log::info!("stopped");
+                return Ok(());
+            }
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        if self.node.is_busy() { BUSY_POLL } else { BUSY_POLL * 2 }
+    }
+
+    async fn tick(&mut self) {
+        let now = self.clock.now();
+        let actions = self.node.tick(now);
+        self.carry_out(actions).await;
+
+        if self.report_due.is_now(now) {
+            self.report_due = Due::UnderWay;
+            self.call(|engine| async move { Outcome::Report(engine.report().await) });
+        }
+
+        if self.counts_due.is_now(now) {
+            self.counts_due = Due::UnderWay;
+            self.call(|engine| async move { Outcome::Counts(engine.counts().await) });
+        }
+
+        if self.list_due.is_now(now) && self.node.wants_others(now) {
+            self.list_due = Due::UnderWay;
+            self.ask_store(|store| async move {
+                Outcome::Listed(store.read_targets().await.map(|snapshot| snapshot.value))
+            });
+        }
+
+        if self.site_due.is_now(now) && self.node.is_leading() && !self.balance.knows_engine() {
+            self.site_due = Due::UnderWay;
+            self.ask_store(|store| async move {
+                Outcome::Site(store.read_site().await.map(|snapshot| snapshot.value))
+            });
+        }
+
+        if now >= self.plan_at {
+            self.plan_at = now + millis(self.settings.balance.plan_ms);
+            self.plan(now).await;
+        }
+    }
+
+    /// Has the leader look for a better placement.
+    async fn plan(&mut self, now: Moment) {
+        if !self.node.can_plan(now) {
+            return;
+        }
+
+        let (Some(reports), Some(in_use)) =
+            (self.node.group_reports(), self.node.placement_in_use().cloned())
+        else {
+            return;
+        };
+
+        let Some(change) = self.balance.plan(&in_use, &reports, now) else {
+            return;
+        };
+
+        log::info!("placement proposed", kv: {
+            skew_before = f64::from(change.skew_before),
+            skew_after = f64::from(change.skew_after),
+            copies = change.copies,
+        });
+        let actions = self.node.propose(change.placement, now);
+        self.carry_out(actions).await;
+    }
+
+    async fn take_datagram(&mut self, bytes: &[u8]) {
+        let Ok(datagram) = Datagram::parse(bytes) else {
+            log::warn!("datagram not understood", kv: { bytes = bytes.len() });
+            return;
+        };
+
+        match datagram.body {
+            Body::Rollout(message) => {
+                let now = self.clock.now();
+                let actions = self.node.on_message(datagram.from, message, now);
+                self.carry_out(actions).await;
+            }
+            Body::Counts(report) => {
+                let is_current = self.node.report().is_some_and(|r| r.epoch == report.epoch);
+
+                if is_current && self.node.is_leading() {
+                    self.balance.count(&report);
+                }
+            }
+        }
+    }
+
+    async fn take_outcome(&mut self, outcome: Outcome) {
+        let now = self.clock.now();
+
+        match outcome {
+            Outcome::Report(report) => {
+                let period = if self.node.is_busy() { BUSY_POLL } else { IDLE_POLL };
+                self.report_due = Due::At(now + period);
+                self.note_engine(&report);
+
+                if let Ok(report) = report {
+                    self.keep_first_placement(report.size);
+                    let actions = self.node.on_report(report, now);
+                    self.carry_out(actions).await;
+                }
+            }
+            Outcome::Asked(report) => {
+                if let Ok(report) = report {
+                    let actions = self.node.on_report(report, now);
+                    self.carry_out(actions).await;
+                }
+            }
+            Outcome::Counts(counts) => {
+                self.counts_due = Due::At(now + millis(self.settings.balance.count_ms));
+
+                if let Ok(counts) = counts {
+                    self.report_counts(counts).await;
+                }
+            }
+            Outcome::Ordered { rank, order, end } => {
+                self.node.on_order(rank, &order, end, now);
+                // What the order changed shows in the engine's own words.
+                self.report_due = match self.report_due {
+                    Due::At(_) => Due::At(now),
+                    Due::UnderWay => Due::UnderWay,
+                };
+            }
+            Outcome::Listed(targets) => {
+                self.list_due = Due::At(now + LIST_PAUSE);
+                self.note_list(targets);
+            }
+            Outcome::Site(site) => {
+                self.site_due = Due::At(now + LIST_PAUSE);
+
+                if let Ok(Some(site)) = site {
+                    self.balance.take_site(&site);
+                }
+            }
+        }
+    }
+
+    fn note_engine(&mut self, report: &Result<RankReport>) {
+        match report {
+            Ok(_) if self.is_engine_lost => {
+                self.is_engine_lost = false;
+                log::info!("engine back");
+            }
+            Err(error) if !self.is_engine_lost => {
+                self.is_engine_lost = true;
+                log::warn!("engine lost", kv: { error = error.to_string() });
+            }
+            _ => {}
+        }
+    }
+
+    fn note_list(&mut self, targets: Result<Vec<TargetEntry>>) {
+        let targets = match targets {
+            Ok(targets) => targets,
+            Err(error) => {
+                log::warn!("list of targets not read", kv: { error = error.to_string() });
+                return;
+            }
+        };
+        let is_other = |t: &TargetEntry| {
+            t.service == self.settings.service && t.address != self.settings.target_address
+        };
+
+        self.node.set_others(targets.into_iter().filter(is_other).map(|t| t.address).collect());
+    }
+
+    fn keep_first_placement(&mut self, ranks: u16) {
+        if let Some(first) = self.balance.first_placement(ranks) {
+            self.node.keep_placement(0, Arc::new(first));
+        }
+    }
+
+    async fn report_counts(&mut self, counts: RankCounts) {
+        let Some(rank) = self.node.report().map(|r| r.rank) else {
+            return;
+        };
+        let Some(report) = self.delta.next(rank, counts) else {
+            return;
+        };
+
+        if self.node.is_leading() {
+            self.balance.count(&report);
+        } else if let Some(leader) = self.node.leader().copied() {
+            self.send(leader, Body::Counts(report)).await;
+        }
+    }
+
+    async fn carry_out(&mut self, actions: Vec<Action<SocketAddr>>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(to, Body::Rollout(message)).await,
+                Action::Order { rank, order } => self.order(rank, order),
+                Action::Ask { rank } => self.ask(rank),
+                Action::Note(note) => {
+                    if matches!(note, RankNote::NewEpoch(_)) {
+                        self.balance.restart();
+                    }
+
+                    log_note(note);
+                }
+            }
+        }
+    }
+
+    async fn send(&self, to: SocketAddr, body: Body) {
+        let datagram = Datagram { from: self.settings.target_address, body };
+        let address = SocketAddr::new(to.ip(), self.settings.group_port);
+
+        match datagram.to_bytes() {
+            // A lost datagram is made good by the next one, so a failure is no more than that.
+            Ok(bytes) => drop(self.socket.send_to(&bytes, address).await),
+            Err(error) => log::error!("datagram not sent", kv: { error = error.to_string() }),
+        }
+    }
+
+    fn order(&self, rank: Rank, order: RankOrder) {
+        let Some(engine) = self.engine_of(rank) else {
+            return;
+        };
+        let outcomes = self.outcomes.0.clone();
+
+        self.tasks
+            .spawn(async move {
+                let end = engine.order(&order).await;
+                let _ = outcomes.send(Outcome::Ordered { rank, order, end }).await;
+            })
+            .detach();
+    }
+
+    fn ask(&self, rank: Rank) {
+        let Some(engine) = self.engine_of(rank) else {
+            return;
+        };
+        let outcomes = self.outcomes.0.clone();
+
+        self.tasks
+            .spawn(async move {
+                let report = engine.report().await;
+                let _ = outcomes.send(Outcome::Asked(report)).await;
+            })
+            .detach();
+    }
+
+    fn engine_of(&self, rank: Rank) -> Option<E> {
+        match self.node.address_of(rank) {
+            Some(address) if *address == self.settings.target_address => Some(self.engine.clone()),
+            Some(address) => Some(self.engine.at(*address)),
+            None => None,
+        }
+    }
+
+    fn call<F: Future<Output = Outcome> + 'static>(&self, call: impl FnOnce(E) -> F) {
+        self.spawn(call(self.engine.clone()));
+    }
+
+    fn ask_store<F: Future<Output = Outcome> + 'static>(&self, call: impl FnOnce(S) -> F) {
+        self.spawn(call(self.store.clone()));
+    }
+
+    fn spawn(&self, call: impl Future<Output = Outcome> + 'static) {
+        let outcomes = self.outcomes.0.clone();
+
+        self.tasks
+            .spawn(async move {
+                let _ = outcomes.send(call.await).await;
+            })
+            .detach();
+    }
+}
+
+fn log_note(note: RankNote) {
+    match note {
+        RankNote::Leads(term) => log::info!("leads the group", kv: { round = term.round }),
+        RankNote::Follows(term) => {
+            log::info!("follows a leader", kv: { round = term.round, rank = term.rank });
+        }
+        RankNote::NewEpoch(epoch) => log::info!("group formed", kv: { epoch }),
+        RankNote::Holding { placement_no, pass } => {
+            log::info!("pass to be held", kv: { placement_no, pass });
+        }
+        RankNote::Arming { placement_no, pass } => {
+            log::info!("ranks to be armed", kv: { placement_no, pass });
+        }
+        RankNote::Released { placement_no, pass, held_for } => {
+            let held_ms = held_for.as_millis() as u64;
+            log::info!("placement in force", kv: { placement_no, pass, held_ms });
+        }
+        RankNote::GivenUp { placement_no, reason } => {
+            log::warn!("placement given up", kv: { placement_no, reason });
+        }
+        RankNote::Standstill { pass, placement_no } => {
+            let placement_no = placement_no.unwrap_or(0);
+            log::warn!("standstill", kv: { pass, placement_no });
+        }
+    }
+}
--- /dev/null
+++ b/grebedeck/src/rank/message.rs
@@ -0,0 +1,43 @@
+//! Datagrams between rank processes.
+
+use std::net::SocketAddr;
+
+use grebedeck_core::Result;
+use grebedeck_experts::CountReport;
+use grebedeck_experts::rollout::Message;
+use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
+use serde::{Deserialize, Serialize};
+
+/// Largest datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 60_000;
+
+/// One datagram. Processes are known by their targets' addresses, which the platform lists.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The target beside which the sender stands.
+    pub from: SocketAddr,
+    /// What it says.
+    pub body: Body,
+}
+
+/// What a datagram says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// A message of the rollout.
+    Rollout(Message<SocketAddr>),
+    /// What a rank counted since its last report.
+    Counts(CountReport),
+}
+
+impl Datagram {
+    /// Gets the bytes to send.
+    pub fn to_bytes(&self) -> Result<bytes::Bytes> {
+        // A datagram has its own length, so the prefix of a stream's frames is left out.
+        Ok(encode(self)?.slice(PREFIX_BYTES..))
+    }
+
+    /// Reads a datagram's bytes.
+    pub fn parse(bytes: &[u8]) -> Result<Self> {
+        decode(bytes)
+    }
+}
