--- a/grebedeck-experts/src/engine.rs
+++ b/grebedeck-experts/src/engine.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use grebedeck_core::{Rank, Result};
+use grebedeck_core::{Expert, Rank, Result};
 use serde::{Deserialize, Serialize};
 
 use crate::placement::Placement;
@@ -130,6 +130,9 @@
     /// Reads how often experts were chosen.
     fn counts(&self) -> impl Future<Output = Result<RankCounts>>;
 
+    /// Reads which experts it holds, by set, and of which placement.
+    fn part(&self) -> impl Future<Output = Result<(PlacementNo, Vec<Vec<Expert>>)>>;
+
     /// Gives an order.
     fn order(&self, order: &RankOrder) -> impl Future<Output = OrderEnd>;
 }
--- a/grebedeck-experts/src/placement.rs
+++ b/grebedeck-experts/src/placement.rs
@@ -22,6 +22,28 @@
         Placement { sets: vec![set; sets] }
     }
 
+    /// Puts a placement together from what each rank holds, in the order of ranks.
+    pub fn from_parts<'a>(parts: impl Iterator<Item = &'a Vec<Vec<Expert>>>) -> Self {
+        let mut sets: Vec<SetPlacement> = Vec::new();
+
+        for part in parts {
+            sets.resize(sets.len().max(part.len()), Vec::new());
+
+            for (set, held) in sets.iter_mut().zip(part) {
+                set.push(held.clone());
+            }
+        }
+
+        Placement { sets }
+    }
+
+    /// Gets what a rank holds, by set.
+    pub fn part_of(&self, rank: Rank) -> Vec<Vec<Expert>> {
+        let held = |set: &SetPlacement| set.get(usize::from(rank)).cloned().unwrap_or_default();
+
+        self.sets.iter().map(held).collect()
+    }
+
     /// Gets the number of experts that ranks must copy to get from this placement to the next.
     pub fn copies_to(&self, next: &Placement) -> usize {
         let copies = |(before, after): (&SetPlacement, &SetPlacement)| -> usize {
--- a/grebedeck-experts/src/rollout.rs
+++ b/grebedeck-experts/src/rollout.rs
@@ -3,29 +3,30 @@
 //! # Rule
 //!
 //! Every rank must have the same placement as a pass begins. So a pass is held at one rank before any
-//! rank is armed for it, and it is let go only when every rank's own engine says that it is armed.
-//! Nothing is ever taken back: once a rank may be armed, all others are armed for the same placement
-//! and pass, by whoever notices that something is missing. So it does no harm if two nodes do it at
-//! once, if an order is given twice, or if it is carried out late: by then its pass has begun, and the
-//! engine refuses it. Orders name the group's formation, so none of them outlives it.
+//! rank is armed for it, and it is let go only when every rank's own engine says that it is armed, or
+//! when it is certain that none is. Orders that are carried out late do no harm: by then their pass has
+//! begun, and the engine refuses them. Orders name the group's formation, so none of them outlives it.
 //!
-//! # Leader
+//! # Roles
 //!
-//! The leader decides which placement comes next. A node promises not to follow an earlier leader
-//! before it follows a later one, and a leader holds a pass only when every node has promised, and has
-//! prepared its placement. So two leaders never arm different placements for one pass: an earlier
-//! leader's plan is refused by every node that has promised, and the later one prepares nothing before
-//! all have. A node that hears from no leader takes the lead after a time that grows with its rank.
+//! - The *leader* decides which placement comes next, and has every rank copy its weights. A node
+//!   promises not to follow an earlier leader before it follows a later one. A node that hears from no
+//!   leader takes the lead after a time that grows with its rank.
+//! - The *holder* is the node beside the engine that holds the pass. The leader has it held at another
+//!   rank than its own. The holder alone decides what becomes of the pass: it asks all nodes whether they
+//!   are ready, has all of them arm, and lets go. A node that is silent when it is asked costs no more
+//!   than this plan, and the group does not stand still for it.
+//! - Each *node* takes part in one changeover at a time, and keeps its own rank's engine in step.
 //!
-//! # Standstill
-//!
-//! A hold does not lapse, so whoever sees that its group stands still while a pass is held reads all
-//! ranks' engines and finishes what it finds.
+//! A hold does not lapse. A holder that was killed finds it in its engine when it is back, asks all
+//! nodes, or the engines of those that do not answer, whether anybody is armed, and goes on from there.
 
-mod finish;
+mod changeover;
 mod lead;
 pub mod message;
 pub mod node;
 
-pub use message::{Directive, Message, Stage, Status, Term};
+pub use message::{
+    Changeover, ChangeoverAnswer, ChangeoverStep, Directive, Message, RankPart, Stage, Status, Term,
+};
 pub use node::{Action, Node, NodeOptions, RankNote};
--- /dev/null
+++ b/grebedeck-experts/src/rollout/changeover.rs
@@ -0,0 +1,299 @@
+//! A changeover: what the node beside the engine that holds a pass does until it lets the pass go.
+//!
+//! It alone decides. First every node has to answer that it is there and ready; if one is silent or
+//! refuses, the pass is let go and nobody was armed. Then all ranks are armed, and there is no way back:
+//! the pass is let go when every rank's own engine says that it is armed. A holder that has lost its
+//! memory asks all nodes, or their engines, whether anybody is armed, and goes on from there.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use grebedeck_core::{Moment, Rank};
+
+use super::message::{Changeover, ChangeoverStep, Term};
+use super::node::NodeOptions;
+use crate::engine::{Armed, GroupEpoch, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
+
+/// What a holder has got to know and to do.
+#[derive(Clone, Debug)]
+pub(super) struct Holding {
+    epoch: GroupEpoch,
+    size: Rank,
+    own: Rank,
+    round: u64,
+    term: Term,
+    pass: PassNo,
+    phase: Phase,
+    since: Moment,
+    answered: BTreeSet<Rank>,
+    reports: BTreeMap<Rank, RankReport>,
+    helped_at: BTreeMap<Rank, Moment>,
+    told_at: Option<Moment>,
+    released_at: Option<Moment>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Every node is asked whether it is ready for a placement.
+    Ready(PlacementNo),
+    /// The holder has no memory of this pass, and asks whether anybody is armed.
+    Recover,
+    /// Every rank is to be armed.
+    Arm(PlacementNo),
+    /// The pass is to be let go.
+    Release,
+}
+
+/// What a holder wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum HoldingAction {
+    /// Tell all other nodes.
+    Tell(Changeover),
+    /// Give an order to a rank's engine.
+    Order(Rank, RankOrder),
+    /// Read a rank's engine.
+    Ask(Rank),
+}
+
+impl Holding {
+    /// Starts the changeover to a placement.
+    pub(super) fn new(
+        own: &RankReport,
+        term: Term,
+        placement_no: PlacementNo,
+        pass: PassNo,
+        round: u64,
+        now: Moment,
+    ) -> Self {
+        Self::in_phase(Phase::Ready(placement_no), own, term, pass, round, now)
+    }
+
+    /// Starts to find out what a held pass was held for.
+    pub(super) fn recover(
+        own: &RankReport,
+        term: Term,
+        pass: PassNo,
+        round: u64,
+        now: Moment,
+    ) -> Self {
+        Self::in_phase(Phase::Recover, own, term, pass, round, now)
+    }
+
+    /// Lets a pass go that nobody can be armed for.
+    pub(super) fn release(
+        own: &RankReport,
+        term: Term,
+        pass: PassNo,
+        round: u64,
+        now: Moment,
+    ) -> Self {
+        Self::in_phase(Phase::Release, own, term, pass, round, now)
+    }
+
+    fn in_phase(
+        phase: Phase,
+        own: &RankReport,
+        term: Term,
+        pass: PassNo,
+        round: u64,
+        now: Moment,
+    ) -> Self {
+        Holding {
+            epoch: own.epoch,
+            size: own.size,
+            own: own.rank,
+            round,
+            term,
+            pass,
+            phase,
+            since: now,
+            answered: BTreeSet::from([own.rank]),
+            reports: BTreeMap::from([(own.rank, own.clone())]),
+            helped_at: BTreeMap::new(),
+            told_at: None,
+            released_at: None,
+        }
+    }
+
+    pub(super) fn pass(&self) -> PassNo {
+        self.pass
+    }
+
+    pub(super) fn round(&self) -> u64 {
+        self.round
+    }
+
+    /// Tells whether ranks may be armed for the pass.
+    pub(super) fn is_arming(&self) -> bool {
+        matches!(self.phase, Phase::Arm(_) | Phase::Recover)
+    }
+
+    pub(super) fn since(&self) -> Moment {
+        self.since
+    }
+
+    /// Takes in a node's answer.
+    pub(super) fn note_answer(&mut self, accepts: bool, report: RankReport, now: Moment) {
+        if report.epoch != self.epoch {
+            return;
+        }
+
+        if !accepts && matches!(self.phase, Phase::Ready(_)) {
+            self.set_phase(Phase::Release, now);
+        }
+
+        self.answered.insert(report.rank);
+        self.note_report(report);
+    }
+
+    /// Takes in what a rank's engine says.
+    pub(super) fn note_report(&mut self, report: RankReport) {
+        if report.epoch == self.epoch {
+            self.reports.insert(report.rank, report);
+        }
+    }
+
+    /// Does what is due; the pass has not begun, and the own engine holds it unless it was let go.
+    pub(super) fn step(&mut self, now: Moment, options: &NodeOptions) -> Vec<HoldingAction> {
+        self.decide(now, options);
+        let mut actions = Vec::new();
+
+        match self.phase {
+            Phase::Ready(_) => {}
+            Phase::Recover => self.ask_silent(now, options, &mut actions),
+            Phase::Arm(placement_no) => self.arm(placement_no, now, options, &mut actions),
+            Phase::Release => self.let_go(now, options, &mut actions),
+        }
+
+        if self.told_at.is_none_or(|at| now >= at + options.insist) {
+            self.told_at = Some(now);
+            actions.push(HoldingAction::Tell(self.message()));
+        }
+
+        actions
+    }
+
+    fn decide(&mut self, now: Moment, options: &NodeOptions) {
+        match self.phase {
+            Phase::Ready(placement_no) if self.has_all_answers() => {
+                self.set_phase(Phase::Arm(placement_no), now);
+            }
+            // Nobody is armed yet, so a node that is silent costs nothing but this plan.
+            Phase::Ready(_) if now >= self.since + options.ready_limit => {
+                self.set_phase(Phase::Release, now);
+            }
+            Phase::Recover if self.reports.len() == usize::from(self.size) => {
+                let next = match self.armed_for_pass() {
+                    Some(placement_no) => Phase::Arm(placement_no),
+                    None => Phase::Release,
+                };
+                self.set_phase(next, now);
+            }
+            Phase::Arm(placement_no) if self.is_armed(placement_no) => {
+                self.set_phase(Phase::Release, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn set_phase(&mut self, phase: Phase, now: Moment) {
+        self.phase = phase;
+        self.since = now;
+        self.told_at = None;
+    }
+
+    fn has_all_answers(&self) -> bool {
+        self.answered.len() == usize::from(self.size)
+    }
+
+    fn armed_for_pass(&self) -> Option<PlacementNo> {
+        let armed = self.reports.values().filter_map(|r| r.armed);
+
+        armed.filter(|a| a.pass == self.pass).map(|a| a.placement_no).next()
+    }
+
+    fn is_armed_at(&self, rank: Rank, placement_no: PlacementNo) -> bool {
+        let target = Armed { placement_no, pass: self.pass };
+
+        self.reports.get(&rank).is_some_and(|r| r.armed == Some(target))
+    }
+
+    fn is_armed(&self, placement_no: PlacementNo) -> bool {
+        (0..self.size).all(|rank| self.is_armed_at(rank, placement_no))
+    }
+
+    /// Reads the engines of nodes that do not answer.
+    fn ask_silent(&mut self, now: Moment, options: &NodeOptions, actions: &mut Vec<HoldingAction>) {
+        if now < self.since + options.help_after {
+            return;
+        }
+
+        for rank in 0..self.size {
+            if !self.reports.contains_key(&rank) && self.may_help(rank, now, options) {
+                actions.push(HoldingAction::Ask(rank));
+            }
+        }
+    }
+
+    /// Arms the own rank, and those whose nodes have not done so in time.
+    fn arm(
+        &mut self,
+        placement_no: PlacementNo,
+        now: Moment,
+        options: &NodeOptions,
+        actions: &mut Vec<HoldingAction>,
+    ) {
+        let is_late = now >= self.since + options.help_after;
+
+        for rank in 0..self.size {
+            let is_due = rank == self.own || is_late;
+
+            if is_due && !self.is_armed_at(rank, placement_no) && self.may_help(rank, now, options)
+            {
+                let action = RankAction::Arm { placement_no, pass: self.pass };
+                let order = RankOrder { epoch: self.epoch, action };
+                actions.push(HoldingAction::Order(rank, order));
+
+                if rank != self.own {
+                    actions.push(HoldingAction::Ask(rank));
+                }
+            }
+        }
+    }
+
+    fn let_go(&mut self, now: Moment, options: &NodeOptions, actions: &mut Vec<HoldingAction>) {
+        if self.released_at.is_none_or(|at| now >= at + options.order_pause) {
+            self.released_at = Some(now);
+            let action = RankAction::Release { pass: self.pass };
+            let order = RankOrder { epoch: self.epoch, action };
+            actions.push(HoldingAction::Order(self.own, order));
+        }
+    }
+
+    fn may_help(&mut self, rank: Rank, now: Moment, options: &NodeOptions) -> bool {
+        let is_due = self.helped_at.get(&rank).is_none_or(|at| now >= *at + options.order_pause);
+
+        if is_due {
+            self.helped_at.insert(rank, now);
+        }
+
+        is_due
+    }
+
+    fn message(&self) -> Changeover {
+        let step = match self.phase {
+            Phase::Ready(placement_no) => ChangeoverStep::Ready { placement_no },
+            Phase::Recover => ChangeoverStep::Recover,
+            Phase::Arm(placement_no) => ChangeoverStep::Arm { placement_no },
+            Phase::Release => ChangeoverStep::Over,
+        };
+
+        Changeover {
+            term: self.term,
+            epoch: self.epoch,
+            holder: self.own,
+            round: self.round,
+            pass: self.pass,
+            step,
+        }
+    }
+}
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -1,14 +1,13 @@
-//! What a leader does: one plan after another, from copying weights to letting the pass go.
+//! What a leader does: one plan after another, from copying weights to having a pass held.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use grebedeck_core::{Moment, Rank};
 
-use super::finish::Finish;
 use super::message::{Directive, Stage, Status, Term};
 use super::node::{Action, Node, NodeOptions, RankNote};
-use crate::engine::{Armed, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
+use crate::engine::{PassNo, PlacementNo, RankAction, RankOrder, RankReport};
 use crate::placement::Placement;
 
 /// A leadership.
@@ -17,7 +16,6 @@
     term: Term,
     revision: u64,
     plan: Plan,
-    led_since: Moment,
     since: Moment,
     told_at: Option<Moment>,
     statuses: BTreeMap<Rank, (Status, Moment)>,
@@ -27,8 +25,20 @@
 enum Plan {
     Idle,
     Prepare { placement_no: PlacementNo, placement: Arc<Placement> },
-    Hold { placement_no: PlacementNo, pass: PassNo, ordered_at: Moment },
-    Arm { placement_no: PlacementNo, pass: PassNo, holder: Rank },
+    Hold(HoldPlan),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HoldPlan {
+    placement_no: PlacementNo,
+    pass: PassNo,
+    holder: Rank,
+    /// Holds that were tried for this placement.
+    holds: u32,
+    ordered_at: Moment,
+    /// Whether the engine is known to have taken the order; given again, it would hold a pass that
+    /// was let go.
+    is_taken: bool,
 }
 
 impl Lead {
@@ -37,7 +47,6 @@
             term,
             revision: 0,
             plan: Plan::Idle,
-            led_since: now,
             since: now,
             told_at: None,
             statuses: BTreeMap::new(),
@@ -55,11 +64,6 @@
         self.statuses.insert(status.report.rank, (status, now));
     }
 
-    /// Tells whether the nodes have had their time to arm their own ranks.
-    pub(super) fn may_help(&self, now: Moment, options: &NodeOptions) -> bool {
-        !matches!(self.plan, Plan::Arm { .. }) || now >= self.since + options.help_after
-    }
-
     fn set_plan(&mut self, plan: Plan, now: Moment) {
         self.plan = plan;
         self.since = now;
@@ -79,24 +83,6 @@
         (0..own.size).all(|rank| self.statuses.get(&rank).is_some_and(follows))
     }
 
-    /// Tells whether every node that was heard of lately has promised to follow, some time after the
-    /// first message: whoever is silent then has forgotten earlier leaders, or looks before it acts.
-    pub(super) fn follows_alive(&self, now: Moment, options: &NodeOptions) -> bool {
-        let is_alive = |at: Moment| now < at + options.status_lifetime;
-        let alive = self.statuses.values().filter(|(_, at)| is_alive(*at));
-
-        now >= self.led_since + options.period * 2
-            && alive.map(|(status, _)| status.promised).all(|promised| promised == self.term)
-    }
-
-    /// Tells whether the leader itself wants a pass held.
-    pub(super) fn wants_held(&self, pass: PassNo) -> bool {
-        match self.plan {
-            Plan::Hold { pass: wanted, .. } | Plan::Arm { pass: wanted, .. } => wanted == pass,
-            Plan::Idle | Plan::Prepare { .. } => false,
-        }
-    }
-
     fn all(&self, size: Rank, holds: impl Fn(&Status) -> bool) -> bool {
         (0..size).all(|rank| self.statuses.get(&rank).is_some_and(|(status, _)| holds(status)))
     }
@@ -107,16 +93,27 @@
             Plan::Prepare { placement_no, placement } => {
                 Stage::Prepare { placement_no: *placement_no, placement: placement.clone() }
             }
-            // Nothing more is wanted of the nodes until the pass is held.
-            Plan::Hold { .. } => Stage::Idle,
-            Plan::Arm { placement_no, pass, holder } => {
-                Stage::Arm { placement_no: *placement_no, pass: *pass, holder: *holder }
+            Plan::Hold(HoldPlan { placement_no, pass, holder, .. }) => {
+                Stage::Hold { placement_no: *placement_no, pass: *pass, holder: *holder }
             }
         };
 
         Directive { term: self.term, revision: self.revision, epoch: own.epoch, stage }
     }
 
+    /// Gets the rank whose engine is to hold a pass. It is not the leader's own where there is another,
+    /// so that neither of the two machines that act alone can keep the group from going on.
+    fn holder(&self, own: &RankReport) -> Rank {
+        (0..own.size).find(|rank| *rank != own.rank).unwrap_or(own.rank)
+    }
+
+    /// Notes that the holder's engine has taken the order to hold a pass.
+    pub(super) fn note_held(&mut self, taken: PassNo) {
+        if let Plan::Hold(plan) = &mut self.plan {
+            plan.is_taken |= plan.pass == taken;
+        }
+    }
+
     fn newest_pass(&self) -> PassNo {
         self.statuses.values().map(|(status, _)| status.report.pass).max().unwrap_or(0)
     }
@@ -128,10 +125,10 @@
         let (Some(lead), Some(own)) = (&self.lead, &self.report) else {
             return false;
         };
-        let is_free = |s: &Status| s.report.armed.is_none() && s.report.held.is_none();
+        let is_free =
+            |s: &Status| !s.is_engaged && s.report.armed.is_none() && s.report.held.is_none();
 
         matches!(lead.plan, Plan::Idle)
-            && self.finish.is_none()
             && lead.follows_all(own, now, &self.options)
             && lead.all(own.size, |s| is_free(s) && s.report.placement == own.placement)
     }
@@ -213,12 +210,7 @@
             Plan::Prepare { placement_no, .. } => {
                 self.step_prepare(placement_no, own, now, actions)
             }
-            Plan::Hold { placement_no, pass, ordered_at } => {
-                self.step_hold(placement_no, pass, ordered_at, own, now, actions);
-            }
-            Plan::Arm { placement_no, pass, .. } => {
-                self.step_arm(placement_no, pass, own, now, actions);
-            }
+            Plan::Hold(plan) => self.step_hold(plan, own, now, actions),
         }
     }
 
@@ -249,73 +241,62 @@
             return;
         }
 
-        let pass = lead.newest_pass() + options.passes_ahead;
-        lead.set_plan(Plan::Hold { placement_no, pass, ordered_at: now }, now);
-        actions.push(Action::Note(RankNote::Holding { placement_no, pass }));
-        actions.push(order_hold(own, pass));
+        self.hold(placement_no, 1, own, now, actions);
     }
 
-    fn step_hold(
+    /// Has a pass held some passes ahead.
+    fn hold(
         &mut self,
         placement_no: PlacementNo,
-        pass: PassNo,
-        ordered_at: Moment,
+        holds: u32,
         own: &RankReport,
         now: Moment,
         actions: &mut Vec<Action<A>>,
     ) {
-        let options = self.options;
+        let passes_ahead = self.options.passes_ahead;
         let Some(lead) = &mut self.lead else {
             return;
         };
-
-        // A leader that was frozen meanwhile has to hear again from all before it arms anybody.
-        if own.held == Some(pass) && lead.follows_all(own, now, &options) {
-            let holder = own.rank;
-            lead.set_plan(Plan::Arm { placement_no, pass, holder }, now);
-            let target = Armed { placement_no, pass };
-            let mut finish = Finish::new(own.epoch, own.size, target, holder);
-            finish.note(own);
-            self.finish = Some(finish);
-            actions.push(Action::Note(RankNote::Arming { placement_no, pass }));
-            return;
-        }
-
-        // The same pass is asked for until it has begun, so that no two holds are ever under way.
-        if own.pass >= pass {
-            let pass = lead.newest_pass().max(own.pass) + options.passes_ahead;
-            lead.set_plan(Plan::Hold { placement_no, pass, ordered_at: now }, now);
-            actions.push(order_hold(own, pass));
-        } else if own.held != Some(pass) && now >= ordered_at + options.order_pause {
-            lead.plan = Plan::Hold { placement_no, pass, ordered_at: now };
-            actions.push(order_hold(own, pass));
-        }
+        let pass = lead.newest_pass().max(own.pass) + passes_ahead;
+        let holder = lead.holder(own);
+        let plan = HoldPlan { placement_no, pass, holder, holds, ordered_at: now, is_taken: false };
+        lead.set_plan(Plan::Hold(plan), now);
+        actions.push(Action::Note(RankNote::Holding { placement_no, pass, holder }));
+        actions.push(order_hold(own, holder, pass));
     }
 
-    fn step_arm(
+    fn step_hold(
         &mut self,
-        placement_no: PlacementNo,
-        pass: PassNo,
+        plan: HoldPlan,
         own: &RankReport,
         now: Moment,
         actions: &mut Vec<Action<A>>,
     ) {
-        let is_armed = self.finish.as_ref().is_none_or(Finish::is_armed);
+        let options = self.options;
+        let HoldPlan { placement_no, pass, holder, holds, .. } = plan;
         let Some(lead) = &mut self.lead else {
             return;
         };
 
-        if own.pass >= pass || (is_armed && own.held.is_none()) {
-            let held_for = now.saturating_sub(lead.since);
+        if own.placement == placement_no {
+            lead.set_plan(Plan::Idle, now);
+            actions.push(Action::Note(RankNote::InUse { placement_no, pass }));
+        } else if own.pass >= pass && holds < options.max_holds {
+            // The pass has begun without it, so it is tried once more; no two holds are ever under way.
+            self.hold(placement_no, holds + 1, own, now, actions);
+        } else if own.pass >= pass {
             lead.set_plan(Plan::Idle, now);
-            self.finish = None;
-            actions.push(Action::Note(RankNote::Released { placement_no, pass, held_for }));
+            let reason = "not all ready";
+            actions.push(Action::Note(RankNote::GivenUp { placement_no, reason }));
+        } else if !plan.is_taken && now >= plan.ordered_at + options.order_pause {
+            lead.plan = Plan::Hold(HoldPlan { ordered_at: now, ..plan });
+            actions.push(order_hold(own, holder, pass));
         }
     }
 }
 
-fn order_hold<A>(own: &RankReport, pass: PassNo) -> Action<A> {
+fn order_hold<A>(own: &RankReport, holder: Rank, pass: PassNo) -> Action<A> {
     let order = RankOrder { epoch: own.epoch, action: RankAction::Hold { pass } };
 
-    Action::Order { rank: own.rank, order }
+    Action::Order { rank: holder, order }
 }
--- a/grebedeck-experts/src/rollout/message.rs
+++ b/grebedeck-experts/src/rollout/message.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use grebedeck_core::Rank;
+use grebedeck_core::{Expert, Rank};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{GroupEpoch, PassNo, PlacementNo, RankReport};
@@ -46,8 +46,8 @@
         /// The placement.
         placement: Arc<Placement>,
     },
-    /// The pass is held, and every rank is to take the placement as it begins.
-    Arm {
+    /// A pass is to be held at one rank, whose node then brings all ranks to the placement.
+    Hold {
         /// The placement's number.
         placement_no: PlacementNo,
         /// The first pass with it.
@@ -57,6 +57,55 @@
     },
 }
 
+/// What the node beside the engine that holds a pass wants of the others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Changeover {
+    /// The leadership that wanted the pass held.
+    pub term: Term,
+    /// The group's formation.
+    pub epoch: GroupEpoch,
+    /// The holder's rank.
+    pub holder: Rank,
+    /// Drawn for each changeover, so that messages of an earlier life of the holder are recognised.
+    pub round: u64,
+    /// The pass that is held.
+    pub pass: PassNo,
+    /// How far it is.
+    pub step: ChangeoverStep,
+}
+
+/// How far a changeover is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChangeoverStep {
+    /// Each node is to say whether it is ready for a placement.
+    Ready {
+        /// The placement's number.
+        placement_no: PlacementNo,
+    },
+    /// Each node is to say what its engine says; the holder has lost its memory.
+    Recover,
+    /// Each rank is to be armed.
+    Arm {
+        /// The placement's number.
+        placement_no: PlacementNo,
+    },
+    /// It has ended.
+    Over,
+}
+
+/// A node's answer to a holder.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ChangeoverAnswer {
+    /// The changeover.
+    pub round: u64,
+    /// The pass that is held.
+    pub pass: PassNo,
+    /// Whether the node takes part.
+    pub accepts: bool,
+    /// What its engine says.
+    pub report: RankReport,
+}
+
 /// A node's state, as its leader needs it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Status {
@@ -66,8 +115,13 @@
     pub report: RankReport,
     /// A placement that its engine has refused to prepare.
     pub refused: Option<PlacementNo>,
+    /// Whether it takes part in a changeover.
+    pub is_engaged: bool,
 }
 
+/// Experts of one rank by set.
+pub type RankPart = Vec<Vec<Expert>>;
+
 /// A message between nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message<A> {
@@ -80,16 +134,22 @@
     },
     /// From a node to its leader.
     Status(Status),
-    /// Asks for a placement that the sender does not know.
-    AskPlacement {
+    /// From a holder to all.
+    Changeover(Changeover),
+    /// From a node to a holder.
+    Answer(ChangeoverAnswer),
+    /// From a leader that does not know the placement in use.
+    AskPart {
         /// The placement's number.
         placement_no: PlacementNo,
     },
-    /// A placement that was asked for.
-    Placement {
+    /// What a rank holds of a placement.
+    Part {
         /// The placement's number.
         placement_no: PlacementNo,
-        /// The placement.
-        placement: Arc<Placement>,
+        /// The rank.
+        rank: Rank,
+        /// Its experts.
+        part: RankPart,
     },
 }
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -1,5 +1,4 @@
-//! One node of a group: follows its leader, keeps its own rank's engine in step, and helps where the
-//! group stands still.
+//! One node of a group: follows its leader and keeps its own rank's engine in step.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -7,9 +6,11 @@
 
 use grebedeck_core::{Moment, Rank};
 
-use super::finish::Finish;
+use super::changeover::{Holding, HoldingAction};
 use super::lead::Lead;
-use super::message::{Directive, Message, Stage, Status, Term};
+use super::message::{
+    Changeover, ChangeoverAnswer, ChangeoverStep, Directive, Message, RankPart, Stage, Status, Term,
+};
 use crate::engine::{Armed, OrderEnd, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
 use crate::placement::Placement;
 
@@ -28,17 +29,20 @@
     pub order_pause: Duration,
     /// How long copying may take before a plan is given up: many times what the links need.
     pub prepare_limit: Duration,
-    /// How long a node has to arm its own rank before the leader does it: a few round trips.
+    /// How long nodes have to say that they are ready for a changeover: some round trips, and less than
+    /// the passes ahead take.
+    pub ready_limit: Duration,
+    /// How often a holder tells what it wants while answers are missing.
+    pub insist: Duration,
+    /// How long a node has to arm its own rank before the holder does it.
     pub help_after: Duration,
+    /// How long a holder waits for its leader's word on a hold that it sees.
+    pub hold_grace: Duration,
     /// Passes between the last one that has begun and the one that is held, which is the time to arm
     /// all ranks without a halt.
     pub passes_ahead: PassNo,
-    /// Standstill of a group with a held pass after which rank 0 finishes what it finds.
-    pub standstill: Duration,
-    /// What each further rank waits on top of that.
-    pub standstill_per_rank: Duration,
-    /// Standstill after which engines are looked at although no hold is known of.
-    pub unexplained_standstill: Duration,
+    /// Holds that are tried for one placement before it is given up.
+    pub max_holds: u32,
 }
 
 impl Default for NodeOptions {
@@ -50,11 +54,12 @@
             status_lifetime: Duration::from_millis(700),
             order_pause: Duration::from_millis(100),
             prepare_limit: Duration::from_secs(4),
-            help_after: Duration::from_millis(60),
-            passes_ahead: 2,
-            standstill: Duration::from_millis(250),
-            standstill_per_rank: Duration::from_millis(40),
-            unexplained_standstill: Duration::from_millis(1200),
+            ready_limit: Duration::from_millis(80),
+            insist: Duration::from_millis(25),
+            help_after: Duration::from_millis(80),
+            hold_grace: Duration::from_millis(100),
+            passes_ahead: 3,
+            max_holds: 3,
         }
     }
 }
@@ -81,6 +86,8 @@
         /// The rank.
         rank: Rank,
     },
+    /// Read which experts the own engine holds.
+    ReadPart,
     /// Something that operators may want to know.
     Note(RankNote),
 }
@@ -94,28 +101,21 @@
     Follows(Term),
     /// The group has formed anew; all plans are void.
     NewEpoch(u64),
-    /// All ranks have copied a placement's weights; the pass is to be held.
+    /// All ranks have copied a placement's weights; a pass is to be held.
     Holding {
         /// The placement.
         placement_no: PlacementNo,
         /// The pass.
         pass: PassNo,
+        /// The rank whose engine holds it.
+        holder: Rank,
     },
-    /// The pass is held; every rank is to be armed.
-    Arming {
+    /// The placement is in use.
+    InUse {
         /// The placement.
         placement_no: PlacementNo,
-        /// The pass.
-        pass: PassNo,
-    },
-    /// Every rank is armed and the pass was let go.
-    Released {
-        /// The placement.
-        placement_no: PlacementNo,
-        /// The pass.
+        /// The first pass with it.
         pass: PassNo,
-        /// Time since it was held.
-        held_for: Duration,
     },
     /// A plan was given up before any rank was armed.
     GivenUp {
@@ -124,20 +124,32 @@
         /// Why.
         reason: &'static str,
     },
-    /// The group stood still, and the node finishes what it found.
-    Standstill {
-        /// The pass that does not begin.
+    /// The own engine holds a pass that the node has no memory of.
+    Recovers {
+        /// The pass.
         pass: PassNo,
-        /// The placement that ranks are armed for, if any.
+    },
+    /// A held pass was let go.
+    Released {
+        /// The pass.
+        pass: PassNo,
+        /// The placement that every rank was armed for, if any.
         placement_no: Option<PlacementNo>,
+        /// Time since all were asked.
+        held_for: Duration,
     },
 }
 
-/// The reading of all engines of a group that stands still.
-#[derive(Clone, Debug, Default)]
-struct Survey {
-    asked_at: Option<Moment>,
-    reports: BTreeMap<Rank, RankReport>,
+/// A changeover that a node takes part in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Engaged {
+    holder: Rank,
+    round: u64,
+    pass: PassNo,
+    armed: Option<PlacementNo>,
+    heard_at: Moment,
+    /// Own reports that must still come before the holder gets an answer.
+    reports_due: u8,
 }
 
 /// One node.
@@ -154,22 +166,34 @@
     heard_at: Moment,
     directive: Option<Directive>,
     refused: Option<PlacementNo>,
-    ordered_at: Option<(PlacementNo, Moment)>,
+    ordered: Option<(RankOrder, Moment)>,
     told_at: Option<Moment>,
     told: Option<Status>,
-    pass_at: Moment,
-    survey: Survey,
-    pub(super) finish: Option<Finish>,
+    engaged: Option<Engaged>,
+    holding: Option<Holding>,
+    /// When a hold was first seen that the node has no changeover for.
+    held_since: Option<Moment>,
+    /// The last pass that the node has let go.
+    released: Option<PassNo>,
+    /// Whether the own engine was seen without a hold since the node started.
+    saw_unheld: bool,
+    /// Drawn at the start of the process; rounds are counted from it.
+    next_round: u64,
     placements: BTreeMap<PlacementNo, Arc<Placement>>,
-    asked_placement_at: Option<Moment>,
+    parts: BTreeMap<Rank, RankPart>,
+    parts_of: PlacementNo,
+    asked_parts_at: Option<Moment>,
 }
 
 /// Placements that a node remembers: the one in use, the one before it, and one that was given up.
 const KEPT_PLACEMENTS: usize = 4;
+/// Own reports that come before a node answers a holder without memory: the first may have been asked
+/// for before an order that was just given.
+const REPORTS_BEFORE_ANSWER: u8 = 2;
 
 impl<A: Clone + PartialEq> Node<A> {
-    /// Makes a node that knows nothing of its group.
-    pub fn new(own_address: A, now: Moment, options: NodeOptions) -> Self {
+    /// Makes a node that knows nothing of its group; `life` is drawn for each start of the process.
+    pub fn new(own_address: A, life: u64, now: Moment, options: NodeOptions) -> Self {
         Node {
             options,
             own_address,
@@ -182,14 +206,19 @@
             heard_at: now,
             directive: None,
             refused: None,
-            ordered_at: None,
+            ordered: None,
             told_at: None,
             told: None,
-            pass_at: now,
-            survey: Survey::default(),
-            finish: None,
+            engaged: None,
+            holding: None,
+            held_since: None,
+            released: None,
+            saw_unheld: false,
+            next_round: life,
             placements: BTreeMap::new(),
-            asked_placement_at: None,
+            parts: BTreeMap::new(),
+            parts_of: 0,
+            asked_parts_at: None,
         }
     }
 
@@ -236,7 +265,7 @@
         let has_plan = self.directive.as_ref().is_some_and(|d| d.stage != Stage::Idle);
         let is_bound = self.report.as_ref().is_some_and(|r| r.armed.is_some() || r.held.is_some());
 
-        has_plan || is_bound || self.finish.is_some()
+        has_plan || is_bound || self.engaged.is_some() || self.holding.is_some()
     }
 
     /// Gets the placement in use, where the node knows it.
@@ -260,16 +289,23 @@
         }
     }
 
+    /// Takes in which experts the own engine holds of a placement.
+    pub fn on_own_part(&mut self, placement_no: PlacementNo, part: RankPart) {
+        if let Some(rank) = self.report.as_ref().map(|r| r.rank) {
+            self.take_part(placement_no, rank, part);
+        }
+    }
+
     /// Takes in what a rank's engine says, the node's own or one that it asked.
     pub fn on_report(&mut self, report: RankReport, now: Moment) -> Vec<Action<A>> {
         let mut actions = Vec::new();
 
-        if let Some(finish) = &mut self.finish {
-            finish.note(&report);
+        if let Some(holding) = &mut self.holding {
+            holding.note_report(report.clone());
         }
 
         match &self.report {
-            Some(own) if own.rank != report.rank => self.note_survey(report),
+            Some(own) if own.rank != report.rank => {}
             _ => self.take_own_report(report, now, &mut actions),
         }
 
@@ -286,15 +322,12 @@
                 self.take_directive(from, directive, roster, now, &mut actions);
             }
             Message::Status(status) => self.take_status(from, status, now, &mut actions),
-            Message::AskPlacement { placement_no } => {
-                if let Some(placement) = self.placements.get(&placement_no).cloned() {
-                    let message = Message::Placement { placement_no, placement };
-                    actions.push(Action::Send { to: from, message });
-                }
-            }
-            Message::Placement { placement_no, placement } => {
-                self.keep_placement(placement_no, placement);
+            Message::Changeover(changeover) => {
+                self.take_changeover(from, changeover, now, &mut actions);
             }
+            Message::Answer(answer) => self.take_answer(from, answer, now, &mut actions),
+            Message::AskPart { placement_no } => self.send_part(from, placement_no, &mut actions),
+            Message::Part { placement_no, rank, part } => self.take_part(placement_no, rank, part),
         }
 
         self.step(now, &mut actions);
@@ -302,7 +335,7 @@
     }
 
     /// Takes in what became of an order.
-    pub fn on_order(&mut self, rank: Rank, order: &RankOrder, end: OrderEnd, now: Moment) {
+    pub fn on_order(&mut self, rank: Rank, order: &RankOrder, end: OrderEnd) {
         let is_own = self.report.as_ref().is_some_and(|r| r.rank == rank);
 
         if let (true, RankAction::Prepare { placement_no, .. }, OrderEnd::Refused) =
@@ -312,13 +345,10 @@
             self.told_at = None;
         }
 
-        if end == OrderEnd::Unknown {
-            return;
-        }
-
-        // What was answered need not wait for its pause before it is given again.
-        if is_own {
-            self.ordered_at = self.ordered_at.map(|(no, _)| (no, now));
+        if let (Some(lead), RankAction::Hold { pass }, OrderEnd::Taken) =
+            (&mut self.lead, &order.action, end)
+        {
+            lead.note_held(*pass);
         }
     }
 
@@ -336,15 +366,15 @@
         };
 
         if report.is_open {
-            self.follow(&report, now, actions);
-            self.watch_standstill(&report, now, actions);
-            self.step_finish(&report, now, actions);
+            self.prepare(&report, now, actions);
+            self.step_engaged(&report, now, actions);
+            self.step_holding(&report, now, actions);
         }
 
         self.claim(&report, now, actions);
         self.step_lead(&report, now, actions);
         self.tell_status(&report, now, actions);
-        self.ask_placement(&report, now, actions);
+        self.ask_parts(&report, now, actions);
     }
 
     fn take_own_report(&mut self, report: RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
@@ -356,20 +386,17 @@
             self.heard_at = now;
         }
 
-        if before.as_ref().is_none_or(|b| b.pass != report.pass) || is_new_epoch {
-            self.pass_at = now;
-        }
-
-        if report.running + report.waiting == 0 {
-            // A group without requests makes no passes.
-            self.pass_at = now;
-        }
-
         if is_new_epoch || !report.is_open {
             self.forget_plans(&report, is_new_epoch, actions);
         }
 
+        if report.held.is_none() {
+            self.saw_unheld = true;
+            self.held_since = None;
+        }
+
         self.roster.insert(report.rank, self.own_address.clone());
+        self.answer_after_report(&report, actions);
     }
 
     /// Drops all that the engines have forgotten.
@@ -380,10 +407,11 @@
         actions: &mut Vec<Action<A>>,
     ) {
         self.directive = None;
-        self.finish = None;
+        self.engaged = None;
+        self.holding = None;
+        self.released = None;
         self.refused = None;
-        self.ordered_at = None;
-        self.survey = Survey::default();
+        self.ordered = None;
 
         if let Some(lead) = &mut self.lead {
             lead.forget_plan();
@@ -392,6 +420,7 @@
         if is_new_epoch {
             // Ranks may have changed their places.
             self.roster.clear();
+            self.saw_unheld = true;
             actions.push(Action::Note(RankNote::NewEpoch(report.epoch)));
         }
     }
@@ -411,8 +440,7 @@
         }
 
         if directive.term > self.promised {
-            self.step_down(directive.term);
-            actions.push(Action::Note(RankNote::Follows(directive.term)));
+            self.follow(directive.term, actions);
         }
 
         self.leader = Some(from);
@@ -431,17 +459,12 @@
         }
     }
 
-    /// Follows a later leadership. A plan that some rank may be armed for is still finished, since the
-    /// later leader waits for that; one that nobody is armed for is dropped.
-    fn step_down(&mut self, term: Term) {
-        let own = self.report.as_ref().map_or(0, |r| r.rank);
-        let was_leading = self.lead.take().is_some();
+    /// Follows a later leadership.
+    fn follow(&mut self, term: Term, actions: &mut Vec<Action<A>>) {
         self.promised = term;
+        self.lead = None;
         self.directive = None;
-
-        if was_leading && self.finish.as_ref().is_some_and(|f| !f.may_be_armed_beside(own)) {
-            self.finish = None;
-        }
+        actions.push(Action::Note(RankNote::Follows(term)));
     }
 
     fn take_status(&mut self, from: A, status: Status, now: Moment, actions: &mut Vec<Action<A>>) {
@@ -449,17 +472,12 @@
 
         if is_same_epoch {
             self.roster.insert(status.report.rank, from);
-
-            if let Some(finish) = &mut self.finish {
-                finish.note(&status.report);
-            }
         }
 
         if status.promised > self.promised {
-            self.step_down(status.promised);
+            self.follow(status.promised, actions);
             self.leader = None;
             self.heard_at = now;
-            actions.push(Action::Note(RankNote::Follows(status.promised)));
         }
 
         if let Some(lead) = &mut self.lead {
@@ -467,191 +485,311 @@
         }
     }
 
-    /// Does for the own rank what the leader wants.
-    fn follow(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        let Some(directive) = &self.directive else {
+    /// Has the own engine copy what the leader wants.
+    fn prepare(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
+        let Some(Directive { epoch, stage: Stage::Prepare { placement_no, placement }, .. }) =
+            &self.directive
+        else {
             return;
         };
 
-        if directive.epoch != report.epoch {
+        let is_done = *epoch != report.epoch
+            || report.prepared == Some(*placement_no)
+            || report.placement >= *placement_no
+            || self.refused == Some(*placement_no);
+
+        if !is_done {
+            let (placement_no, placement) = (*placement_no, placement.clone());
+            let action = RankAction::Prepare { placement_no, placement };
+            self.order_own(report, action, now, actions);
+        }
+    }
+
+    /// Gives the own engine an order, unless the same one was given a moment ago.
+    fn order_own(
+        &mut self,
+        report: &RankReport,
+        action: RankAction,
+        now: Moment,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let order = RankOrder { epoch: report.epoch, action };
+        let pause = self.options.order_pause;
+        let is_due = self.ordered.as_ref().is_none_or(|(o, at)| *o != order || now >= *at + pause);
+
+        if is_due {
+            self.ordered = Some((order.clone(), now));
+            actions.push(Action::Order { rank: report.rank, order });
+        }
+    }
+
+    fn take_changeover(
+        &mut self,
+        from: A,
+        changeover: Changeover,
+        now: Moment,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let Some(report) = self.report.clone() else {
+            return;
+        };
+
+        if changeover.epoch != report.epoch || !report.is_open {
             return;
         }
 
-        let (placement_no, action) = match &directive.stage {
-            Stage::Idle => return,
-            Stage::Prepare { placement_no, placement } => {
-                let is_done = report.prepared == Some(*placement_no)
-                    || report.placement >= *placement_no
-                    || self.refused == Some(*placement_no);
+        self.roster.insert(changeover.holder, from.clone());
+        let is_same = self.engaged.is_some_and(|e| e.round == changeover.round);
+
+        match changeover.step {
+            ChangeoverStep::Ready { placement_no } => {
+                let accepts = is_same || self.is_ready(&report, &changeover, placement_no);
 
-                if is_done {
-                    return;
+                // The pass is held, so the order that a leader may still wait for was taken.
+                if let Some(lead) = &mut self.lead {
+                    lead.note_held(changeover.pass);
                 }
 
-                let placement = placement.clone();
-                (*placement_no, RankAction::Prepare { placement_no: *placement_no, placement })
-            }
-            Stage::Arm { placement_no, pass, .. } => {
-                let target = Armed { placement_no: *placement_no, pass: *pass };
-                let is_done = report.armed == Some(target)
-                    || report.placement == *placement_no
-                    || report.pass >= *pass;
-
-                if is_done || self.waits_for_others(report.rank) {
-                    return;
+                if accepts && !is_same {
+                    self.promised = self.promised.max(changeover.term);
+                    self.engage(&changeover, 0, now);
                 }
 
-                (*placement_no, RankAction::Arm { placement_no: *placement_no, pass: *pass })
+                self.send_answer(from, &changeover, accepts, actions);
             }
-        };
-
-        // Arming is another order for the same placement, and must not wait for the pause.
-        let key = placement_no * 2 + u64::from(matches!(action, RankAction::Arm { .. }));
-        let pause = self.options.order_pause;
-        let is_due = self.ordered_at.is_none_or(|(no, at)| no != key || now >= at + pause);
-
-        if is_due {
-            self.ordered_at = Some((key, now));
-            let order = RankOrder { epoch: report.epoch, action };
-            actions.push(Action::Order { rank: report.rank, order });
+            ChangeoverStep::Recover => {
+                if !is_same && changeover.pass > report.pass {
+                    self.engage(&changeover, REPORTS_BEFORE_ANSWER, now);
+                }
+            }
+            ChangeoverStep::Arm { placement_no } => {
+                if let Some(engaged) = self.engaged.as_mut().filter(|_| is_same) {
+                    engaged.armed = Some(placement_no);
+                    engaged.heard_at = now;
+                    self.send_answer(from, &changeover, true, actions);
+                }
+            }
+            ChangeoverStep::Over if is_same => self.engaged = None,
+            ChangeoverStep::Over => {}
         }
     }
 
-    /// Tells whether a leader has to wait with its own rank: it comes last, so that a leader that nobody
-    /// follows any more has armed none.
-    fn waits_for_others(&self, own: Rank) -> bool {
-        let others_missing = |f: &Finish| f.missing().any(|rank| rank != own);
+    /// Tells whether the node takes part in a changeover to a placement.
+    fn is_ready(
+        &self,
+        report: &RankReport,
+        changeover: &Changeover,
+        placement_no: PlacementNo,
+    ) -> bool {
+        changeover.term >= self.promised
+            && changeover.pass > report.pass
+            && self.is_free_for(report, placement_no)
+    }
 
-        self.lead.is_some() && self.finish.as_ref().is_some_and(others_missing)
+    /// Tells whether the own rank can be brought to a placement, and takes part in nothing else.
+    fn is_free_for(&self, report: &RankReport, placement_no: PlacementNo) -> bool {
+        report.prepared == Some(placement_no)
+            && report.armed.is_none()
+            && self.engaged.is_none()
+            && self.holding.is_none()
     }
 
-    /// Reads all engines when the group stands still while something is held, or for no known reason.
-    fn watch_standstill(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        let still_for = now.saturating_sub(self.pass_at);
-        let is_bound = report.armed.is_some() || report.held.is_some();
-        let first = if is_bound || self.has_arm_directive() {
-            self.options.standstill
-        } else {
-            self.options.unexplained_standstill
-        };
-        let limit = first + self.options.standstill_per_rank * u32::from(report.rank);
+    fn engage(&mut self, changeover: &Changeover, reports_due: u8, now: Moment) {
+        let Changeover { holder, round, pass, .. } = *changeover;
+        self.engaged =
+            Some(Engaged { holder, round, pass, armed: None, heard_at: now, reports_due });
+    }
 
-        if still_for < limit || self.finish.is_some() {
+    fn send_answer(
+        &self,
+        to: A,
+        changeover: &Changeover,
+        accepts: bool,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let Some(report) = self.report.clone() else {
             return;
-        }
+        };
+        let Changeover { round, pass, .. } = *changeover;
+        let message = Message::Answer(ChangeoverAnswer { round, pass, accepts, report });
+        actions.push(Action::Send { to, message });
+    }
 
-        if self.survey.reports.len() + 1 == usize::from(report.size) {
-            self.judge_survey(report, now, actions);
+    /// Answers the holder of the changeover that the node takes part in.
+    fn answer_holder(&self, report: &RankReport, actions: &mut Vec<Action<A>>) {
+        let Some(Engaged { holder, round, pass, .. }) = self.engaged else {
             return;
-        }
-
-        let pause = self.options.status_lifetime;
+        };
 
-        if self.survey.asked_at.is_none_or(|at| now >= at + pause) {
-            self.survey.asked_at = Some(now);
-            self.survey.reports.clear();
-            let others = (0..report.size).filter(|rank| *rank != report.rank);
-            actions.extend(others.map(|rank| Action::Ask { rank }));
+        if let Some(to) = self.roster.get(&holder).cloned() {
+            let report = report.clone();
+            let answer = ChangeoverAnswer { round, pass, accepts: true, report };
+            actions.push(Action::Send { to, message: Message::Answer(answer) });
         }
     }
 
-    fn has_arm_directive(&self) -> bool {
-        matches!(self.directive.as_ref().map(|d| &d.stage), Some(Stage::Arm { .. }))
-    }
+    /// Tells the holder what the own engine says, as soon as it says what the holder waits for.
+    fn answer_after_report(&mut self, report: &RankReport, actions: &mut Vec<Action<A>>) {
+        let Some(engaged) = &mut self.engaged else {
+            return;
+        };
 
-    fn note_survey(&mut self, report: RankReport) {
-        let is_same_epoch = self.report.as_ref().is_some_and(|r| r.epoch == report.epoch);
+        if engaged.reports_due > 0 {
+            engaged.reports_due -= 1;
 
-        if self.survey.asked_at.is_some() && is_same_epoch {
-            self.survey.reports.insert(report.rank, report);
+            if engaged.reports_due == 0 {
+                self.answer_holder(report, actions);
+            }
+        } else if engaged.armed.is_some() && report.armed.is_some() {
+            self.answer_holder(report, actions);
         }
     }
 
-    /// Finishes what a survey has shown.
-    fn judge_survey(&mut self, own: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        let mut reports: Vec<RankReport> =
-            std::mem::take(&mut self.survey.reports).into_values().collect();
-        reports.push(own.clone());
-        let next = own.pass + 1;
-        let is_still = reports.iter().all(|r| r.pass == own.pass && r.is_open);
-        let holders: Vec<Rank> =
-            reports.iter().filter(|r| r.held == Some(next)).map(|r| r.rank).collect();
-
-        if !is_still || holders.is_empty() {
+    /// Arms the own rank where the holder wants it, and asks a holder that has gone silent.
+    fn step_engaged(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
+        let Some(engaged) = self.engaged else {
             return;
-        }
-
-        // Whoever is armed for the held pass shows what all the others have to be armed for.
-        let armed = reports.iter().filter_map(|r| r.armed).find(|a| a.pass == next);
-        let placement_no = armed.map(|a| a.placement_no);
+        };
 
-        if let Some(target) = armed {
-            let mut finish = Finish::new(own.epoch, own.size, target, holders[0]);
-            reports.iter().for_each(|report| finish.note(report));
-            self.finish = Some(finish);
-        } else if self.may_clear(next, now) {
-            let release = |rank: Rank| {
-                let order =
-                    RankOrder { epoch: own.epoch, action: RankAction::Release { pass: next } };
-                Action::Order { rank, order }
-            };
-            actions.extend(holders.into_iter().map(release));
-        } else {
+        if report.pass >= engaged.pass {
+            self.engaged = None;
             return;
         }
 
-        actions.push(Action::Note(RankNote::Standstill { pass: next, placement_no }));
-    }
+        if let Some(placement_no) = engaged.armed {
+            let target = Armed { placement_no, pass: engaged.pass };
 
-    /// Tells whether a hold that nobody is armed for may be let go: only a leader knows that nobody
-    /// will be, as its nodes refuse what earlier leaders wanted.
-    fn may_clear(&self, pass: PassNo, now: Moment) -> bool {
-        let is_clear = |l: &Lead| !l.wants_held(pass) && l.follows_alive(now, &self.options);
+            if report.armed != Some(target) {
+                let action = RankAction::Arm { placement_no, pass: engaged.pass };
+                self.order_own(report, action, now, actions);
+            }
+        }
 
-        self.lead.as_ref().is_some_and(is_clear)
+        if engaged.reports_due == 0 && now >= engaged.heard_at + self.options.period {
+            self.engaged = Some(Engaged { heard_at: now, ..engaged });
+            self.answer_holder(report, actions);
+        }
     }
 
-    /// Arms what is missing for a held pass, and lets it go when every rank is armed.
-    fn step_finish(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        let is_leading = self.lead.is_some();
-        let pause = self.options.order_pause;
-        let Some(finish) = &mut self.finish else {
+    fn take_answer(
+        &mut self,
+        from: A,
+        answer: ChangeoverAnswer,
+        now: Moment,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let Some(report) = self.report.clone() else {
             return;
         };
 
-        if report.pass >= finish.target.pass {
-            self.finish = None;
+        if report.epoch != answer.report.epoch {
             return;
         }
 
-        if finish.is_armed() {
-            let release = finish.release();
-            let holders: Vec<Rank> = finish.holders().collect();
+        self.roster.insert(answer.report.rank, from.clone());
 
-            for rank in holders {
-                if finish.order_again(rank, now, pause) {
-                    actions.push(Action::Order { rank, order: release.clone() });
-                }
+        match &mut self.holding {
+            Some(holding) if holding.round() == answer.round => {
+                holding.note_answer(answer.accepts, answer.report, now);
+            }
+            // The node takes part in a changeover that has ended.
+            _ if report.held != Some(answer.pass) => {
+                let over = Changeover {
+                    term: self.promised,
+                    epoch: report.epoch,
+                    holder: report.rank,
+                    round: answer.round,
+                    pass: answer.pass,
+                    step: ChangeoverStep::Over,
+                };
+                actions.push(Action::Send { to: from, message: Message::Changeover(over) });
             }
+            _ => {}
+        }
+    }
 
+    /// Does what the node beside the engine that holds a pass has to do.
+    fn step_holding(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
+        self.begin_holding(report, now, actions);
+        let Some(mut holding) = self.holding.take() else {
             return;
+        };
+        let is_over = report.pass >= holding.pass()
+            || (!holding.is_arming() && report.held != Some(holding.pass()));
+
+        for action in holding.step(now, &self.options) {
+            match action {
+                HoldingAction::Tell(changeover) => self.tell_others(changeover, actions),
+                // What was wanted of engines is void once the pass has begun.
+                _ if is_over => {}
+                HoldingAction::Order(rank, order) => actions.push(Action::Order { rank, order }),
+                HoldingAction::Ask(rank) => actions.push(Action::Ask { rank }),
+            }
         }
 
-        // A leader gives the nodes some time to arm their own ranks, which costs nothing.
-        if is_leading && !self.lead.as_ref().is_some_and(|l| l.may_help(now, &self.options)) {
+        if is_over {
+            self.released = Some(holding.pass());
+            let note = RankNote::Released {
+                pass: holding.pass(),
+                placement_no: report.armed.map(|a| a.placement_no),
+                held_for: now.saturating_sub(holding.since()),
+            };
+            actions.push(Action::Note(note));
+        } else {
+            self.holding = Some(holding);
+        }
+    }
+
+    fn begin_holding(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
+        let Some(pass) = report.held.filter(|pass| *pass > report.pass) else {
+            return;
+        };
+
+        if self.holding.is_some() {
             return;
         }
 
-        let missing: Vec<Rank> = finish.missing().collect();
+        let held_since = *self.held_since.get_or_insert(now);
+        let round = self.next_round;
+        let term = self.promised;
 
-        for rank in missing {
-            if finish.order_again(rank, now, pause) {
-                actions.push(Action::Order { rank, order: finish.arm() });
+        self.holding = match self.wanted_hold(report) {
+            Some((wanted, placement_no))
+                if wanted == pass && self.is_free_for(report, placement_no) =>
+            {
+                Some(Holding::new(report, term, placement_no, pass, round, now))
+            }
+            // An order that was given again holds a pass once more that is decided already.
+            _ if self.released == Some(pass) => {
+                Some(Holding::release(report, term, pass, round, now))
+            }
+            _ if now < held_since + self.options.hold_grace => return,
+            // The hold came after the node had seen none, so no changeover of an earlier life is behind
+            // it, and nobody is armed.
+            _ if self.saw_unheld => Some(Holding::release(report, term, pass, round, now)),
+            _ => {
+                actions.push(Action::Note(RankNote::Recovers { pass }));
+                Some(Holding::recover(report, term, pass, round, now))
+            }
+        };
+        self.next_round = self.next_round.wrapping_add(1);
+        self.held_since = None;
+    }
 
-                if rank != report.rank {
-                    actions.push(Action::Ask { rank });
-                }
+    /// Gets the pass that the leader wants held at the own engine, and for what.
+    fn wanted_hold(&self, report: &RankReport) -> Option<(PassNo, PlacementNo)> {
+        match &self.directive.as_ref()?.stage {
+            Stage::Hold { placement_no, pass, holder } if *holder == report.rank => {
+                Some((*pass, *placement_no))
             }
+            _ => None,
+        }
+    }
+
+    fn tell_others(&self, changeover: Changeover, actions: &mut Vec<Action<A>>) {
+        for to in self.roster.values().filter(|a| **a != self.own_address) {
+            let message = Message::Changeover(changeover.clone());
+            actions.push(Action::Send { to: to.clone(), message });
         }
     }
 
@@ -704,23 +842,63 @@
     }
 
     fn status(&self, report: &RankReport) -> Status {
-        Status { promised: self.promised, report: report.clone(), refused: self.refused }
+        Status {
+            promised: self.promised,
+            report: report.clone(),
+            refused: self.refused,
+            is_engaged: self.engaged.is_some() || self.holding.is_some(),
+        }
     }
 
-    /// Asks another node for the placement in use, where a leader does not know it.
-    fn ask_placement(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
+    /// Asks all nodes what they hold, where a leader does not know the placement in use.
+    fn ask_parts(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
         let is_known = self.placements.contains_key(&report.placement);
-        let pause = self.options.status_lifetime;
-        let is_due = self.asked_placement_at.is_none_or(|at| now >= at + pause);
+        let period = self.options.period;
+        let is_due = self.asked_parts_at.is_none_or(|at| now >= at + period);
 
         if self.lead.is_none() || is_known || !is_due {
             return;
         }
 
-        self.asked_placement_at = Some(now);
-        let message = Message::AskPlacement { placement_no: report.placement };
-        let to_other = |to: &A| Action::Send { to: to.clone(), message: message.clone() };
-        actions.extend(self.roster.values().filter(|a| **a != self.own_address).map(to_other));
+        self.asked_parts_at = Some(now);
+        actions.push(Action::ReadPart);
+
+        for to in self.roster.values().filter(|a| **a != self.own_address) {
+            let message = Message::AskPart { placement_no: report.placement };
+            actions.push(Action::Send { to: to.clone(), message });
+        }
+    }
+
+    fn send_part(&mut self, to: A, placement_no: PlacementNo, actions: &mut Vec<Action<A>>) {
+        let Some(rank) = self.report.as_ref().map(|r| r.rank) else {
+            return;
+        };
+        let known = self.placements.get(&placement_no);
+        let from_placement = || known.map(|p| p.part_of(rank));
+        let from_engine = || self.parts.get(&rank).filter(|_| self.parts_of == placement_no);
+
+        match from_placement().or_else(|| from_engine().cloned()) {
+            Some(part) => {
+                let message = Message::Part { placement_no, rank, part };
+                actions.push(Action::Send { to, message });
+            }
+            None => actions.push(Action::ReadPart),
+        }
+    }
+
+    fn take_part(&mut self, placement_no: PlacementNo, rank: Rank, part: RankPart) {
+        if self.parts_of != placement_no {
+            self.parts.clear();
+            self.parts_of = placement_no;
+        }
+
+        self.parts.insert(rank, part);
+        let size = self.report.as_ref().map_or(0, |r| usize::from(r.size));
+
+        if size > 0 && self.parts.len() == size && !self.placements.contains_key(&placement_no) {
+            let placement = Placement::from_parts(self.parts.values());
+            self.keep_placement(placement_no, Arc::new(placement));
+        }
     }
 
     /// Sends the leader's message to all nodes that are known, and takes it itself.
@@ -745,7 +923,8 @@
 fn differs(told: &Status, now: &Status) -> bool {
     let key = |s: &Status| {
         let r = &s.report;
-        (s.promised, s.refused, r.epoch, r.is_open, r.placement, r.prepared, r.armed, r.held)
+        let bound = (r.placement, r.prepared, r.armed, r.held);
+        (s.promised, s.refused, s.is_engaged, r.epoch, r.is_open, bound)
     };
 
     key(told) != key(now)
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -12,7 +12,8 @@
 use futures::{FutureExt, StreamExt};
 use grebedeck_core::{Moment, Rank, Result};
 use grebedeck_experts::balancer::CountDelta;
-use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote};
+use grebedeck_experts::engine::PlacementNo;
+use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote, RankPart};
 use grebedeck_experts::{OrderEnd, RankCounts, RankEngine, RankOrder, RankReport};
 use grebedeck_gateway::{SiteStore, TargetEntry};
 use grebedeck_kernel::{Clock, log};
@@ -31,6 +32,7 @@
     Asked(Result<RankReport>),
     Counts(Result<RankCounts>),
     Ordered { rank: Rank, order: RankOrder, end: OrderEnd },
+    Part(Result<(PlacementNo, RankPart)>),
     Listed(Result<Vec<TargetEntry>>),
     Site(Result<Option<grebedeck_gateway::Site>>),
 }
@@ -79,7 +81,8 @@
         let clock = Clock::default();
         let now = clock.now();
         let socket = UdpSocket::bind((settings.ip, settings.group_port)).await?;
-        let node = Node::new(settings.target_address, now, NodeOptions::default());
+        let life = rand::random();
+        let node = Node::new(settings.target_address, life, now, NodeOptions::default());
         let balance = Balance::new(settings.balance, &settings.service);
 
         Ok(Driver {
@@ -255,8 +258,14 @@
                     self.report_counts(counts).await;
                 }
             }
+            Outcome::Part(part) => match part {
+                Ok((placement_no, part)) => self.node.on_own_part(placement_no, part),
+                Err(error) => {
+                    log::warn!("experts not read", kv: { error = error.to_string() });
+                }
+            },
             Outcome::Ordered { rank, order, end } => {
-                self.node.on_order(rank, &order, end, now);
+                self.node.on_order(rank, &order, end);
                 // What the order changed shows in the engine's own words.
                 self.report_due = match self.report_due {
                     Due::At(_) => Due::At(now),
@@ -333,6 +342,9 @@
                 Action::Send { to, message } => self.send(to, Body::Rollout(message)).await,
                 Action::Order { rank, order } => self.order(rank, order),
                 Action::Ask { rank } => self.ask(rank),
+                Action::ReadPart => {
+                    self.call(|engine| async move { Outcome::Part(engine.part().await) });
+                }
                 Action::Note(note) => {
                     if matches!(note, RankNote::NewEpoch(_)) {
                         self.balance.restart();
@@ -417,22 +429,19 @@
             log::info!("follows a leader", kv: { round = term.round, rank = term.rank });
         }
         RankNote::NewEpoch(epoch) => log::info!("group formed", kv: { epoch }),
-        RankNote::Holding { placement_no, pass } => {
-            log::info!("pass to be held", kv: { placement_no, pass });
-        }
-        RankNote::Arming { placement_no, pass } => {
-            log::info!("ranks to be armed", kv: { placement_no, pass });
+        RankNote::Holding { placement_no, pass, holder } => {
+            log::info!("pass to be held", kv: { placement_no, pass, holder });
         }
-        RankNote::Released { placement_no, pass, held_for } => {
-            let held_ms = held_for.as_millis() as u64;
-            log::info!("placement in force", kv: { placement_no, pass, held_ms });
+        RankNote::InUse { placement_no, pass } => {
+            log::info!("placement in use", kv: { placement_no, pass });
         }
         RankNote::GivenUp { placement_no, reason } => {
             log::warn!("placement given up", kv: { placement_no, reason });
         }
-        RankNote::Standstill { pass, placement_no } => {
-            let placement_no = placement_no.unwrap_or(0);
-            log::warn!("standstill", kv: { pass, placement_no });
+        RankNote::Recovers { pass } => log::warn!("held pass found", kv: { pass }),
+        RankNote::Released { pass, placement_no, held_for } => {
+            let (held_ms, armed_no) = (held_for.as_millis() as u64, placement_no.unwrap_or(0));
+            log::info!("pass let go", kv: { pass, armed_no, held_ms });
         }
     }
 }
