--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -195,6 +195,14 @@
         self.known.values().map(|k| &k.entry)
     }
 
+    /// Gets all targets that the list holds, with the store's versions of them.
+    pub fn listed(&self) -> Vec<ListedTarget> {
+        let listed = |k: &Known| ListedTarget { version: k.version, entry: (*k.entry).clone() };
+        let held = self.known.values().filter(|k| k.lapses_at.is_none());
+
+        held.map(listed).collect()
+    }
+
     /// Gets the version of the store up to which the list is known.
     pub fn version(&self) -> StoreVersion {
         self.version
--- a/grebedeck-kernel/src/lib.rs
+++ b/grebedeck-kernel/src/lib.rs
@@ -14,4 +14,4 @@
 
 pub use clock::Clock;
 pub use kernel::{Kernel, Service};
-pub use metrics::{Counter, Metrics};
+pub use metrics::{Counter, Histogram, Metrics};
--- a/grebedeck-kernel/src/metrics.rs
+++ b/grebedeck-kernel/src/metrics.rs
@@ -1,4 +1,6 @@
-//! Counters, exposed in the text form that scrapers read.
+//! Counters and histograms, exposed in the text form that scrapers read.
+
+use std::time::Duration;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::MeterProvider;
@@ -19,6 +21,17 @@
     label: &'static str,
 }
 
+/// A histogram of times with one optional label.
+#[derive(Clone)]
+pub struct Histogram {
+    histogram: opentelemetry::metrics::Histogram<f64>,
+    label: &'static str,
+}
+
+/// Upper bounds of the histograms' buckets, in seconds: from a hop within a hall to the longest deadline.
+const BOUNDS_S: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.08, 0.12, 0.25, 0.4, 0.8, 1.6, 3.2, 8.0];
+
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
@@ -41,6 +54,23 @@
         Counter { counter, label }
     }
 
+    /// Makes a histogram of times in seconds, told apart by `label`.
+    pub fn histogram(
+        &self,
+        name: &'static str,
+        label: &'static str,
+        help: &'static str,
+    ) -> Histogram {
+        let meter = self.provider.meter("grebedeck");
+        let histogram = meter
+            .f64_histogram(name)
+            .with_description(help)
+            .with_boundaries(BOUNDS_S.to_vec())
+            .build();
+
+        Histogram { histogram, label }
+    }
+
     /// Adds a gauge that is read when the metrics are.
     pub fn gauge(
         &self,
@@ -60,6 +90,13 @@
     }
 }
 
+impl Histogram {
+    /// Notes a time.
+    pub fn note(&self, time: Duration, label: &'static str) {
+        self.histogram.record(time.as_secs_f64(), &[KeyValue::new(self.label, label)]);
+    }
+}
+
 impl Counter {
     /// Adds one.
     pub fn add(&self, label: &'static str) {
--- a/grebedeck-routing/src/choice.rs
+++ b/grebedeck-routing/src/choice.rs
@@ -76,6 +76,17 @@
     pub places: u32,
 }
 
+/// What is known of a target's load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadView {
+    /// Requests that it is expected to have.
+    pub in_flight: f64,
+    /// Places for requests.
+    pub places: f64,
+    /// Age of its own word on it, if there was one.
+    pub report_age: Option<Duration>,
+}
+
 #[derive(Clone, Debug, Default)]
 struct View {
     own_in_flight: u32,
@@ -232,6 +243,20 @@
         in_flight < places * per_place
     }
 
+    /// Gets what is known of a target's load.
+    pub fn load_view(&self, target: &str, now: Moment) -> LoadView {
+        let Some(view) = self.view(target) else {
+            return LoadView { in_flight: 0.0, places: 1.0, report_age: None };
+        };
+        let (in_flight, places) = self.load_or_own(view, now);
+
+        LoadView {
+            in_flight,
+            places,
+            report_age: view.report.map(|(at, _)| now.saturating_sub(at)),
+        }
+    }
+
     /// Gets the mean load of some targets, in requests for each place.
     pub fn mean_load<T: Candidate>(&self, targets: &[Arc<T>], now: Moment) -> f64 {
         let load = |target: &Arc<T>| {
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -7,26 +7,33 @@
 pub mod attempt;
 pub mod body;
 pub mod caller;
+pub mod counters;
 pub mod options;
+pub mod pages;
+pub mod peers;
 pub mod place;
 pub mod pool;
-pub mod ready;
+pub mod reload;
 pub mod request;
 pub mod service;
 pub mod stop;
+pub mod story;
 pub mod stream;
 pub mod watch;
 pub mod whole;
 
+use std::path::Path;
 use std::rc::Rc;
 
 use async_executor::LocalExecutor;
 use async_std::net::TcpListener;
 use grebedeck_gateway::{HeaderNames, SiteStore};
+use grebedeck_http::RequestHead;
 use grebedeck_kernel::log;
 
 use crate::process;
 pub use options::GatewaySettings;
+use pages::Page;
 use service::Gateway;
 
 /// Runs tasks on the thread that runs the process.
@@ -35,25 +42,52 @@
 /// Runs a gateway until it is told to stop and nothing is in flight any more.
 pub async fn run<S: SiteStore>(
     tasks: Tasks,
+    file: &Path,
     mut settings: GatewaySettings,
     names: HeaderNames,
     store: S,
 ) -> anyhow::Result<()> {
     let caller_listener = process::bind(&mut settings.caller_address).await?;
     let ready_listener = process::bind(&mut settings.ready_address).await?;
+    let peer_listener = process::bind(&mut settings.peer_address).await?;
+    let metrics_listener = process::bind(&mut settings.metrics_address).await?;
     let gateway = Rc::new(Gateway::new(settings, names, tasks.clone()));
 
     log::info!("started", kv: {
-        name = gateway.settings.name.as_str(),
-        caller_address = gateway.settings.caller_address.to_string(),
+        name = gateway.settings().name.as_str(),
+        hall = gateway.settings().hall.as_str(),
+        caller_address = gateway.settings().caller_address.to_string(),
     });
     tasks.spawn(watch::follow_site(gateway.clone(), store.clone())).detach();
-    tasks.spawn(watch::follow_targets(gateway.clone(), store)).detach();
-    tasks.spawn(ready::serve(gateway.clone(), ready_listener)).detach();
+    tasks.spawn(watch::follow_targets(gateway.clone(), store.clone())).detach();
+    tasks.spawn(peers::follow_list(gateway.clone(), store)).detach();
+    tasks.spawn(peers::follow_peers(gateway.clone())).detach();
+    tasks.spawn(reload::follow_file(gateway.clone(), file.to_path_buf())).detach();
+    serve_pages(&gateway, ready_listener, |gateway, _| {
+        Page::empty(if gateway.is_ready() { 200 } else { 503 })
+    });
+    serve_pages(&gateway, peer_listener, peers::answer);
+    serve_pages(&gateway, metrics_listener, |gateway, request| match request.path() {
+        "/metrics" => Page::text(gateway.metrics.text()),
+        "/dump" => Page::json(&gateway.dump()),
+        _ => Page::empty(404),
+    });
     tasks.spawn(accept(gateway.clone(), caller_listener)).detach();
     tasks.spawn(housekeeping(gateway.clone())).detach();
 
-    stop::run_until_stopped(&gateway).await
+    stop::run_until_stopped(&gateway, file).await
+}
+
+/// Answers on one of the process's other ports.
+fn serve_pages(
+    gateway: &Rc<Gateway>,
+    listener: TcpListener,
+    answer: impl Fn(&Gateway, &RequestHead) -> Page + Clone + 'static,
+) {
+    let shared = gateway.clone();
+    let answer = move |request: &RequestHead| answer(&shared, request);
+
+    gateway.tasks.spawn(pages::serve(gateway.tasks.clone(), listener, answer)).detach();
 }
 
 /// Takes callers' connections until the process stops.
@@ -77,6 +111,7 @@
     loop {
         async_std::task::sleep(options::HOUSEKEEPING_PERIOD).await;
         gateway.drop_lapsed();
+        gateway.log_left_out();
         gateway.pool.drop_rested(gateway.now());
     }
 }
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
-use grebedeck_core::Moment;
 use grebedeck_gateway::wire::TargetLoad;
 use grebedeck_gateway::{RunState, TargetEntry, Verdict, judge};
 use grebedeck_http::{BodyDecoder, Connection, HttpError, ResponseHead, response_framing};
@@ -14,12 +13,13 @@
 use super::options::{CONNECT_LIMIT, MAX_ANSWER_HEAD_BYTES, MAX_WHOLE_BYTES};
 use super::request::RoutedRequest;
 use super::service::Gateway;
+use super::story::Decision;
 
 /// Answers of earlier requests that are read away before a connection is given up.
 const MAX_SURPLUS_ANSWERS: u32 = 2;
 
 /// Why an attempt has no answer.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Failure {
     /// Whether the request may have run.
     pub run: RunState,
@@ -153,26 +153,47 @@
     gateway: &Rc<Gateway>,
     request: &RoutedRequest,
     target: &Arc<TargetEntry>,
-    last_event_id: Option<u64>,
 ) -> Result<Opened, Failure> {
-    let opened = send(gateway, request, target, last_event_id).await;
+    let opened = send(gateway, request, target).await;
 
     match &opened {
-        Ok(_) => gateway.note_taken(&request.service),
-        // Where all places are taken, or an address has a new holder, nothing is said of the service.
-        Err(failure) if matches!(failure.cause, FailureCause::Full | FailureCause::OtherTarget) => {
+        Ok(_) => {
+            gateway.counters.attempts.add("opened");
+            gateway.note_taken(&request.service);
         }
-        Err(_) => gateway.note_not_taken(&request.service),
+        Err(failure) => note_failure(gateway, request, target, failure),
     }
 
     opened
 }
 
+fn note_failure(
+    gateway: &Gateway,
+    request: &RoutedRequest,
+    target: &TargetEntry,
+    failure: &Failure,
+) {
+    let Failure { run, cause } = *failure;
+    gateway.counters.attempts.add(cause.word());
+    let decision = Decision::Failed { target: target.id.clone(), cause, run };
+    request.story.add(gateway.now(), decision);
+
+    match cause {
+        // Where all places are taken nothing is said of the service.
+        FailureCause::Full => {}
+        // The target that was meant is gone, and another has its address.
+        FailureCause::OtherTarget => gateway.change_targets(|targets, _| {
+            targets.remove(&target.id);
+            Vec::new()
+        }),
+        _ => gateway.note_not_taken(&request.service),
+    }
+}
+
 async fn send(
     gateway: &Rc<Gateway>,
     request: &RoutedRequest,
     target: &Arc<TargetEntry>,
-    last_event_id: Option<u64>,
 ) -> Result<Opened, Failure> {
     let mut in_flight = InFlight::new(gateway, target);
     let left = request.deadline.saturating_sub(gateway.now());
@@ -183,30 +204,24 @@
     };
 
     let left = request.deadline.saturating_sub(gateway.now());
-    let bytes = request.bytes_for(target, left, last_event_id, &gateway.names);
+    let bytes = request.bytes_for(target, left, &gateway.names);
     let exchange = async {
         connection.write_all(&bytes).await?;
         read_own_head(gateway, request, &mut connection).await
     };
 
-    let head = match timeout(left, exchange).await {
-        Ok(Ok(head)) => head,
-        Ok(Err(HttpError::Malformed(_))) => {
-            in_flight.judge(false);
-            return Err(Failure::may_have_run(FailureCause::Unusable));
-        }
-        Ok(Err(_)) => {
-            in_flight.judge(false);
-            return Err(Failure::may_have_run(FailureCause::Broken));
-        }
-        Err(_) => {
-            in_flight.judge(false);
-            return Err(Failure::may_have_run(FailureCause::TimedOut));
+    let cause = match timeout(left, exchange).await {
+        Ok(Ok(head)) => {
+            note_load(gateway, target, &head);
+            return accept_head(gateway, request, target, connection, head, in_flight);
         }
+        Ok(Err(HttpError::Malformed(_))) => FailureCause::Unusable,
+        Ok(Err(_)) => FailureCause::Broken,
+        Err(_) => FailureCause::TimedOut,
     };
 
-    note_load(gateway, target, &head);
-    accept_head(gateway, request, target, connection, head, in_flight)
+    in_flight.judge(false);
+    Err(Failure::may_have_run(cause))
 }
 
 async fn connect(
@@ -315,8 +330,3 @@
         gateway: gateway.clone(),
     })
 }
-
-/// Tells whether there is time left for another attempt.
-pub fn has_time(request: &RoutedRequest, now: Moment) -> bool {
-    request.deadline > now + super::options::MIN_ATTEMPT
-}
--- a/grebedeck/src/gateway/caller.rs
+++ b/grebedeck/src/gateway/caller.rs
@@ -7,6 +7,7 @@
 use async_std::net::TcpStream;
 use futures::FutureExt;
 use grebedeck_gateway::routes::draw_service;
+use grebedeck_gateway::site::SiteVersion;
 use grebedeck_gateway::{CallerLimits, Denied, RouteTable};
 use grebedeck_http::{
     BodyDecoder, Connection, Framing, HttpError, RequestHead, ResponseHead, request_framing,
@@ -15,6 +16,7 @@
 use super::options::{READ_AHEAD_BYTES, SITE_WAIT};
 use super::request::{CallerRequest, RoutedRequest};
 use super::service::Gateway;
+use super::story::{Decision, End, Story};
 use super::whole::WholeAnswer;
 use super::{stop, stream, whole};
 use crate::random::ProcessRandom;
@@ -97,23 +99,24 @@
     let key = request.key(&gateway.names);
     let host = request.head.headers.text("host").unwrap_or_default();
     let table = known_table(gateway).await;
-    let leave = millis(gateway.settings.leave_ms);
+    let leave = millis(gateway.settings().leave_ms);
 
     if gateway.stop.refuses(leave, gateway.now()) {
+        gateway.counters.refusals.add("stopping");
         let answer = WholeAnswer::not_ready(&request, &gateway.names);
         return write_whole(connection, answer, After::Close).await;
     }
 
     let admitted = match table.admit(host, request.head.path(), key) {
         Ok(admitted) => admitted,
-        Err(denied) => {
-            let answer = WholeAnswer::denied(denied, &request, &gateway.names);
+        Err(reason) => {
+            let answer = deny(gateway, &request, reason, table.version());
             return write_whole(connection, answer, after).await;
         }
     };
 
     let Some(service) = draw_service(&admitted.rule, &mut ProcessRandom::default()) else {
-        let answer = WholeAnswer::denied(Denied::NoRoute, &request, &gateway.names);
+        let answer = deny(gateway, &request, Denied::NoRoute, table.version());
         return write_whole(connection, answer, after).await;
     };
     let service = service.to_string();
@@ -132,10 +135,31 @@
         }
     };
 
-    match answered {
-        Some(answer) => write_whole(connection, answer, after).await,
-        None => After::Close,
-    }
+    let Some(answer) = answered else {
+        gateway.note_end(&routed.story, End::CallerGone, false);
+        return After::Close;
+    };
+    let took = gateway.now() - routed.request.arrived;
+    gateway.counters.answer_times.note(took, "whole");
+    gateway.note_end(&routed.story, answer.end(), took > routed.admitted.rule.objective);
+
+    write_whole(connection, answer, after).await
+}
+
+/// Makes the answer to a request that the configuration does not allow.
+fn deny(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    reason: Denied,
+    version: SiteVersion,
+) -> WholeAnswer {
+    let answer = WholeAnswer::denied(reason, request, &gateway.names);
+    let story = Story::new(request.id(&gateway.names), request.arrived);
+    story.add(gateway.now(), Decision::Denied { reason, version });
+    gateway.counters.refusals.add(reason.word());
+    gateway.note_end(&story, answer.end(), false);
+
+    answer
 }
 
 /// Gets the routes in force; at the start of the process, waits a moment for the first ones.
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -65,6 +65,8 @@
     pub ready_address: SocketAddr,
     /// Where it answers other processes of grebedeck.
     pub peer_address: SocketAddr,
+    /// Where it shows its metrics and its state.
+    pub metrics_address: SocketAddr,
     /// Other gateways to ask while the store is away; some may be gone.
     #[serde(default)]
     pub seed_peers: Vec<SocketAddr>,
@@ -133,6 +135,26 @@
     }
 }
 
+impl GatewaySettings {
+    /// Gets the names of the settings that are used only at the start and differ from others.
+    pub fn fixed_fields_that_differ(&self, others: &GatewaySettings) -> Vec<&'static str> {
+        let fields = [
+            ("name", self.name != others.name),
+            ("hall", self.hall != others.hall),
+            ("caller_address", self.caller_address != others.caller_address),
+            ("ready_address", self.ready_address != others.ready_address),
+            ("peer_address", self.peer_address != others.peer_address),
+            ("metrics_address", self.metrics_address != others.metrics_address),
+            ("store_address", self.store_address != others.store_address),
+            ("store_limit_ms", self.store_limit_ms != others.store_limit_ms),
+            ("memory_mb", self.memory_mb != others.memory_mb),
+            ("max_callers", self.max_callers != others.max_callers),
+        ];
+
+        fields.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
+    }
+}
+
 impl Check for GatewaySettings {
     fn check(&self, faults: &mut Faults) {
         let mut positive = |field: &str, value: f64| {
--- /dev/null
+++ b/grebedeck/src/gateway/pages.rs
@@ -0,0 +1,96 @@
+//! Short answers on the process's other ports: readiness, metrics, dump, and what gateways tell each
+//! other.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use grebedeck_http::{Connection, RequestHead, ResponseHead};
+use grebedeck_kernel::log;
+
+use super::options::{ACCEPT_PAUSE, MAX_ANSWER_HEAD_BYTES};
+
+/// How long a connection may rest; whoever asks does so every few seconds at the most.
+const REST_LIMIT: Duration = Duration::from_secs(10);
+/// How long an asker may take to read its answer.
+const WRITE_LIMIT: Duration = Duration::from_secs(5);
+
+/// An answer.
+pub struct Page {
+    /// Its status.
+    pub status: u16,
+    /// The type of its body.
+    pub content_type: &'static str,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Page {
+    /// Makes an answer without a body.
+    pub fn empty(status: u16) -> Self {
+        Page { status, content_type: "text/plain", body: Vec::new() }
+    }
+
+    /// Makes an answer with JSON.
+    pub fn json(value: &serde_json::Value) -> Self {
+        let body = value.to_string().into_bytes();
+
+        Page { status: 200, content_type: "application/json", body }
+    }
+
+    /// Makes an answer with text.
+    pub fn text(text: String) -> Self {
+        Page { status: 200, content_type: "text/plain; version=0.0.4", body: text.into_bytes() }
+    }
+
+    fn into_bytes(self, keeps_alive: bool) -> Vec<u8> {
+        let mut head = ResponseHead::new(self.status);
+        head.headers.push("content-type", self.content_type);
+        head.headers.push("content-length", self.body.len().to_string());
+
+        if !keeps_alive {
+            head.headers.push("connection", "close");
+        }
+
+        let mut bytes = Vec::with_capacity(256 + self.body.len());
+        head.write(&mut bytes);
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// Answers requests without bodies until the task is dropped.
+pub async fn serve(
+    tasks: Rc<LocalExecutor<'static>>,
+    listener: TcpListener,
+    answer: impl Fn(&RequestHead) -> Page + Clone + 'static,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => tasks.spawn(serve_one(stream, answer.clone())).detach(),
+            Err(error) => {
+                log::warn!("accept failed", kv: { error = error.to_string() });
+                async_std::task::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_one(stream: TcpStream, answer: impl Fn(&RequestHead) -> Page) {
+    let mut connection = Connection::new(stream);
+
+    loop {
+        let read = timeout(REST_LIMIT, connection.read_request_head(MAX_ANSWER_HEAD_BYTES)).await;
+        let Ok(Ok(request)) = read else {
+            return;
+        };
+        let bytes = answer(&request).into_bytes(request.keeps_alive());
+        let written = timeout(WRITE_LIMIT, connection.write_all(&bytes)).await;
+
+        if !matches!(written, Ok(Ok(()))) || !request.keeps_alive() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/grebedeck/src/gateway/peers.rs
@@ -0,0 +1,140 @@
+//! What gateways tell each other while the store is away from one of them.
+//!
+//! The store may turn single processes away and serve the others and the operators. Such a process asks
+//! other gateways for what they know: those that the settings name, and those that were published in the
+//! store. What they say is taken only if it is newer, like what the store says.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::task::sleep;
+use grebedeck_core::{Error, Result};
+use grebedeck_gateway::{GatewayEntry, GatewayInfo, ListedTarget, Site, SiteStore, StoreVersion};
+use grebedeck_http::{Client, RequestHead};
+use grebedeck_kernel::log;
+use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
+use serde::{Deserialize, Serialize};
+
+use super::pages::Page;
+use super::service::Gateway;
+
+/// Path of what a gateway knows.
+const STATE_PATH: &str = "/peer/state";
+/// How often peers are asked while the store is away: a change must be in force within two seconds.
+const ASK_PERIOD: Duration = Duration::from_millis(400);
+/// Age of the store's last answer beyond which it is taken for away; while it is there it answers at
+/// least each second.
+const STORE_SILENCE: Duration = Duration::from_millis(1600);
+/// How long a peer may take to answer.
+const ASK_LIMIT: Duration = Duration::from_millis(300);
+/// How often the gateways that were published are read, to know whom to ask.
+const LIST_PERIOD: Duration = Duration::from_secs(10);
+
+/// What a gateway knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct PeerState {
+    site: Option<Site>,
+    targets_version: StoreVersion,
+    targets: Vec<ListedTarget>,
+}
+
+/// Answers another gateway.
+pub fn answer(gateway: &Gateway, request: &RequestHead) -> Page {
+    if request.path() != STATE_PATH {
+        return Page::empty(404);
+    }
+
+    let (targets_version, targets) = gateway.with_targets(|t| (t.version(), t.listed()));
+    let state = PeerState { site: gateway.site(), targets_version, targets };
+
+    match encode(&state) {
+        Ok(bytes) => Page {
+            status: 200,
+            content_type: "application/octet-stream",
+            body: bytes[PREFIX_BYTES..].to_vec(),
+        },
+        Err(error) => {
+            log::error!("state not told", kv: { error = error.to_string() });
+            Page::empty(500)
+        }
+    }
+}
+
+/// Publishes this gateway and reads the others from time to time.
+pub async fn follow_list<S: SiteStore>(gateway: Rc<Gateway>, store: S) {
+    let settings = gateway.settings();
+    let info = GatewayInfo { peer_address: settings.peer_address, hall: settings.hall.clone() };
+    let own = GatewayEntry { name: settings.name.clone(), info };
+    let mut is_published = false;
+
+    loop {
+        if !is_published {
+            is_published = store.publish(&own).await.is_ok();
+        }
+
+        match store.read_gateways().await {
+            Ok(gateways) => {
+                let addresses = gateways.into_iter().map(|g| g.info.peer_address);
+                gateway.set_peers(addresses.collect());
+            }
+            Err(error) => {
+                log::warn!("gateways not read", kv: { error = error.to_string() });
+            }
+        }
+
+        sleep(LIST_PERIOD).await;
+    }
+}
+
+/// Asks the peers while the store is away, until the task is dropped.
+pub async fn follow_peers(gateway: Rc<Gateway>) {
+    let mut clients: HashMap<SocketAddr, Rc<Client>> = HashMap::new();
+
+    loop {
+        sleep(ASK_PERIOD).await;
+
+        if !gateway.is_store_away(STORE_SILENCE) {
+            continue;
+        }
+
+        for address in gateway.peers() {
+            let client = clients
+                .entry(address)
+                .or_insert_with(|| Rc::new(Client::new(address, ASK_LIMIT)))
+                .clone();
+            // A peer that does not answer must not hold up the others.
+            gateway.tasks.spawn(ask(gateway.clone(), client)).detach();
+        }
+    }
+}
+
+/// Asks one peer and takes what is newer.
+async fn ask(gateway: Rc<Gateway>, client: Rc<Client>) {
+    // Seeds and published gateways may be gone, so a failure is nothing to tell of.
+    let Ok(state) = fetch(&client).await else {
+        return;
+    };
+
+    if let Some(site) = &state.site {
+        gateway.take_site(site, "peer");
+    }
+
+    gateway.change_targets(|targets, now| {
+        targets.take_snapshot(state.targets_version, state.targets, now)
+    });
+
+    if state.targets_version > 0 {
+        gateway.set_targets_known();
+    }
+}
+
+async fn fetch(client: &Client) -> Result<PeerState> {
+    let answer = client
+        .get(STATE_PATH, ASK_LIMIT)
+        .await
+        .map_err(|e| Error::Protocol(format!("peer {}: {e}", client.address())))?;
+
+    decode(&answer.body)
+}
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -13,6 +13,7 @@
 };
 use super::request::RoutedRequest;
 use super::service::Gateway;
+use super::story::Decision;
 use crate::random::ProcessRandom;
 
 /// Why there is no place.
@@ -58,6 +59,7 @@
     tried: &[TargetId],
 ) -> Result<Arc<TargetEntry>, NoPlace> {
     let patience = request.admitted.rule.objective.mul_f64(PATIENCE_PART);
+    let began = gateway.now();
     let mut give_up = (request.request.arrived + patience).min(request.deadline);
 
     loop {
@@ -66,11 +68,17 @@
         let now = gateway.now();
 
         match look(gateway, request, tried, now) {
-            Ok(target) => return Ok(target),
+            Ok(target) => {
+                gateway.counters.waits.note(now - began, "placed");
+                return Ok(target);
+            }
             Err(reason) => {
                 give_up = give_up.max(hold_until(reason, request, now));
 
                 if now >= give_up {
+                    gateway.counters.waits.note(now - began, reason.word());
+                    gateway.counters.refusals.add(reason.word());
+                    request.story.add(now, no_place(gateway, request, reason, now));
                     return Err(reason);
                 }
             }
@@ -81,6 +89,18 @@
     }
 }
 
+fn no_place(gateway: &Gateway, request: &RoutedRequest, reason: NoPlace, now: Moment) -> Decision {
+    let serving = gateway.serving(&request.service).unwrap_or_default();
+
+    Decision::NoPlace {
+        reason,
+        load: gateway.chooser.borrow().mean_load(&serving, now),
+        allowed: gateway.allowed_load(&request.service, &serving, now),
+        pause: gateway.pause(&request.service),
+        targets: serving.len(),
+    }
+}
+
 /// Gets how long a request is held at least, for the reason that there is no place.
 fn hold_until(reason: NoPlace, request: &RoutedRequest, now: Moment) -> Moment {
     match reason {
@@ -116,5 +136,17 @@
     let with_room: Vec<Arc<TargetEntry>> = serving.iter().filter(has_room).cloned().collect();
 
     let chosen = chooser.choose(&with_room, tried, now, &mut ProcessRandom::default());
-    chosen.cloned().ok_or(NoPlace::Full)
+    let target = chosen.cloned().ok_or(NoPlace::Full)?;
+    let view = chooser.load_view(&target.id, now);
+    let decision = Decision::Chosen {
+        target: target.id.clone(),
+        load: view.in_flight,
+        places: view.places,
+        load_age: view.report_age,
+        allowed: per_place,
+        last_event_id: request.last_event_id.get(),
+    };
+    request.story.add(now, decision);
+
+    Ok(target)
 }
--- a/grebedeck/src/gateway/request.rs
+++ b/grebedeck/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! A caller's request, whole, and how it looks towards a target.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use grebedeck_core::Moment;
@@ -7,6 +8,7 @@
 use grebedeck_http::{Headers, RequestHead};
 
 use super::body::Reserved;
+use super::story::{Decision, Story};
 
 /// A caller's request.
 pub struct CallerRequest {
@@ -30,6 +32,10 @@
     pub service: String,
     /// When it is given up.
     pub deadline: Moment,
+    /// The last event that the caller has got, for a stream.
+    pub last_event_id: Cell<Option<u64>>,
+    /// The decisions on it.
+    pub story: Story,
     /// The headers that are passed on to any target.
     headers: Headers,
 }
@@ -68,24 +74,34 @@
         let patience = request.patience(names).unwrap_or(limit).min(limit);
         let deadline = request.arrived + patience;
         let headers = passed_on(&request, &admitted, names);
-
-        RoutedRequest { request, admitted, service, deadline, headers }
+        let story = Story::new(request.id(names), request.arrived);
+        let decision = Decision::Admitted {
+            route: admitted.rule.name.clone(),
+            service: service.clone(),
+            version: admitted.version,
+            left: patience,
+        };
+        story.add(request.arrived, decision);
+
+        RoutedRequest {
+            request,
+            admitted,
+            service,
+            deadline,
+            last_event_id: Cell::default(),
+            story,
+            headers,
+        }
     }
 
-    /// Gets the bytes to send to a target, with `left` of the time and, for a stream that another
-    /// target goes on with, the id of the last event that the caller has.
-    pub fn bytes_for(
-        &self,
-        target: &TargetEntry,
-        left: Duration,
-        last_event_id: Option<u64>,
-        names: &HeaderNames,
-    ) -> Vec<u8> {
+    /// Gets the bytes to send to a target, with `left` of the time. A stream that another target goes on
+    /// with names the last event that the caller has.
+    pub fn bytes_for(&self, target: &TargetEntry, left: Duration, names: &HeaderNames) -> Vec<u8> {
         let mut headers = self.headers.clone();
         headers.push(names.deadline_ms, left.as_millis().to_string());
         headers.push(names.expected_target, target.id.as_str());
 
-        if let Some(id) = last_event_id {
+        if let Some(id) = self.last_event_id.get() {
             headers.remove(names.last_event_id);
             headers.push(names.last_event_id, id.to_string());
         }
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -1,26 +1,35 @@
 //! A gateway's state, shared by its tasks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use event_listener::Event;
 use grebedeck_core::{Moment, ServiceName};
+use grebedeck_gateway::answer::{self, RunState};
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
     Availability, HeaderNames, Outage, OutageOptions, Pacing, PacingOptions, RouteTable, Site,
     TargetEntry, TargetList, WindowBudget, WindowOptions,
 };
-use grebedeck_kernel::{Clock, log};
+use grebedeck_kernel::log::LineBudget;
+use grebedeck_kernel::{Clock, Metrics, log};
 use grebedeck_routing::{Chooser, ChooserOptions, LoadReport};
+use serde_json::json;
 
 use super::Tasks;
 use super::body::BodyBudget;
-use super::options::{GatewaySettings, OUTAGE_FAILURES, OVERDUE, START_LAG, TRIAL_PAUSE};
+use super::counters::Counters;
+use super::options::{
+    GatewaySettings, MIN_ATTEMPT, OUTAGE_FAILURES, OVERDUE, START_LAG, TRIAL_PAUSE,
+};
 use super::pool::Pool;
+use super::request::RoutedRequest;
 use super::stop::StopState;
+use super::story::{Decision, End, STORIES_PER_S, Story};
 
 /// Age after which a target's word on its load is no longer believed: much longer and a target that
 /// others have filled since would be taken for a free one.
@@ -30,8 +39,12 @@
 
 /// A gateway.
 pub struct Gateway {
-    /// Its settings, with the ports that it got.
-    pub settings: GatewaySettings,
+    settings: RefCell<Rc<GatewaySettings>>,
+    /// Its metrics.
+    pub metrics: Metrics,
+    /// What it counts.
+    pub counters: Counters,
+    stories: RefCell<LineBudget>,
     /// The platform's header names.
     pub names: HeaderNames,
     /// Runs its tasks.
@@ -51,6 +64,9 @@
     targets: RefCell<TargetList>,
     targets_known: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
+    site: RefCell<Option<Site>>,
+    peers: RefCell<BTreeSet<SocketAddr>>,
+    store_answered_at: Cell<Option<Moment>>,
     outages: RefCell<HashMap<ServiceName, Outage>>,
     paces: RefCell<HashMap<ServiceName, Pacing>>,
 }
@@ -64,12 +80,16 @@
             report_lifetime: REPORT_LIFETIME,
             ..ChooserOptions::default()
         };
+        let metrics = Metrics::default();
         let body_bytes = (settings.memory_mb << 20) / BODY_MEMORY_PART;
 
         Gateway {
             chooser: RefCell::new(Chooser::new(&settings.hall, options)),
             bodies: Rc::new(BodyBudget::new(body_bytes)),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
+            counters: Counters::new(&metrics),
+            metrics,
+            stories: RefCell::new(LineBudget::new(STORIES_PER_S)),
             names,
             tasks,
             pool: Pool::default(),
@@ -80,6 +100,9 @@
             targets: RefCell::default(),
             targets_known: Cell::new(false),
             budgets: RefCell::default(),
+            site: RefCell::default(),
+            peers: RefCell::default(),
+            store_answered_at: Cell::default(),
             outages: RefCell::default(),
             paces: RefCell::default(),
         }
@@ -104,11 +127,47 @@
         }
 
         *self.table.borrow_mut() = Rc::new(RouteTable::new(site));
+        *self.site.borrow_mut() = Some(site.clone());
         self.freed.notify(usize::MAX);
         log::info!("configuration in force", kv: { version = site.version, before, from });
         true
     }
 
+    /// Gets the configuration in force.
+    pub fn site(&self) -> Option<Site> {
+        self.site.borrow().clone()
+    }
+
+    /// Sets the gateways that the store names.
+    pub fn set_peers(&self, peers: BTreeSet<SocketAddr>) {
+        *self.peers.borrow_mut() = peers;
+    }
+
+    /// Gets the other gateways that are known.
+    pub fn peers(&self) -> BTreeSet<SocketAddr> {
+        let settings = self.settings();
+        let mut peers = self.peers.borrow().clone();
+        peers.extend(&settings.seed_peers);
+        peers.remove(&settings.peer_address);
+
+        peers
+    }
+
+    /// Notes that the store has answered.
+    pub fn store_answered(&self) {
+        self.store_answered_at.set(Some(self.now()));
+    }
+
+    /// Notes that the store did not answer as it should.
+    pub fn store_failed(&self) {
+        self.store_answered_at.set(None);
+    }
+
+    /// Tells whether the store is away: it failed, or has not answered for a while.
+    pub fn is_store_away(&self, silence: Duration) -> bool {
+        self.store_answered_at.get().is_none_or(|at| self.now() >= at + silence)
+    }
+
     /// Changes the list of targets and notes what follows.
     pub fn change_targets(&self, change: impl FnOnce(&mut TargetList, Moment) -> Vec<ListEvent>) {
         let now = self.now();
@@ -162,6 +221,116 @@
         self.with_budget(service, |budget| budget.take(now))
     }
 
+    /// Tells whether a request may be sent to another target, and takes the repeat for it.
+    pub fn may_send_again(&self, request: &RoutedRequest, run: RunState, sent: usize) -> bool {
+        let rule = &request.admitted.rule;
+        let now = self.now();
+        let refused = if !answer::may_send_again(rule.kind, run) {
+            Some("may have run")
+        } else if sent >= rule.max_targets as usize {
+            Some("sent often enough")
+        } else if request.deadline <= now + MIN_ATTEMPT {
+            Some("no time left")
+        } else if !self.take_repeat(&request.service) {
+            Some("no budget left")
+        } else {
+            None
+        };
+
+        self.counters.repeats.add(refused.unwrap_or("allowed"));
+
+        if let Some(reason) = refused {
+            request.story.add(now, Decision::NotRepeated { reason });
+        }
+
+        refused.is_none()
+    }
+
+    /// Counts how a request ended, and logs its story if it is of interest.
+    pub fn note_end(&self, story: &Story, end: End, is_late: bool) {
+        let now = self.now();
+        self.counters.requests.add(if is_late && end.word() == "served" {
+            "served_late"
+        } else {
+            end.word()
+        });
+
+        if !story.is_wanted(end, is_late) {
+            return;
+        }
+
+        if self.stories.borrow_mut().take(now) {
+            story.log(end, now);
+        } else {
+            self.counters.left_out.add("story");
+        }
+    }
+
+    /// Tells how many stories were not logged since this was done last.
+    pub fn log_left_out(&self) {
+        let count = self.stories.borrow_mut().take_left_out();
+
+        if count > 0 {
+            log::warn!("requests not logged", kv: { count });
+        }
+    }
+
+    /// Gets the mean pause between the events of a service's streams, where it was seen lately.
+    pub fn pause(&self, service: &str) -> Option<Duration> {
+        self.paces.borrow().get(service)?.pause(self.now())
+    }
+
+    /// Gets the state for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.now();
+        let table = self.table();
+        let targets = self.targets.borrow();
+        let chooser = self.chooser.borrow();
+        let target = |entry: &Arc<TargetEntry>| {
+            let load = chooser.load_view(&entry.id, now);
+            json!({
+                "id": entry.id, "service": entry.service, "hall": entry.hall,
+                "address": entry.address, "state": entry.state, "in_flight": load.in_flight,
+                "places": load.places,
+            })
+        };
+        let services: Vec<serde_json::Value> = table
+            .services()
+            .map(|service| {
+                json!({
+                    "name": service.name,
+                    "out_ms": match self.availability(&service.name) {
+                        Availability::Up => None,
+                        Availability::Out(left) => Some(left.as_millis() as u64),
+                    },
+                    "pause_ms": self.pause(&service.name).map(|p| p.as_millis() as u64),
+                })
+            })
+            .collect();
+
+        json!({
+            "name": self.settings().name,
+            "ready": self.is_ready(),
+            "stopping": self.stop.is_stopping(),
+            "in_flight": self.stop.in_flight(),
+            "config_version": table.version(),
+            "targets_version": targets.version(),
+            "buffered_bytes": self.bodies.used_bytes(),
+            "targets": targets.all().map(target).collect::<Vec<_>>(),
+            "services": services,
+        })
+    }
+
+    /// Gets the settings in force.
+    pub fn settings(&self) -> Rc<GatewaySettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts new settings in force. What is used only at the start stays as it was.
+    pub fn set_settings(&self, settings: GatewaySettings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// Notes a target's load.
     pub fn note_load(&self, target: &str, report: LoadReport) {
         let now = self.now();
@@ -224,14 +393,14 @@
         let is_model = self.table().service(service).is_some_and(|s| s.engine.is_some());
 
         if !is_model {
-            return self.settings.load.plain;
+            return self.settings().load.plain;
         }
 
         let paces = self.paces.borrow();
         let load = self.chooser.borrow().mean_load(targets, now);
         let paced = paces.get(service).map(|pace| pace.allowed_load(load, now));
 
-        paced.unwrap_or(f64::INFINITY).min(self.settings.load.model)
+        paced.unwrap_or(f64::INFINITY).min(self.settings().load.model)
     }
 
     fn with_outage<T>(&self, service: &str, act: impl FnOnce(&mut Outage) -> T) -> T {
@@ -249,7 +418,7 @@
     fn outage_options(&self, service: &str) -> OutageOptions {
         let table = self.table();
         let form = table.service(service).and_then(|s| s.engine.as_ref()).map(|e| e.form);
-        let stall = Duration::from_millis(self.settings.engine_stall_ms);
+        let stall = Duration::from_millis(self.settings().engine_stall_ms);
         // The first request of a process may find an outage that is as old as the start took.
         let expected = (stall + form.unwrap_or_default()).saturating_sub(START_LAG);
 
@@ -262,7 +431,7 @@
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut WindowBudget) -> T) -> T {
-        let retry = &self.settings.retry;
+        let retry = self.settings().retry;
         let options = WindowOptions {
             window: Duration::from_secs_f64(retry.window_s),
             ratio: retry.ratio,
--- a/grebedeck/src/gateway/stop.rs
+++ b/grebedeck/src/gateway/stop.rs
@@ -6,6 +6,7 @@
 //! answer.
 
 use std::cell::Cell;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use grebedeck_core::Moment;
 use grebedeck_kernel::log;
 
+use super::reload;
 use super::service::Gateway;
 
 /// How often a stopping process looks whether something is in flight.
@@ -76,19 +78,19 @@
 }
 
 /// Waits for the signal to stop, then until nothing is in flight, within the limit.
-pub async fn run_until_stopped(gateway: &Rc<Gateway>) -> anyhow::Result<()> {
+pub async fn run_until_stopped(gateway: &Rc<Gateway>, file: &Path) -> anyhow::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
 
     while let Some(signal) = signals.next().await {
         match signal? {
-            Signal::Hup => log::info!("reload", kv: { outcome = "unchanged" }),
+            Signal::Hup => reload::reload(gateway, file, "signal"),
             _ => break,
         }
     }
 
     let began = gateway.now();
-    let limit = Duration::from_millis(gateway.settings.stop_limit_ms).saturating_sub(STOP_MARGIN);
-    let leave = Duration::from_millis(gateway.settings.leave_ms);
+    let limit = Duration::from_millis(gateway.settings().stop_limit_ms).saturating_sub(STOP_MARGIN);
+    let leave = Duration::from_millis(gateway.settings().leave_ms);
     log::info!("stopping", kv: { in_flight = gateway.stop.in_flight() });
     gateway.stop.begin(began);
 
--- /dev/null
+++ b/grebedeck/src/gateway/story.rs
@@ -0,0 +1,268 @@
+//! The decisions on one request, kept until it ends and logged if it ended badly.
+//!
+//! Logging each decision of each request would cost more than the requests themselves. So they are kept
+//! in memory, and written out, one line each, for requests that failed or were late, and for one in some
+//! hundred of the others. Under load only so many stories are written in a second; how many were left
+//! out is logged and counted.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use grebedeck_core::{Moment, RandomSource};
+use grebedeck_gateway::{Denied, RunState};
+use grebedeck_kernel::log;
+
+use super::attempt::FailureCause;
+use super::place::NoPlace;
+use crate::random::ProcessRandom;
+
+/// One in so many requests that ended well is logged, as a sample of what is usual.
+const SAMPLE_ONE_IN: usize = 200;
+/// Stories that are logged in a second at the most.
+pub const STORIES_PER_S: f64 = 20.0;
+/// Most decisions that are kept of one request; more than attempts and waits ever make.
+const MAX_DECISIONS: usize = 24;
+
+/// A decision on a request, with what decided it.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// It was allowed.
+    Admitted {
+        /// The route.
+        route: String,
+        /// The service that was drawn.
+        service: String,
+        /// The version of the configuration.
+        version: u64,
+        /// Time that is left to it.
+        left: Duration,
+    },
+    /// The configuration does not allow it.
+    Denied {
+        /// Why.
+        reason: Denied,
+        /// The version of the configuration.
+        version: u64,
+    },
+    /// A target was chosen.
+    Chosen {
+        /// The target.
+        target: String,
+        /// Requests that it is expected to have.
+        load: f64,
+        /// Requests that it works on at the same time.
+        places: f64,
+        /// Age of what the target said of its load, if it did.
+        load_age: Option<Duration>,
+        /// Load that is allowed, in requests for each place.
+        allowed: f64,
+        /// The last event that the caller has, where a stream goes on.
+        last_event_id: Option<u64>,
+    },
+    /// There was no place.
+    NoPlace {
+        /// Why.
+        reason: NoPlace,
+        /// Mean load of the service's targets, in requests for each place.
+        load: f64,
+        /// Load that is allowed, in requests for each place.
+        allowed: f64,
+        /// Mean pause between events, if streams were seen lately.
+        pause: Option<Duration>,
+        /// Targets that take work.
+        targets: usize,
+    },
+    /// An attempt failed.
+    Failed {
+        /// The target.
+        target: String,
+        /// What went wrong.
+        cause: FailureCause,
+        /// Whether it may have run.
+        run: RunState,
+    },
+    /// The target answered with its own failure.
+    TargetFailed {
+        /// The target.
+        target: String,
+        /// The status.
+        status: u16,
+    },
+    /// A stream broke.
+    Broke {
+        /// The target.
+        target: String,
+        /// The last event that the caller has.
+        last_event_id: Option<u64>,
+    },
+    /// Another attempt was not made.
+    NotRepeated {
+        /// Why.
+        reason: &'static str,
+    },
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The caller got a target's answer.
+    Answered(u16),
+    /// The caller got this process's own answer.
+    Own(u16),
+    /// The stream was cut.
+    Cut,
+    /// The caller has gone.
+    CallerGone,
+}
+
+impl End {
+    /// Gets a short word for logs and counters.
+    pub fn word(self) -> &'static str {
+        match self {
+            End::Answered(200..300) => "served",
+            End::Answered(_) => "target_failed",
+            End::Own(401 | 404) => "denied",
+            End::Own(503) => "refused",
+            End::Own(504) => "timed_out",
+            End::Own(_) => "failed",
+            End::Cut => "cut",
+            End::CallerGone => "caller_gone",
+        }
+    }
+
+    fn is_bad(self) -> bool {
+        !matches!(self, End::Answered(200..300) | End::CallerGone)
+    }
+
+    fn status(self) -> u16 {
+        match self {
+            End::Answered(status) | End::Own(status) => status,
+            End::Cut | End::CallerGone => 0,
+        }
+    }
+}
+
+/// The decisions on one request.
+pub struct Story {
+    id: String,
+    began: Moment,
+    decisions: RefCell<Vec<(Moment, Decision)>>,
+}
+
+impl Story {
+    /// Begins a request's story.
+    pub fn new(id: &str, began: Moment) -> Self {
+        Story { id: id.to_string(), began, decisions: RefCell::default() }
+    }
+
+    /// Adds a decision.
+    pub fn add(&self, now: Moment, decision: Decision) {
+        let mut decisions = self.decisions.borrow_mut();
+
+        if decisions.len() < MAX_DECISIONS {
+            decisions.push((now, decision));
+        }
+    }
+
+    /// Tells whether the story of a request that ended so is to be logged, if there is room.
+    pub fn is_wanted(&self, end: End, is_late: bool) -> bool {
+        end.is_bad() || is_late || ProcessRandom::default().below(SAMPLE_ONE_IN) == 0
+    }
+
+    /// Logs all decisions and the end.
+    pub fn log(&self, end: End, now: Moment) {
+        for (at, decision) in self.decisions.borrow().iter() {
+            self.log_decision(self.offset_ms(*at), decision);
+        }
+
+        log::info!("request ended", kv: {
+            request = self.id.as_str(),
+            at_ms = self.offset_ms(now),
+            end = end.word(),
+            status = end.status(),
+        });
+    }
+
+    fn offset_ms(&self, at: Moment) -> u64 {
+        at.saturating_sub(self.began).as_millis() as u64
+    }
+
+    fn log_decision(&self, at_ms: u64, decision: &Decision) {
+        let request = self.id.as_str();
+
+        match decision {
+            Decision::Admitted { route, service, version, left } => {
+                log::info!("request admitted", kv: {
+                    request, at_ms,
+                    route = route.as_str(),
+                    service = service.as_str(),
+                    config_version = *version,
+                    left_ms = left.as_millis() as u64,
+                });
+            }
+            Decision::Denied { reason, version } => {
+                log::info!("request denied", kv: {
+                    request, at_ms, reason = reason.word(), config_version = *version,
+                });
+            }
+            Decision::Chosen { target, load, places, load_age, allowed, last_event_id } => {
+                log::info!("target chosen", kv: {
+                    request, at_ms,
+                    target = target.as_str(),
+                    load = *load,
+                    places = *places,
+                    load_age_ms = optional_ms(*load_age),
+                    allowed_load = rounded(*allowed),
+                    last_event_id = optional(*last_event_id),
+                });
+            }
+            Decision::NoPlace { reason, load, allowed, pause, targets } => {
+                log::info!("no place", kv: {
+                    request, at_ms,
+                    reason = reason.word(),
+                    load = rounded(*load),
+                    allowed_load = rounded(*allowed),
+                    pause_ms = optional_ms(*pause),
+                    targets = *targets,
+                });
+            }
+            Decision::Failed { target, cause, run } => {
+                log::info!("attempt failed", kv: {
+                    request, at_ms,
+                    target = target.as_str(),
+                    cause = cause.word(),
+                    may_have_run = *run == RunState::MayHaveRun,
+                });
+            }
+            Decision::TargetFailed { target, status } => {
+                log::info!("target failed", kv: {
+                    request, at_ms, target = target.as_str(), status = *status,
+                });
+            }
+            Decision::Broke { target, last_event_id } => {
+                log::info!("stream broke", kv: {
+                    request, at_ms,
+                    target = target.as_str(),
+                    last_event_id = optional(*last_event_id),
+                });
+            }
+            Decision::NotRepeated { reason } => {
+                log::info!("not repeated", kv: { request, at_ms, reason = *reason });
+            }
+        }
+    }
+}
+
+/// Gets a number that a log line can hold; what is not known is told as -1.
+fn optional(number: Option<u64>) -> i64 {
+    number.and_then(|n| i64::try_from(n).ok()).unwrap_or(-1)
+}
+
+fn optional_ms(time: Option<Duration>) -> i64 {
+    optional(time.map(|t| t.as_millis() as u64))
+}
+
+/// Rounds to hundredths, and an unlimited number to -1, which JSON can hold.
+fn rounded(number: f64) -> f64 {
+    if number.is_finite() { (number * 100.0).round() / 100.0 } else { -1.0 }
+}
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -10,22 +10,22 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use grebedeck_core::Moment;
-use grebedeck_gateway::answer::may_send_again;
-use grebedeck_gateway::{EventBuffer, Kind, RunState, TargetId, Verdict};
+use grebedeck_gateway::{EventBuffer, Kind, RunState, TargetEntry, TargetId};
 use grebedeck_http::{Connection, ResponseHead, write_chunk};
 
-use super::attempt::{self, FailureCause, Opened};
+use super::attempt::{self, Opened};
 use super::caller::{After, write_whole};
 use super::options::READ_AHEAD_BYTES;
 use super::place::{self, NoPlace};
 use super::request::RoutedRequest;
 use super::service::Gateway;
+use super::story::{Decision, End};
 use super::whole::WholeAnswer;
 
 /// How one target's part of a stream ended.
 enum Part {
-    /// The stream is whole.
-    Whole,
+    /// The stream is whole; its status.
+    Whole(u16),
     /// The target broke off.
     Broken,
     /// The caller has gone, or takes nothing more.
@@ -41,9 +41,11 @@
     connection: &'a mut Connection,
     after: After,
     head_sent: bool,
-    last_id: Option<u64>,
     tried: Vec<TargetId>,
     may_have_run: bool,
+    /// Whether the first event or a pause took longer than the route's objective.
+    is_late: bool,
+    event_at: Option<Moment>,
 }
 
 /// Serves a request; the answer is written to the caller as it comes.
@@ -54,89 +56,81 @@
     after: After,
 ) -> After {
     gateway.earn_repeat(&request.service);
-    let relay = Relay {
+    let mut relay = Relay {
         gateway,
         request,
         connection,
         after,
         head_sent: false,
-        last_id: None,
         tried: Vec::new(),
         may_have_run: false,
+        is_late: false,
+        event_at: None,
     };
+    let (end, after) = relay.run().await;
+    let is_late = relay.is_late;
+    gateway.note_end(&request.story, end, is_late);
 
-    relay.run().await
+    after
 }
 
 impl Relay<'_> {
-    async fn run(mut self) -> After {
+    async fn run(&mut self) -> (End, After) {
         loop {
             let found = {
                 let finding = place::find(self.gateway, self.request, &self.tried);
                 futures::select! {
-                    found = finding.fuse() => found,
-                    () = self.connection.closed(READ_AHEAD_BYTES).fuse() => return After::Close,
+                    found = finding.fuse() => Some(found),
+                    () = self.connection.closed(READ_AHEAD_BYTES).fuse() => None,
                 }
             };
             let target = match found {
-                Ok(target) => target,
-                Err(reason) => return self.give_up(false, Some(reason)).await,
+                Some(Ok(target)) => target,
+                Some(Err(reason)) => return self.give_up(false, Some(reason)).await,
+                None => return (End::CallerGone, After::Close),
             };
 
             let before = std::mem::replace(&mut self.may_have_run, true);
             self.tried.push(target.id.clone());
             let opened = {
-                let opening = attempt::open(self.gateway, self.request, &target, self.last_id);
+                let opening = attempt::open(self.gateway, self.request, &target);
                 futures::select! {
-                    opened = opening.fuse() => opened,
-                    () = self.connection.closed(READ_AHEAD_BYTES).fuse() => return After::Close,
+                    opened = opening.fuse() => Some(opened),
+                    () = self.connection.closed(READ_AHEAD_BYTES).fuse() => None,
                 }
             };
 
             match opened {
-                Ok(opened) if opened.verdict == Verdict::Pass && opened.head.is_success() => {
-                    match self.pass_on(opened).await {
-                        Part::Whole => return self.after,
+                None => return (End::CallerGone, After::Close),
+                Some(Ok(opened)) if opened.head.is_success() => {
+                    match self.pass_on(opened, &target).await {
+                        Part::Whole(status) => return (End::Answered(status), self.after),
                         Part::Broken => {}
-                        Part::CallerGone => return After::Close,
+                        Part::CallerGone => return (End::CallerGone, After::Close),
                         Part::TimedOut => return self.give_up(true, None).await,
                     }
                 }
-                Ok(opened) if !self.head_sent => return self.pass_failure(opened).await,
-                Ok(opened) => opened.broken(),
-                Err(failure) => {
+                Some(Ok(opened)) if !self.head_sent => return self.pass_failure(opened).await,
+                Some(Ok(opened)) => opened.broken(),
+                Some(Err(failure)) => {
                     self.may_have_run = before || failure.run == RunState::MayHaveRun;
-
-                    if failure.cause == FailureCause::OtherTarget {
-                        self.gateway.change_targets(|targets, _| {
-                            targets.remove(&target.id);
-                            Vec::new()
-                        });
-                    }
                 }
             }
 
-            if !self.may_go_on() {
+            if !self.gateway.may_send_again(self.request, self.run_state(), self.tried.len()) {
                 let is_late = self.request.deadline <= self.gateway.now();
                 return self.give_up(is_late, None).await;
             }
         }
     }
 
-    fn may_go_on(&self) -> bool {
-        let rule = &self.request.admitted.rule;
-        let run = if self.may_have_run { RunState::MayHaveRun } else { RunState::NotRun };
-
-        may_send_again(rule.kind, run)
-            && (self.tried.len() as u32) < rule.max_targets
-            && attempt::has_time(self.request, self.gateway.now())
-            && self.gateway.take_repeat(&self.request.service)
+    fn run_state(&self) -> RunState {
+        if self.may_have_run { RunState::MayHaveRun } else { RunState::NotRun }
     }
 
     /// Passes events on until this target's part ends.
-    async fn pass_on(&mut self, mut opened: Opened) -> Part {
+    async fn pass_on(&mut self, mut opened: Opened, target: &TargetEntry) -> Part {
         let mut events = EventBuffer::default();
-        let mut event_at = None;
 
         loop {
             let left = self.request.deadline.saturating_sub(self.gateway.now());
@@ -148,42 +142,53 @@
                 }
             };
 
-            let sent = match next {
+            match next {
                 Err(_) => return Part::TimedOut,
                 Ok(Ok(Some(part))) => {
-                    self.note_pause(&mut event_at);
-                    self.pass_part(&opened.head, &mut events, &part).await
+                    if !self.pass_part(&opened.head, &mut events, &part).await {
+                        return Part::CallerGone;
+                    }
                 }
-                Ok(Ok(None)) => {
+                // An answer that ends within an event was cut, whatever its framing says.
+                Ok(Ok(None)) if events.rest().is_empty() || !self.is_resumable() => {
                     let rest = Bytes::copy_from_slice(events.rest());
                     let head = opened.head.clone();
-                    // An answer that ends within an event was cut, whatever its framing says.
-                    if !rest.is_empty() && self.is_resumable() {
-                        opened.broken();
-                        return Part::Broken;
-                    }
                     opened.finish(true);
                     return self.finish(&head, rest).await;
                 }
-                Ok(Err(_)) => {
+                Ok(Ok(None) | Err(_)) => {
                     opened.broken();
+                    let (target, last_event_id) =
+                        (target.id.clone(), self.request.last_event_id.get());
+                    let decision = Decision::Broke { target, last_event_id };
+                    self.request.story.add(self.gateway.now(), decision);
                     return Part::Broken;
                 }
-            };
-
-            if !sent {
-                return Part::CallerGone;
             }
         }
     }
 
-    /// Notes the pause since the last part of a stream.
-    fn note_pause(&self, event_at: &mut Option<Moment>) {
+    /// Notes the time until the first event, or the pause since the one before.
+    fn note_event(&mut self) {
         let now = self.gateway.now();
-        let limit = self.request.admitted.rule.pause_limit;
+        let rule = &self.request.admitted.rule;
+        let counters = &self.gateway.counters;
 
-        if let (Some(before), Some(limit)) = (event_at.replace(now), limit) {
-            self.gateway.note_pause(&self.request.service, now - before, limit);
+        match self.event_at.replace(now) {
+            None => {
+                let first = now - self.request.request.arrived;
+                counters.first_event_times.note(first, "stream");
+                self.is_late |= first > rule.objective;
+            }
+            Some(before) => {
+                let pause = now - before;
+                counters.pauses.note(pause, "stream");
+
+                if let Some(limit) = rule.pause_limit {
+                    self.gateway.note_pause(&self.request.service, pause, limit);
+                    self.is_late |= pause > limit;
+                }
+            }
         }
     }
 
@@ -198,20 +203,23 @@
         events: &mut EventBuffer,
         part: &[u8],
     ) -> bool {
+        self.note_event();
+
         if !self.is_resumable() {
             return self.write_body(head, part).await;
         }
 
         events.push(part);
+        let last_id = &self.request.last_event_id;
         let mut data = Vec::new();
 
         while let Some(event) = events.next_event() {
             // A target that goes on with a stream may begin with an event that the caller has.
-            let is_old = event.id.is_some() && event.id <= self.last_id;
+            let is_old = event.id.is_some() && event.id <= last_id.get();
 
             if !is_old {
                 data.extend_from_slice(&event.bytes);
-                self.last_id = event.id.or(self.last_id);
+                last_id.set(event.id.or(last_id.get()));
             }
         }
 
@@ -224,7 +232,7 @@
         bytes.extend_from_slice(b"0\r\n\r\n");
 
         match self.write(&bytes).await {
-            true => Part::Whole,
+            true => Part::Whole(head.status),
             false => Part::CallerGone,
         }
     }
@@ -262,26 +270,29 @@
     }
 
     /// Passes a target's own failure on.
-    async fn pass_failure(&mut self, opened: Opened) -> After {
+    async fn pass_failure(&mut self, opened: Opened) -> (End, After) {
         let left = self.request.deadline.saturating_sub(self.gateway.now());
 
         match timeout(left, opened.read_whole()).await {
-            Ok(Ok((head, body))) => {
-                write_whole(self.connection, WholeAnswer::of_target(head, body), self.after).await
-            }
+            Ok(Ok((head, body))) => self.answer(WholeAnswer::of_target(head, body)).await,
             Ok(Err(_)) => self.give_up(false, None).await,
             Err(_) => self.give_up(true, None).await,
         }
     }
 
+    async fn answer(&mut self, answer: WholeAnswer) -> (End, After) {
+        let end = answer.end();
+
+        (end, write_whole(self.connection, answer, self.after).await)
+    }
+
     /// Ends the request without an answer, or cuts the stream that has begun.
-    async fn give_up(&mut self, is_late: bool, reason: Option<NoPlace>) -> After {
+    async fn give_up(&mut self, is_late: bool, reason: Option<NoPlace>) -> (End, After) {
         if self.head_sent {
-            return After::Close;
+            return (End::Cut, After::Close);
         }
 
-        let run = if self.may_have_run { RunState::MayHaveRun } else { RunState::NotRun };
-        let answer = WholeAnswer::given_up(run, is_late, reason, self.request, &self.gateway.names);
-        write_whole(self.connection, answer, self.after).await
+        let (run, names) = (self.run_state(), &self.gateway.names);
+        self.answer(WholeAnswer::given_up(run, is_late, reason, self.request, names)).await
     }
 }
--- a/grebedeck/src/gateway/watch.rs
+++ b/grebedeck/src/gateway/watch.rs
@@ -55,9 +55,13 @@
         match next_site(&gateway, &store, after).await {
             Ok(next) => {
                 backoff.succeeded();
+                gateway.counters.store_calls.add("answered");
+                gateway.store_answered();
                 after = next;
             }
             Err(error) => {
+                gateway.counters.store_calls.add("failed");
+                gateway.store_failed();
                 // What changed meanwhile is found by reading whole.
                 after = None;
                 backoff.failed(&error).await;
@@ -83,7 +87,7 @@
         return Ok(Some(snapshot.version));
     };
 
-    match store.watch_site(after, millis(gateway.settings.site_wait_ms)).await? {
+    match store.watch_site(after, millis(gateway.settings().site_wait_ms)).await? {
         Watched::Changed { version, changes } => {
             for site in &changes {
                 gateway.take_site(site, "store");
@@ -105,11 +109,13 @@
         match next_targets(&gateway, &store, after).await {
             Ok(next) => {
                 backoff.succeeded();
+                gateway.counters.store_calls.add("answered");
                 after = next;
-                sleep(millis(gateway.settings.targets_pause_ms)).await;
+                sleep(millis(gateway.settings().targets_pause_ms)).await;
             }
             Err(error) => {
                 after = None;
+                gateway.counters.store_calls.add("failed");
                 gateway.change_targets(|targets, now| {
                     targets.store_failed(now);
                     Vec::new()
@@ -136,7 +142,7 @@
         return Ok(Some(snapshot.version));
     };
 
-    match store.watch_targets(after, millis(gateway.settings.targets_wait_ms)).await? {
+    match store.watch_targets(after, millis(gateway.settings().targets_wait_ms)).await? {
         Watched::Changed { version, changes } => {
             gateway.change_targets(|targets, now| targets.take_changes(version, changes, now));
 
--- a/grebedeck/src/gateway/whole.rs
+++ b/grebedeck/src/gateway/whole.rs
@@ -1,11 +1,12 @@
 //! Requests whose answers are read whole before the caller gets them.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
-use grebedeck_gateway::answer::{give_up_status, may_send_again};
-use grebedeck_gateway::{Denied, HeaderNames, RunState, TargetId, Verdict};
+use grebedeck_gateway::answer::give_up_status;
+use grebedeck_gateway::{Denied, HeaderNames, RunState, TargetEntry, TargetId, Verdict};
 use grebedeck_http::{Headers, ResponseHead};
 
 use super::attempt::{self, Failure, FailureCause};
@@ -13,6 +14,7 @@
 use super::place::{self, NoPlace};
 use super::request::{CallerRequest, RoutedRequest};
 use super::service::Gateway;
+use super::story::{Decision, End};
 
 /// How long a caller is told to wait while the process does not know its configuration or targets.
 const NOT_READY_WAIT: Duration = Duration::from_millis(500);
@@ -21,12 +23,13 @@
 pub struct WholeAnswer {
     head: ResponseHead,
     body: Vec<u8>,
+    is_own: bool,
 }
 
 impl WholeAnswer {
     /// Makes the answer of a target.
     pub fn of_target(head: ResponseHead, body: Vec<u8>) -> Self {
-        WholeAnswer { head, body }
+        WholeAnswer { head, body, is_own: false }
     }
 
     /// Makes this process's own answer; `retry_after` is for requests that have not run.
@@ -43,7 +46,7 @@
             head.headers.push(names.retry_after, format!("{:.3}", wait.as_secs_f64()));
         }
 
-        WholeAnswer { head, body: Vec::new() }
+        WholeAnswer { head, body: Vec::new(), is_own: true }
     }
 
     /// Makes the answer of a process that does not take requests yet, or does no longer.
@@ -74,6 +77,11 @@
         WholeAnswer::own(give_up_status(run, is_late), retry_after, &request.request, names)
     }
 
+    /// Gets how a request ends that gets this answer.
+    pub fn end(&self) -> End {
+        if self.is_own { End::Own(self.head.status) } else { End::Answered(self.head.status) }
+    }
+
     /// Gets the bytes to send.
     pub fn into_bytes(self, after: After) -> Vec<u8> {
         let mut headers: Headers = self.head.headers.end_to_end();
@@ -108,6 +116,8 @@
 struct Attempts {
     tried: Vec<TargetId>,
     may_have_run: bool,
+    /// A target's own failure, which the caller gets where no other attempt does better.
+    failure: Option<WholeAnswer>,
 }
 
 impl Attempts {
@@ -116,14 +126,10 @@
     }
 
     async fn run(&mut self, gateway: &Rc<Gateway>, request: &RoutedRequest) -> WholeAnswer {
-        let mut failure: Option<WholeAnswer> = None;
-
         loop {
             let target = match place::find(gateway, request, &self.tried).await {
                 Ok(target) => target,
-                Err(reason) => {
-                    return failure.unwrap_or_else(|| self.give_up(gateway, request, Some(reason)));
-                }
+                Err(reason) => return self.give_up(gateway, request, Some(reason)),
             };
 
             // From here on the request may reach the target, also if this task is dropped.
@@ -131,22 +137,13 @@
             self.tried.push(target.id.clone());
 
             match self.attempt(gateway, request, &target).await {
-                Ok((answer, Verdict::Failure)) => failure = Some(answer),
+                Ok((answer, Verdict::Failure)) => self.failure = Some(answer),
                 Ok((answer, _)) => return answer,
-                Err(failed) => {
-                    self.may_have_run = before || failed.run == RunState::MayHaveRun;
-
-                    if failed.cause == FailureCause::OtherTarget {
-                        gateway.change_targets(|targets, _| {
-                            targets.remove(&target.id);
-                            Vec::new()
-                        });
-                    }
-                }
+                Err(failed) => self.may_have_run = before || failed.run == RunState::MayHaveRun,
             }
 
-            if !self.may_go_on(gateway, request) {
-                return failure.unwrap_or_else(|| self.give_up(gateway, request, None));
+            if !gateway.may_send_again(request, self.run_state(), self.tried.len()) {
+                return self.give_up(gateway, request, None);
             }
         }
     }
@@ -155,32 +152,40 @@
         &self,
         gateway: &Rc<Gateway>,
         request: &RoutedRequest,
-        target: &std::sync::Arc<grebedeck_gateway::TargetEntry>,
+        target: &Arc<TargetEntry>,
     ) -> Result<(WholeAnswer, Verdict), Failure> {
-        let opened = attempt::open(gateway, request, target, None).await?;
+        let opened = attempt::open(gateway, request, target).await?;
         let verdict = opened.verdict;
+        let now = gateway.now();
 
-        match opened.read_whole().await {
-            Ok((head, body)) => Ok((WholeAnswer { head, body }, verdict)),
-            Err(_) => Err(Failure::may_have_run(FailureCause::Broken)),
+        if verdict == Verdict::Failure {
+            let (target, status) = (target.id.clone(), opened.head.status);
+            request.story.add(now, Decision::TargetFailed { target, status });
         }
-    }
-
-    fn may_go_on(&self, gateway: &Gateway, request: &RoutedRequest) -> bool {
-        let rule = &request.admitted.rule;
 
-        may_send_again(rule.kind, self.run_state())
-            && (self.tried.len() as u32) < rule.max_targets
-            && attempt::has_time(request, gateway.now())
-            && gateway.take_repeat(&request.service)
+        match opened.read_whole().await {
+            Ok((head, body)) => Ok((WholeAnswer::of_target(head, body), verdict)),
+            Err(_) => {
+                let failure = Failure::may_have_run(FailureCause::Broken);
+                let Failure { run, cause } = failure;
+                let decision = Decision::Failed { target: target.id.clone(), cause, run };
+                request.story.add(gateway.now(), decision);
+                Err(failure)
+            }
+        }
     }
 
     fn give_up(
-        &self,
+        &mut self,
         gateway: &Gateway,
         request: &RoutedRequest,
         reason: Option<NoPlace>,
     ) -> WholeAnswer {
-        WholeAnswer::given_up(self.run_state(), false, reason, request, &gateway.names)
+        let run = self.run_state();
+
+        match self.failure.take() {
+            Some(failure) => failure,
+            None => WholeAnswer::given_up(run, false, reason, request, &gateway.names),
+        }
     }
 }
--- a/grebedeck/src/main.rs
+++ b/grebedeck/src/main.rs
@@ -77,7 +77,9 @@
     let store = Store::new(settings.store_address, millis(settings.store_limit_ms));
     let tasks = gateway::Tasks::default();
 
-    tasks.run(gateway::run(tasks.clone(), settings, HEADER_NAMES, store)).await?;
+    let ran = tasks.run(gateway::run(tasks.clone(), file, settings, HEADER_NAMES, store)).await;
+    grebedeck_kernel::log::finish();
+    ran?;
     Ok(0)
 }
 
@@ -88,7 +90,9 @@
     let engine = Engine::new(settings.target_address, rank::options::ENGINE_LIMIT);
     let tasks = gateway::Tasks::default();
 
-    tasks.run(rank::run(tasks.clone(), settings, store, engine)).await?;
+    let ran = tasks.run(rank::run(tasks.clone(), settings, store, engine)).await;
+    grebedeck_kernel::log::finish();
+    ran?;
     Ok(0)
 }
 
