--- /dev/null
+++ b/grebedeck-experts/tests/assign.rs
@@ -0,0 +1,105 @@
+//! Better placements: valid, within what engines take, and worth their copies.
+
+use grebedeck_core::random::SeededSource;
+use grebedeck_core::{RandomSource, Rank};
+use grebedeck_experts::Placement;
+use grebedeck_experts::assign::{AssignOptions, improve};
+
+const RANKS: Rank = 16;
+const EXPERTS: u16 = 64;
+
+fn options() -> AssignOptions {
+    AssignOptions { places: 5, max_new: 2, target_skew: 1.1, min_gain_per_copy: 0.001 }
+}
+
+/// Draws a popularity in which a few experts have much of the load.
+fn skewed(random: &mut SeededSource) -> Vec<f32> {
+    let weight = |_| 1.0 / (0.02 + random.unit() as f32);
+
+    (0..EXPERTS).map(weight).collect()
+}
+
+fn assert_valid(before: &Placement, after: &Placement, options: &AssignOptions) {
+    for (had, has) in before.sets.iter().zip(&after.sets) {
+        let mut held = vec![false; usize::from(EXPERTS)];
+
+        for (before, now) in had.iter().zip(has) {
+            assert!(now.len() <= options.places, "a rank has no more places");
+            let new = now.iter().filter(|e| !before.contains(e)).count();
+            assert!(new <= options.max_new, "engines take no more new experts at once");
+
+            for (at, expert) in now.iter().enumerate() {
+                assert!(!now[..at].contains(expert), "no rank holds an expert twice");
+                held[usize::from(*expert)] = true;
+            }
+        }
+
+        assert!(held.iter().all(|h| *h), "each expert is held somewhere");
+    }
+}
+
+#[test]
+fn placements_are_valid_and_skew_falls_to_the_target() {
+    let costs = vec![1.0; usize::from(RANKS)];
+    let mut random = SeededSource::new(3);
+    let mut placement = Placement::dealt(RANKS, 2, EXPERTS);
+
+    for round in 0..60 {
+        let popularity = vec![skewed(&mut random), skewed(&mut random)];
+        let before = placement.skew(&popularity, &costs);
+        // Engines take only some new experts at once, so a large shift needs a few changes.
+        for _ in 0..3 {
+            let next = improve(&placement, &popularity, &costs, &options());
+            assert_valid(&placement, &next, &options());
+            placement = next;
+        }
+        let after = placement.skew(&popularity, &costs);
+
+        assert!(after <= before + 1e-3, "round {round}: {before} to {after}");
+        assert!(after < 1.35, "round {round}: {before} to {after}");
+    }
+}
+
+#[test]
+fn a_level_placement_is_left_as_it_is() {
+    let placement = Placement::dealt(RANKS, 1, EXPERTS);
+    let popularity = vec![vec![1.0; usize::from(EXPERTS)]];
+    let next = improve(&placement, &popularity, &vec![1.0; usize::from(RANKS)], &options());
+
+    assert_eq!(placement, next);
+}
+
+#[test]
+fn a_slow_rank_is_relieved() {
+    let placement = Placement::dealt(RANKS, 1, EXPERTS);
+    let popularity = vec![vec![1.0; usize::from(EXPERTS)]];
+    let mut costs = vec![1.0; usize::from(RANKS)];
+    costs[3] = 4.0;
+    let mut next = placement.clone();
+
+    for _ in 0..4 {
+        next = improve(&next, &popularity, &costs, &options());
+    }
+
+    let skew = |p: &Placement| p.skew(&popularity, &costs);
+    assert!(skew(&next) < 0.5 * skew(&placement), "{} to {}", skew(&placement), skew(&next));
+}
+
+#[test]
+fn copies_that_gain_too_little_are_not_made() {
+    let mut random = SeededSource::new(5);
+    let popularity = vec![skewed(&mut random)];
+    let costs = vec![1.0; usize::from(RANKS)];
+    let placement = Placement::dealt(RANKS, 1, EXPERTS);
+    let careful = AssignOptions { min_gain_per_copy: 100.0, ..options() };
+
+    assert_eq!(placement.copies_to(&improve(&placement, &popularity, &costs, &careful)), 0);
+}
+
+#[test]
+fn a_placement_is_put_together_from_its_parts() {
+    let placement = Placement::dealt(RANKS, 3, EXPERTS);
+    let parts: Vec<_> = (0..RANKS).map(|rank| placement.part_of(rank)).collect();
+
+    assert_eq!(Placement::from_parts(parts.iter()), placement);
+}
--- /dev/null
+++ b/grebedeck-gateway/tests/decisions.rs
@@ -0,0 +1,199 @@
+//! Events, budgets, outages, pace and verdicts.
+
+use std::time::Duration;
+
+use grebedeck_gateway::answer::{give_up_status, may_send_again};
+use grebedeck_gateway::wire::TargetLoad;
+use grebedeck_gateway::{
+    Availability, EventBuffer, Kind, Outage, OutageOptions, Pacing, PacingOptions, RunState,
+    Verdict, WindowBudget, WindowOptions, judge,
+};
+use proptest::prelude::*;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn events_are_the_same_however_their_bytes_are_cut(
+        texts in proptest::collection::vec("[a-z]{0,12}", 1..12),
+        cuts in proptest::collection::vec(1usize..9, 1..60),
+        crlf in any::<bool>(),
+    ) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let event = |(id, text): (usize, &String)| format!("id: {id}{end}data: {text}{end}{end}");
+        let stream: String = texts.iter().enumerate().map(event).collect();
+        let mut buffer = EventBuffer::default();
+        let mut rest = stream.as_bytes();
+        let mut ids = Vec::new();
+        let mut bytes = Vec::new();
+
+        for cut in cuts.iter().cycle() {
+            let (part, left) = rest.split_at((*cut).min(rest.len()));
+            buffer.push(part);
+            rest = left;
+
+            while let Some(event) = buffer.next_event() {
+                ids.push(event.id);
+                bytes.extend_from_slice(&event.bytes);
+            }
+
+            if rest.is_empty() {
+                break;
+            }
+        }
+
+        prop_assert_eq!(ids, (0..texts.len() as u64).map(Some).collect::<Vec<_>>());
+        prop_assert_eq!(bytes, stream.as_bytes());
+        prop_assert!(buffer.rest().is_empty());
+    }
+}
+
+#[test]
+fn a_part_of_an_event_is_not_passed_on() {
+    let mut buffer = EventBuffer::default();
+    buffer.push(b"id: 4\ndata: x\n");
+
+    assert_eq!(buffer.next_event(), None);
+    assert_eq!(buffer.rest(), b"id: 4\ndata: x\n");
+}
+
+fn budget() -> WindowBudget {
+    let options = WindowOptions { window: Duration::from_secs(10), ratio: 0.2, allowance: 3.0 };
+
+    WindowBudget::new(options)
+}
+
+#[test]
+fn repeats_follow_the_requests_of_the_window() {
+    let mut budget = budget();
+    (0..100).for_each(|_| budget.earn(MS(1000)));
+    let taken = (0..100).filter(|_| budget.take(MS(2000))).count();
+
+    assert_eq!(taken, 23);
+}
+
+#[test]
+fn a_window_wherever_it_lies_holds_no_more_than_its_part() {
+    let mut budget = budget();
+    let mut taken: Vec<Duration> = Vec::new();
+
+    for tick in 0..6000u64 {
+        let now = MS(tick * 10);
+
+        // Requests come in bursts, and repeats are wanted all the time.
+        if tick % 400 < 40 {
+            budget.earn(now);
+        }
+
+        if budget.take(now) {
+            taken.push(now);
+        }
+    }
+
+    for from in (0..60_000).step_by(50).map(MS) {
+        let to = from + Duration::from_secs(10);
+        let in_window = taken.iter().filter(|at| **at >= from && **at < to).count();
+        // At most three bursts of 40 requests lie in a window, or half a slot beside it.
+        assert!(in_window <= (3.5 * 40.0 * 0.2) as usize + 3, "{in_window} from {from:?}");
+    }
+}
+
+fn outage() -> Outage {
+    let options =
+        OutageOptions { failures: 3, expected: MS(2000), overdue: MS(900), trial_pause: MS(50) };
+
+    Outage::new(options, MS(0))
+}
+
+#[test]
+fn a_service_is_out_after_failures_in_a_row_and_back_with_the_first_success() {
+    let mut outage = outage();
+    outage.succeeded(MS(1000));
+    assert!(!outage.failed());
+    assert!(!outage.failed());
+    assert_eq!(outage.availability(MS(1100)), Availability::Up);
+    assert!(outage.failed(), "the third in a row");
+    assert_eq!(outage.availability(MS(1500)), Availability::Out(MS(1500)));
+    assert_eq!(outage.availability(MS(3500)), Availability::Out(MS(900)), "overdue");
+    assert!(outage.succeeded(MS(3600)));
+    assert_eq!(outage.availability(MS(3600)), Availability::Up);
+}
+
+#[test]
+fn single_failures_between_successes_are_no_outage() {
+    let mut outage = outage();
+
+    for at in 0..100 {
+        outage.failed();
+        outage.failed();
+        outage.succeeded(MS(at));
+    }
+
+    assert_eq!(outage.availability(MS(200)), Availability::Up);
+}
+
+#[test]
+fn trials_are_made_one_at_a_time() {
+    let mut outage = outage();
+    let trials = (0..1000).filter(|at| outage.take_trial(MS(*at))).count();
+
+    assert_eq!(trials, 20);
+}
+
+#[test]
+fn allowed_load_follows_the_pauses() {
+    let mut pacing = Pacing::new(PacingOptions::new(MS(30), MS(125)));
+    assert!(pacing.allowed_load(1.0, MS(0)).is_infinite(), "nothing was seen");
+
+    // A pass of 30 ms and 90 ms for the requests: aimed at are 100 ms, so 70 for the requests.
+    (0..500).for_each(|at| pacing.note_pause(MS(120), MS(at)));
+    let allowed = pacing.allowed_load(0.9, MS(500));
+    assert!((allowed - 0.7).abs() < 0.01, "{allowed}");
+
+    let old = pacing.allowed_load(0.9, MS(5000));
+    assert!(old.is_infinite(), "what was seen is too old");
+}
+
+#[test]
+fn a_group_that_is_slow_takes_some_requests_all_the_same() {
+    let mut pacing = Pacing::new(PacingOptions::new(MS(30), MS(125)));
+    pacing.note_pause(MS(5000), MS(1));
+
+    assert!(pacing.allowed_load(0.5, MS(2)) >= 0.3);
+}
+
+#[test]
+fn only_a_targets_own_word_says_that_a_request_has_not_run() {
+    assert_eq!(judge(200, true, false), Verdict::Pass);
+    assert_eq!(judge(200, false, false), Verdict::Unusable);
+    assert_eq!(judge(503, false, true), Verdict::Refused);
+    assert_eq!(judge(503, true, false), Verdict::Unusable);
+    assert_eq!(judge(429, true, false), Verdict::Unusable);
+    assert_eq!(judge(421, false, false), Verdict::OtherTarget);
+    assert_eq!(judge(500, true, false), Verdict::Failure);
+    assert_eq!(judge(400, true, true), Verdict::Refused);
+}
+
+#[test]
+fn a_request_that_may_have_run_is_never_told_not_to_have() {
+    for is_late in [false, true] {
+        assert_eq!(give_up_status(RunState::NotRun, is_late), 503);
+        assert!(matches!(give_up_status(RunState::MayHaveRun, is_late), 502 | 504));
+    }
+
+    assert!(!may_send_again(Kind::Once, RunState::MayHaveRun));
+    assert!(!may_send_again(Kind::Stream { is_resumable: false }, RunState::MayHaveRun));
+    assert!(may_send_again(Kind::Once, RunState::NotRun));
+    assert!(may_send_again(Kind::Safe, RunState::MayHaveRun));
+}
+
+#[test]
+fn a_load_that_is_not_understood_is_none() {
+    let load = TargetLoad { running: 3, waiting: 0, slots: 8 };
+
+    assert_eq!(TargetLoad::parse("3, 0,8"), Some(load));
+    assert_eq!(TargetLoad::parse("3,0"), None);
+    assert_eq!(TargetLoad::parse("a,b,c"), None);
+}
--- /dev/null
+++ b/grebedeck-http/tests/messages.rs
@@ -0,0 +1,146 @@
+//! Heads and bodies: framing that could be understood in two ways, and bytes cut anywhere.
+
+use bytes::BytesMut;
+use grebedeck_http::{
+    BodyDecoder, Decoded, Framing, RequestHead, ResponseHead, request_framing, response_framing,
+    write_chunk,
+};
+use proptest::prelude::*;
+
+fn request(text: &str) -> RequestHead {
+    RequestHead::take(&mut BytesMut::from(text)).expect("well formed").expect("whole")
+}
+
+fn response(text: &str) -> ResponseHead {
+    ResponseHead::take(&mut BytesMut::from(text)).expect("well formed").expect("whole")
+}
+
+#[test]
+fn a_request_that_could_be_understood_in_two_ways_is_refused() {
+    for headers in [
+        "content-length: 3\r\ntransfer-encoding: chunked\r\n",
+        "content-length: 3\r\ncontent-length: 4\r\n",
+        "content-length: +3\r\n",
+        "content-length: \r\n",
+        "transfer-encoding: gzip, chunked\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+    ] {
+        let head = request(&format!("POST / HTTP/1.1\r\nhost: a\r\n{headers}\r\n"));
+        assert!(request_framing(&head).is_err(), "{headers}");
+    }
+
+    assert!(RequestHead::take(&mut BytesMut::from("GET / HTTP/1.1\r\n a: b\r\n\r\n")).is_err());
+}
+
+#[test]
+fn lengths_are_read() {
+    let head = request("POST /a%2Fb/../c?d HTTP/1.1\r\nHost: x\r\nContent-Length: 12\r\n\r\n");
+
+    assert_eq!(head.target, "/a%2Fb/../c?d", "the path is passed on as it came");
+    assert_eq!(request_framing(&head).expect("a length"), Framing::Length(12));
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection() {
+    let plain = response("HTTP/1.1 200 OK\r\n\r\n");
+    assert_eq!(response_framing(&plain, "GET").expect("clear"), Framing::UntilClose);
+    assert_eq!(response_framing(&plain, "HEAD").expect("clear"), Framing::Empty);
+
+    let empty = response("HTTP/1.1 204 No Content\r\n\r\n");
+    assert_eq!(response_framing(&empty, "GET").expect("clear"), Framing::Empty);
+}
+
+#[test]
+fn a_head_is_written_as_it_was_read() {
+    let text = "GET /x HTTP/1.1\r\nHost: a\r\nX-One: 1\r\nX-One: 2\r\n\r\n";
+    let mut written = Vec::new();
+    request(text).write(&mut written);
+
+    assert_eq!(String::from_utf8(written).expect("text"), text);
+}
+
+#[test]
+fn headers_of_one_connection_are_not_passed_on() {
+    let head = request(
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n\
+         Keep-Alive: timeout=5\r\nX-End: 2\r\n\r\n",
+    );
+    let kept: Vec<String> =
+        head.headers.end_to_end().iter().map(|(name, _)| name.to_string()).collect();
+
+    assert_eq!(kept, ["Host", "X-End"]);
+    assert!(!head.keeps_alive());
+}
+
+/// Takes a body out of bytes that arrive in parts, and gives what follows it.
+fn decode(framing: Framing, bytes: &[u8], cuts: &[usize]) -> Option<(Vec<u8>, Vec<u8>)> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut buffer = BytesMut::new();
+    let mut body = Vec::new();
+    let mut rest = bytes;
+
+    for cut in cuts.iter().cycle() {
+        let (part, left) = rest.split_at((*cut).min(rest.len()));
+        buffer.extend_from_slice(part);
+        rest = left;
+
+        loop {
+            match decoder.decode(&mut buffer).ok()? {
+                Decoded::Data(data) => body.extend_from_slice(&data),
+                Decoded::NeedMore => break,
+                Decoded::End => {
+                    buffer.extend_from_slice(rest);
+                    return Some((body, buffer.to_vec()));
+                }
+            }
+        }
+
+        if rest.is_empty() {
+            return None;
+        }
+    }
+
+    None
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    #[test]
+    fn bodies_are_whole_however_their_bytes_are_cut(
+        chunks in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 1..40), 0..8),
+        cuts in proptest::collection::vec(1usize..17, 1..20),
+    ) {
+        let whole: Vec<u8> = chunks.concat();
+        let mut chunked = Vec::new();
+        chunks.iter().for_each(|chunk| write_chunk(chunk, &mut chunked));
+        chunked.extend_from_slice(b"0\r\nX-Trailer: 1\r\n\r\nnext");
+        let mut plain = whole.clone();
+        plain.extend_from_slice(b"next");
+
+        let after_chunks = decode(Framing::Chunked, &chunked, &cuts);
+        prop_assert_eq!(after_chunks, Some((whole.clone(), b"next".to_vec())));
+        let after_length = decode(Framing::Length(whole.len() as u64), &plain, &cuts);
+        prop_assert_eq!(after_length, Some((whole, b"next".to_vec())));
+    }
+
+    #[test]
+    fn a_body_that_was_cut_never_looks_whole(
+        chunk in proptest::collection::vec(any::<u8>(), 1..60),
+        cut in any::<proptest::sample::Index>(),
+    ) {
+        let mut chunked = Vec::new();
+        write_chunk(&chunk, &mut chunked);
+        chunked.extend_from_slice(b"0\r\n\r\n");
+        let cut = cut.index(chunked.len());
+
+        prop_assert_eq!(decode(Framing::Chunked, &chunked[..cut], &[7]), None);
+    }
+}
+
+#[test]
+fn malformed_chunks_are_noticed() {
+    for bytes in ["x\r\n", "5\r\nabcdeX\r\n", "-1\r\n", "\r\n", "3\nabc\r\n0\r\n\r\n"] {
+        assert_eq!(decode(Framing::Chunked, bytes.as_bytes(), &[100]), None, "{bytes:?}");
+    }
+}
