--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -34,7 +34,7 @@
 use crate::process;
 pub use options::GatewaySettings;
 use pages::Page;
-use service::Gateway;
+pub use service::Gateway;
 
 /// Runs tasks on the thread that runs the process.
 pub type Tasks = Rc<LocalExecutor<'static>>;
@@ -43,10 +43,23 @@
 pub async fn run<S: SiteStore>(
     tasks: Tasks,
     file: &Path,
-    mut settings: GatewaySettings,
+    settings: GatewaySettings,
     names: HeaderNames,
     store: S,
 ) -> anyhow::Result<()> {
+    let gateway = start(tasks.clone(), settings, names, store).await?;
+    tasks.spawn(reload::follow_file(gateway.clone(), file.to_path_buf())).detach();
+
+    stop::run_until_stopped(&gateway, file).await
+}
+
+/// Starts a gateway; it listens when this returns, and runs as long as the tasks do.
+pub async fn start<S: SiteStore>(
+    tasks: Tasks,
+    mut settings: GatewaySettings,
+    names: HeaderNames,
+    store: S,
+) -> anyhow::Result<Rc<Gateway>> {
     let caller_listener = process::bind(&mut settings.caller_address).await?;
     let ready_listener = process::bind(&mut settings.ready_address).await?;
     let peer_listener = process::bind(&mut settings.peer_address).await?;
@@ -62,7 +75,6 @@
     tasks.spawn(watch::follow_targets(gateway.clone(), store.clone())).detach();
     tasks.spawn(peers::follow_list(gateway.clone(), store)).detach();
     tasks.spawn(peers::follow_peers(gateway.clone())).detach();
-    tasks.spawn(reload::follow_file(gateway.clone(), file.to_path_buf())).detach();
     serve_pages(&gateway, ready_listener, |gateway, _| {
         Page::empty(if gateway.is_ready() { 200 } else { 503 })
     });
@@ -75,7 +87,7 @@
     tasks.spawn(accept(gateway.clone(), caller_listener)).detach();
     tasks.spawn(housekeeping(gateway.clone())).detach();
 
-    stop::run_until_stopped(&gateway, file).await
+    Ok(gateway)
 }
 
 /// Answers on one of the process's other ports.
--- a/grebedeck/src/gateway/request.rs
+++ b/grebedeck/src/gateway/request.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Tells whether the time of the request is over.
+    pub fn is_late(&self, now: Moment) -> bool {
+        now >= self.deadline
+    }
+
     /// Gets the bytes to send to a target, with `left` of the time. A stream that another target goes on
     /// with names the last event that the caller has.
     pub fn bytes_for(&self, target: &TargetEntry, left: Duration, names: &HeaderNames) -> Vec<u8> {
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -86,7 +86,7 @@
             };
             let target = match found {
                 Some(Ok(target)) => target,
-                Some(Err(reason)) => return self.give_up(false, Some(reason)).await,
+                Some(Err(reason)) => return self.give_up(Some(reason)).await,
                 None => return (End::CallerGone, After::Close),
             };
 
@@ -107,7 +107,7 @@
                         Part::Whole(status) => return (End::Answered(status), self.after),
                         Part::Broken => {}
                         Part::CallerGone => return (End::CallerGone, After::Close),
-                        Part::TimedOut => return self.give_up(true, None).await,
+                        Part::TimedOut => return self.give_up(None).await,
                     }
                 }
                 Some(Ok(opened)) if !self.head_sent => return self.pass_failure(opened).await,
@@ -118,8 +118,7 @@
             }
 
             if !self.gateway.may_send_again(self.request, self.run_state(), self.tried.len()) {
-                let is_late = self.request.deadline <= self.gateway.now();
-                return self.give_up(is_late, None).await;
+                return self.give_up(None).await;
             }
         }
     }
@@ -275,8 +274,7 @@
 
         match timeout(left, opened.read_whole()).await {
             Ok(Ok((head, body))) => self.answer(WholeAnswer::of_target(head, body)).await,
-            Ok(Err(_)) => self.give_up(false, None).await,
-            Err(_) => self.give_up(true, None).await,
+            Ok(Err(_)) | Err(_) => self.give_up(None).await,
         }
     }
 
@@ -287,11 +285,12 @@
     }
 
     /// Ends the request without an answer, or cuts the stream that has begun.
-    async fn give_up(&mut self, is_late: bool, reason: Option<NoPlace>) -> (End, After) {
+    async fn give_up(&mut self, reason: Option<NoPlace>) -> (End, After) {
         if self.head_sent {
             return (End::Cut, After::Close);
         }
 
+        let is_late = self.request.is_late(self.gateway.now());
         let (run, names) = (self.run_state(), &self.gateway.names);
         self.answer(WholeAnswer::given_up(run, is_late, reason, self.request, names)).await
     }
--- a/grebedeck/src/gateway/watch.rs
+++ b/grebedeck/src/gateway/watch.rs
@@ -28,7 +28,10 @@
     }
 
     async fn failed(&mut self, error: &grebedeck_core::Error) {
-        if self.failures == 0 {
+        if let grebedeck_core::Error::Faults(faults) = error {
+            // What was in force stays so; the store itself is there.
+            log::error!("refused", kv: { what = self.what, error = faults.to_string() });
+        } else if self.failures == 0 {
             log::warn!("store lost", kv: { what = self.what, error = error.to_string() });
         }
 
--- a/grebedeck/src/gateway/whole.rs
+++ b/grebedeck/src/gateway/whole.rs
@@ -182,10 +182,11 @@
         reason: Option<NoPlace>,
     ) -> WholeAnswer {
         let run = self.run_state();
+        let is_late = request.is_late(gateway.now());
 
         match self.failure.take() {
             Some(failure) => failure,
-            None => WholeAnswer::given_up(run, false, reason, request, &gateway.names),
+            None => WholeAnswer::given_up(run, is_late, reason, request, &gateway.names),
         }
     }
 }
