Gateway: loads told by the processes beside ranks; prompts given to a group at a rate

Cause (after an outage): all that had waited began at once; reading some hundred prompts in half a second made passes of over 120 ms, so that every running stream was late; targets' words on their load were as old as answers, so the gateways together sent 14% more than there were places.

Change: rank processes tell gateways load and whether the group is open; prompt tokens for each second are limited by what the engines read, shared by requests in flight; whoever is held for longer than a refusal is of use is served late rather than refused late; a caller that resumes a stream is held longer.

--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -21,7 +21,7 @@
 pub use answer::{RunState, Verdict, judge};
 pub use events::{Event, EventBuffer};
 pub use outage::{Availability, Outage, OutageOptions};
-pub use pacing::{Pacing, PacingOptions};
+pub use pacing::{Pacing, PacingOptions, PromptRate};
 pub use retry::{WindowBudget, WindowOptions};
 pub use routes::{Admitted, Denied, RouteTable};
 pub use site::{
--- a/grebedeck-gateway/src/outage.rs
+++ b/grebedeck-gateway/src/outage.rs
@@ -65,6 +65,15 @@
         self.failures == self.options.failures
     }
 
+    /// Notes that the service's group says that it makes no passes; tells whether the service is out
+    /// since then.
+    pub fn closed(&mut self) -> bool {
+        let was_out = self.is_out();
+        self.failures = self.failures.max(self.options.failures);
+
+        !was_out
+    }
+
     /// Gets whether the service is expected to take requests.
     pub fn availability(&self, now: Moment) -> Availability {
         if !self.is_out() {
--- a/grebedeck-gateway/src/site.rs
+++ b/grebedeck-gateway/src/site.rs
@@ -123,6 +123,8 @@
     pub read_tokens_per_s: f64,
     /// Steps in one pass.
     pub steps_per_pass: u32,
+    /// Tokens of a usual prompt.
+    pub usual_prompt: u64,
     /// Time that a group needs to form.
     pub form: Duration,
     /// Halls with the one-way delay between them.
--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -185,6 +185,13 @@
         self.serving.get(service)
     }
 
+    /// Gets the target that has an address now.
+    pub fn newest_at(&self, address: SocketAddr) -> Option<Arc<TargetEntry>> {
+        let there = self.known.values().filter(|k| k.entry.address == address);
+
+        there.max_by_key(|k| k.version).map(|k| k.entry.clone())
+    }
+
     /// Gets a target.
     pub fn get(&self, id: &str) -> Option<&Arc<TargetEntry>> {
         self.known.get(id).map(|k| &k.entry)
--- a/grebedeck-gateway/src/wire.rs
+++ b/grebedeck-gateway/src/wire.rs
@@ -25,6 +25,8 @@
     pub authorization: &'static str,
     /// The scheme in front of a caller's key.
     pub key_scheme: &'static str,
+    /// A request's tokens: those of the prompt, and the most that are generated.
+    pub tokens: &'static str,
     /// A request's rank towards a model's engine.
     pub priority: &'static str,
     /// Seconds after which the caller may come back.
--- a/grebedeck-routing/src/choice.rs
+++ b/grebedeck-routing/src/choice.rs
@@ -257,6 +257,11 @@
         }
     }
 
+    /// Gets what this entry itself has in flight on a target.
+    pub fn own_in_flight(&self, target: &str) -> u32 {
+        self.view(target).map_or(0, |v| v.own_in_flight)
+    }
+
     /// Gets the mean load of some targets, in requests for each place.
     pub fn mean_load<T: Candidate>(&self, targets: &[Arc<T>], now: Moment) -> f64 {
         let load = |target: &Arc<T>| {
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod body;
 pub mod caller;
 pub mod counters;
+pub mod loads;
 pub mod options;
 pub mod pages;
 pub mod peers;
@@ -26,7 +27,7 @@
 use std::rc::Rc;
 
 use async_executor::LocalExecutor;
-use async_std::net::TcpListener;
+use async_std::net::{TcpListener, UdpSocket};
 use grebedeck_gateway::{HeaderNames, SiteStore};
 use grebedeck_http::RequestHead;
 use grebedeck_kernel::log;
@@ -64,6 +65,7 @@
     let ready_listener = process::bind(&mut settings.ready_address).await?;
     let peer_listener = process::bind(&mut settings.peer_address).await?;
     let metrics_listener = process::bind(&mut settings.metrics_address).await?;
+    let socket = UdpSocket::bind((settings.ip, settings.group_port)).await?;
     let gateway = Rc::new(Gateway::new(settings, names, tasks.clone()));
 
     log::info!("started", kv: {
@@ -74,6 +76,7 @@
     tasks.spawn(watch::follow_site(gateway.clone(), store.clone())).detach();
     tasks.spawn(watch::follow_targets(gateway.clone(), store.clone())).detach();
     tasks.spawn(peers::follow_list(gateway.clone(), store)).detach();
+    tasks.spawn(loads::follow(gateway.clone(), socket)).detach();
     tasks.spawn(peers::follow_peers(gateway.clone())).detach();
     serve_pages(&gateway, ready_listener, |gateway, _| {
         Page::empty(if gateway.is_ready() { 200 } else { 503 })
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway, and the constants that it works with.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use grebedeck_core::Faults;
@@ -44,6 +44,15 @@
 /// Longest time that a request is held for a service that is out: callers leave a stream that says nothing
 /// for two seconds.
 pub const MAX_HOLD: Duration = Duration::from_millis(1800);
+/// Shortest wait before a place is looked for again.
+pub const MIN_WAIT: Duration = Duration::from_millis(1);
+/// Part of a group's time that may go into reading prompts. Half of it is what skew takes while experts
+/// are not placed well; twice the usual arrivals fit.
+pub const PROMPT_PART: f64 = 0.15;
+/// Time's worth of prompts that may begin at once, so that usual arrivals do not wait for each other.
+pub const PROMPT_BURST: Duration = Duration::from_millis(100);
+/// How often ranks are asked to tell their load.
+pub const WATCH_PERIOD: Duration = Duration::from_millis(1000);
 /// Callers that are told to come back are spread over this time.
 pub const RETURN_SPREAD: Duration = Duration::from_millis(300);
 /// How long a request is held at the start of the process, until the configuration is known.
@@ -65,6 +74,10 @@
     pub ready_address: SocketAddr,
     /// Where it answers other processes of grebedeck.
     pub peer_address: SocketAddr,
+    /// The address of this instance.
+    pub ip: IpAddr,
+    /// The port on which processes of all instances take datagrams.
+    pub group_port: u16,
     /// Where it shows its metrics and its state.
     pub metrics_address: SocketAddr,
     /// Other gateways to ask while the store is away; some may be gone.
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -9,7 +9,8 @@
 use grebedeck_gateway::{Availability, TargetEntry, TargetId};
 
 use super::options::{
-    HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, PATIENCE_PART, RETRY_AFTER_PART, RETURN_SPREAD, TRIAL_PAUSE,
+    HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, MIN_WAIT, PATIENCE_PART, RETRY_AFTER_PART, RETURN_SPREAD,
+    TRIAL_PAUSE,
 };
 use super::request::RoutedRequest;
 use super::service::Gateway;
@@ -25,6 +26,8 @@
     Full,
     /// The service is out, and expected back after this time.
     Out(Duration),
+    /// Too many prompts have begun lately; the next one may after this time.
+    Paced(Duration),
 }
 
 impl NoPlace {
@@ -34,6 +37,7 @@
             NoPlace::NoTargets => "no_targets",
             NoPlace::Full => "full",
             NoPlace::Out(_) => "out",
+            NoPlace::Paced(_) => "paced",
         }
     }
 
@@ -46,7 +50,7 @@
             NoPlace::NoTargets | NoPlace::Full => {
                 objective.mul_f64(RETRY_AFTER_PART * (1.0 + spread))
             }
-            NoPlace::Out(left) => left + RETURN_SPREAD.mul_f64(spread),
+            NoPlace::Out(left) | NoPlace::Paced(left) => left + RETURN_SPREAD.mul_f64(spread),
         }
     }
 }
@@ -73,7 +77,12 @@
                 return Ok(target);
             }
             Err(reason) => {
-                give_up = give_up.max(hold_until(reason, request, now));
+                let held_until = hold_until(gateway, reason, request, now);
+
+                if held_until > give_up {
+                    // Who has waited for longer than a refusal is of use is served rather late than not.
+                    give_up = (request.request.arrived + MAX_HOLD).min(request.deadline);
+                }
 
                 if now >= give_up {
                     gateway.counters.waits.note(now - began, reason.word());
@@ -84,7 +93,9 @@
             }
         }
 
-        let wait = give_up.saturating_sub(now).clamp(Duration::from_millis(1), TRIAL_PAUSE);
+        let paced = gateway.prompt_wait(&request.service, now);
+        let next_look = if paced.is_zero() { TRIAL_PAUSE } else { paced.min(TRIAL_PAUSE) };
+        let wait = give_up.saturating_sub(now).min(next_look).max(MIN_WAIT);
         let _ = timeout(wait, freed).await;
     }
 }
@@ -102,9 +113,12 @@
 }
 
 /// Gets how long a request is held at least, for the reason that there is no place.
-fn hold_until(reason: NoPlace, request: &RoutedRequest, now: Moment) -> Moment {
+fn hold_until(gateway: &Gateway, reason: NoPlace, request: &RoutedRequest, now: Moment) -> Moment {
+    // A caller whose stream broke has come back once already, and would lose what it has.
+    let limit = if request.request.resumes(&gateway.names) { MAX_HOLD } else { HOLD_LIMIT };
+
     match reason {
-        NoPlace::Out(left) if left <= HOLD_LIMIT => {
+        NoPlace::Out(left) | NoPlace::Paced(left) if left <= limit => {
             (now + left + HOLD_MARGIN).min(request.request.arrived + MAX_HOLD).min(request.deadline)
         }
         _ => Moment::ZERO,
@@ -119,7 +133,15 @@
 ) -> Result<Arc<TargetEntry>, NoPlace> {
     match gateway.availability(&request.service) {
         Availability::Out(left) if !gateway.take_trial(&request.service) => Err(NoPlace::Out(left)),
-        Availability::Out(_) | Availability::Up => choose(gateway, request, tried, now),
+        Availability::Out(_) | Availability::Up => {
+            let wait = gateway.prompt_wait(&request.service, now);
+
+            if !wait.is_zero() {
+                return Err(NoPlace::Paced(wait));
+            }
+
+            choose(gateway, request, tried, now)
+        }
     }
 }
 
@@ -147,6 +169,7 @@
         last_event_id: request.last_event_id.get(),
     };
     request.story.add(now, decision);
+    gateway.take_prompt(request, now);
 
     Ok(target)
 }
--- a/grebedeck/src/gateway/request.rs
+++ b/grebedeck/src/gateway/request.rs
@@ -54,6 +54,18 @@
         scheme.eq_ignore_ascii_case(names.key_scheme).then(|| key.trim())
     }
 
+    /// Tells whether it goes on with a stream that broke.
+    pub fn resumes(&self, names: &HeaderNames) -> bool {
+        self.head.headers.get(names.last_event_id).is_some()
+    }
+
+    /// Gets the tokens of its prompt, if it says so.
+    pub fn prompt_tokens(&self, names: &HeaderNames) -> Option<u64> {
+        let prompt = self.head.headers.text(names.tokens)?.split(',').next()?;
+
+        prompt.trim().parse().ok()
+    }
+
     /// Gets how long the caller waits, if it says so.
     pub fn patience(&self, names: &HeaderNames) -> Option<Duration> {
         let text = self.head.headers.text(names.deadline_ms)?;
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -12,8 +12,8 @@
 use grebedeck_gateway::answer::{self, RunState};
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    Availability, HeaderNames, Outage, OutageOptions, Pacing, PacingOptions, RouteTable, Site,
-    TargetEntry, TargetList, WindowBudget, WindowOptions,
+    Availability, HeaderNames, Outage, OutageOptions, Pacing, PacingOptions, PromptRate,
+    RouteTable, Site, TargetEntry, TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Metrics, log};
@@ -24,12 +24,14 @@
 use super::body::BodyBudget;
 use super::counters::Counters;
 use super::options::{
-    GatewaySettings, MIN_ATTEMPT, OUTAGE_FAILURES, OVERDUE, START_LAG, TRIAL_PAUSE,
+    GatewaySettings, MIN_ATTEMPT, OUTAGE_FAILURES, OVERDUE, PROMPT_BURST, PROMPT_PART, START_LAG,
+    TRIAL_PAUSE,
 };
 use super::pool::Pool;
 use super::request::RoutedRequest;
 use super::stop::StopState;
 use super::story::{Decision, End, STORIES_PER_S, Story};
+use crate::rank::message::RankLoad;
 
 /// Age after which a target's word on its load is no longer believed: much longer and a target that
 /// others have filled since would be taken for a free one.
@@ -69,6 +71,7 @@
     store_answered_at: Cell<Option<Moment>>,
     outages: RefCell<HashMap<ServiceName, Outage>>,
     paces: RefCell<HashMap<ServiceName, Pacing>>,
+    prompts: RefCell<HashMap<ServiceName, PromptRate>>,
 }
 
 impl Gateway {
@@ -105,6 +108,7 @@
             store_answered_at: Cell::default(),
             outages: RefCell::default(),
             paces: RefCell::default(),
+            prompts: RefCell::default(),
         }
     }
 
@@ -331,6 +335,64 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// Gets the time until the next prompt may go to a service's group.
+    pub fn prompt_wait(&self, service: &str, now: Moment) -> Duration {
+        self.prompts.borrow().get(service).map_or(Duration::ZERO, |rate| rate.wait(now))
+    }
+
+    /// Gets this gateway's share of the requests for some targets: what it has in flight itself, and at
+    /// least an equal part.
+    fn share(&self, targets: &[Arc<TargetEntry>], now: Moment) -> f64 {
+        let chooser = self.chooser.borrow();
+        let own: f64 = targets.iter().map(|t| f64::from(chooser.own_in_flight(&t.id))).sum();
+        let all: f64 = targets.iter().map(|t| chooser.load_view(&t.id, now).in_flight).sum();
+        let equal = 1.0 / (self.peers().len() + 1) as f64;
+
+        (own / all.max(1.0)).clamp(equal, 1.0)
+    }
+
+    /// Notes that a request's prompt goes to its service's group.
+    pub fn take_prompt(&self, request: &RoutedRequest, now: Moment) {
+        let table = self.table();
+        let service = &request.service;
+        let Some(engine) = table.service(service).and_then(|s| s.engine.as_ref()) else {
+            return;
+        };
+        let serving = self.serving(service).unwrap_or_default();
+        let group_tokens_per_s = serving.len() as f64 * engine.read_tokens_per_s * PROMPT_PART;
+        let tokens_per_s = group_tokens_per_s * self.share(&serving, now);
+        let tokens = request.request.prompt_tokens(&self.names).unwrap_or(engine.usual_prompt);
+        let mut prompts = self.prompts.borrow_mut();
+        let first = PromptRate::new(tokens_per_s, PROMPT_BURST);
+        let rate = prompts.entry(service.clone()).or_insert(first);
+        rate.set_rate(tokens_per_s);
+        rate.take(tokens, now);
+    }
+
+    /// Takes in what the process beside a rank says of it.
+    pub fn note_rank(&self, address: SocketAddr, load: &RankLoad) {
+        let found = self.targets.borrow().newest_at(address);
+        let Some(target) = found else {
+            return;
+        };
+        let report = LoadReport { in_flight: load.running + load.waiting, places: target.slots };
+        self.note_load(&target.id, report);
+
+        if load.is_open {
+            self.note_open(&target.service, &target.id);
+        } else if self.with_outage(&target.service, Outage::closed) {
+            log::warn!("service out", kv: { service = target.service.as_str(), cause = "closed" });
+        }
+    }
+
+    /// Notes that a rank says its group makes passes; where the service was out, it is back.
+    fn note_open(&self, service: &str, target: &str) {
+        if self.availability(service) != Availability::Up {
+            log::info!("group open", kv: { service, target });
+            self.note_taken(service);
+        }
+    }
+
     /// Notes a target's load.
     pub fn note_load(&self, target: &str, report: LoadReport) {
         let now = self.now();
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -1,6 +1,6 @@
 //! Drives a node: reads its engine, carries messages and orders, and has the leader plan.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -20,8 +20,10 @@
 use grebedeck_kernel::{Clock, log};
 
 use super::balance::Balance;
-use super::message::{Body, Datagram, MAX_DATAGRAM_BYTES};
-use super::options::{BUSY_POLL, IDLE_POLL, LIST_PAUSE, RankSettings, STOP_LIMIT};
+use super::message::{Body, Datagram, MAX_DATAGRAM_BYTES, RankLoad};
+use super::options::{
+    BUSY_POLL, IDLE_POLL, LIST_PAUSE, LOAD_PERIOD, RankSettings, STOP_LIMIT, WATCH_LIFETIME,
+};
 use crate::settings::millis;
 
 /// Outcomes of calls that may wait to be taken in.
@@ -68,6 +70,8 @@
     list_due: Due,
     site_due: Due,
     plan_at: Moment,
+    load_at: Moment,
+    watchers: BTreeMap<SocketAddr, Moment>,
     is_engine_lost: bool,
 }
 
@@ -102,6 +106,8 @@
             list_due: Due::At(now),
             site_due: Due::At(now),
             plan_at: now,
+            load_at: now,
+            watchers: BTreeMap::new(),
             is_engine_lost: false,
         })
     }
@@ -221,6 +227,10 @@
                 let actions = self.node.on_message(datagram.from, message, now);
                 self.carry_out(actions).await;
             }
+            Body::Watch => {
+                self.watchers.insert(datagram.from, self.clock.now());
+            }
+            Body::Load(_) => {}
             Body::Counts(report) => {
                 let is_current = self.node.report().is_some_and(|r| r.epoch == report.epoch);
 
@@ -242,6 +252,7 @@
 
                 if let Ok(report) = report {
                     self.keep_first_placement(report.size);
+                    self.tell_load(&report, now).await;
                     let actions = self.node.on_report(report, now);
                     self.carry_out(actions).await;
                 }
@@ -287,6 +298,23 @@
         }
     }
 
+    /// Tells the engine's load to the gateways that asked for it lately.
+    async fn tell_load(&mut self, report: &RankReport, now: Moment) {
+        if now < self.load_at {
+            return;
+        }
+
+        self.load_at = now + LOAD_PERIOD;
+        self.watchers.retain(|_, asked_at| now < *asked_at + WATCH_LIFETIME);
+        let load =
+            RankLoad { running: report.running, waiting: report.waiting, is_open: report.is_open };
+        let watchers: Vec<SocketAddr> = self.watchers.keys().copied().collect();
+
+        for watcher in watchers {
+            self.send(watcher, Body::Load(load)).await;
+        }
+    }
+
     fn note_engine(&mut self, report: &Result<RankReport>) {
         match report {
             Ok(_) if self.is_engine_lost => {
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -11,7 +11,8 @@
 /// Largest datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
 
-/// One datagram. Processes are known by their targets' addresses, which the platform lists.
+/// One datagram. Rank processes are known by their targets' addresses, which the platform lists; of a
+/// gateway only the instance's address counts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Datagram {
     /// The target beside which the sender stands.
@@ -27,6 +28,21 @@
     Rollout(Message<SocketAddr>),
     /// What a rank counted since its last report.
     Counts(CountReport),
+    /// From a gateway: the sender wants to be told the rank's load for a while.
+    Watch,
+    /// To those that want it: the rank's load.
+    Load(RankLoad),
+}
+
+/// A rank's load, as its engine says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Whether the group makes passes.
+    pub is_open: bool,
 }
 
 impl Datagram {
