--- a/grebedeck/src/rank/options.rs
+++ b/grebedeck/src/rank/options.rs
@@ -9,14 +9,14 @@
 use crate::settings::Check;
 
 /// How often the engine is read while no plan is under way.
-pub const IDLE_POLL: Duration = Duration::from_millis(80);
+pub const IDLE_POLL: Duration = Duration::from_millis(130);
 /// How often the engine is read while a plan is under way: a fraction of a pass.
 pub const BUSY_POLL: Duration = Duration::from_millis(20);
 /// How long a call to an engine may take before it counts as unanswered; usually it takes a
 /// millisecond or two.
 pub const ENGINE_LIMIT: Duration = Duration::from_millis(150);
-/// How often the load is told at the most: gateways send a request or two to a rank meanwhile.
-pub const LOAD_PERIOD: Duration = Duration::from_millis(75);
+/// How often the load is told at the most: gateways send a request or two to a rank.
+pub const LOAD_PERIOD: Duration = Duration::from_millis(125);
 /// How long a gateway is told the load after it asked.
 pub const WATCH_LIFETIME: Duration = Duration::from_millis(3500);
 /// Pause between two readings of the list of targets while some nodes are not known.
