Rank processes: metrics and state; grebedeck explain; a group's state is known before the first request

Cause: requests in the first 0.3 s of a gateway's life used up their attempts on ranks whose group was closed, and were told to come back too soon; rank processes had no metrics; a request's story had to be put together by hand.

Change: ranks are asked each 50 ms until the first answer, and requests for a model wait for it for 250 ms at the most; a refusal after attempts tells when the service is expected back.

--- a/grebedeck/src/command.rs
+++ b/grebedeck/src/command.rs
@@ -2,6 +2,7 @@
 
 pub mod changes;
 pub mod client;
+pub mod explain;
 pub mod options;
 
 pub use options::{Command, options};
--- a/grebedeck/src/command/options.rs
+++ b/grebedeck/src/command/options.rs
@@ -48,6 +48,18 @@
         #[bpaf(long, argument("FILE"))]
         settings: PathBuf,
     },
+    /// Tell a request's story from the logs of processes.
+    ///
+    /// Example: grebedeck explain 9c41d07be2a35f68 gateway-1.log gateway-2.log
+    #[bpaf(command)]
+    Explain {
+        /// The request's id
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Logs
+        #[bpaf(positional("FILE"), some("at least one log is needed"))]
+        files: Vec<PathBuf>,
+    },
     /// Apply a change of targets, groups, organisations or selectors.
     ///
     /// Example: grebedeck apply --operator 10.0.0.1:7003 -f change.json --wait
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -10,7 +10,6 @@
 pub mod counters;
 pub mod loads;
 pub mod options;
-pub mod pages;
 pub mod peers;
 pub mod place;
 pub mod pool;
@@ -32,9 +31,10 @@
 use grebedeck_http::RequestHead;
 use grebedeck_kernel::log;
 
+use crate::pages::{self, ACCEPT_PAUSE, Page};
 use crate::process;
 pub use options::GatewaySettings;
-use pages::Page;
+
 pub use service::Gateway;
 
 /// Runs tasks on the thread that runs the process.
@@ -115,7 +115,7 @@
             }
             Err(error) => {
                 log::warn!("accept failed", kv: { error = error.to_string() });
-                async_std::task::sleep(options::ACCEPT_PAUSE).await;
+                async_std::task::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/grebedeck/src/gateway/loads.rs
+++ b/grebedeck/src/gateway/loads.rs
@@ -11,7 +11,7 @@
 use futures::FutureExt;
 use grebedeck_kernel::log;
 
-use super::options::WATCH_PERIOD;
+use super::options::{FIRST_WATCH_PERIOD, WATCH_PERIOD};
 use super::service::Gateway;
 use crate::rank::message::{Body, Datagram, MAX_DATAGRAM_BYTES};
 
@@ -23,7 +23,9 @@
     loop {
         let now = gateway.now();
 
-        if asked_at.is_none_or(|at| now >= at + WATCH_PERIOD) {
+        let period = if gateway.hears_ranks() { WATCH_PERIOD } else { FIRST_WATCH_PERIOD };
+
+        if asked_at.is_none_or(|at| now >= at + period) {
             asked_at = Some(now);
             ask(&gateway, &socket).await;
         }
@@ -34,7 +36,7 @@
                     take(&gateway, &buffer[..length]);
                 }
             }
-            () = async_std::task::sleep(WATCH_PERIOD).fuse() => {}
+            () = async_std::task::sleep(period).fuse() => {}
         }
     }
 }
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -8,8 +8,6 @@
 
 use crate::settings::Check;
 
-/// Pause after a failed accept, such as for lack of file descriptors.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How often rested connections and lapsed targets are looked for: well below the two seconds within
 /// which a lapsed target is to be listed again.
 pub const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(250);
@@ -53,6 +51,11 @@
 pub const PROMPT_BURST: Duration = Duration::from_millis(100);
 /// How often ranks are asked to tell their load.
 pub const WATCH_PERIOD: Duration = Duration::from_millis(1000);
+/// The same while no rank has told anything yet, such as at the start.
+pub const FIRST_WATCH_PERIOD: Duration = Duration::from_millis(50);
+/// How long requests for a model wait at the start until a rank has told whether its group is open: some
+/// of the pauses above. Without processes beside ranks nobody ever tells, and requests are sent then.
+pub const FIRST_LOAD_WAIT: Duration = Duration::from_millis(250);
 /// Callers that are told to come back are spread over this time.
 pub const RETURN_SPREAD: Duration = Duration::from_millis(300);
 /// How long a request is held at the start of the process, until the configuration is known.
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -17,8 +17,8 @@
 use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
 use serde::{Deserialize, Serialize};
 
-use super::pages::Page;
 use super::service::Gateway;
+use crate::pages::Page;
 
 /// Path of what a gateway knows.
 const STATE_PATH: &str = "/peer/state";
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -31,6 +31,14 @@
 }
 
 impl NoPlace {
+    /// Gets why a request that is given up after its attempts has no place now.
+    pub fn after_attempts(gateway: &Gateway, service: &str) -> Self {
+        match gateway.availability(service) {
+            Availability::Out(left) => NoPlace::Out(left),
+            Availability::Up => NoPlace::Full,
+        }
+    }
+
     /// Gets a short word for logs and counters.
     pub fn word(self) -> &'static str {
         match self {
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -24,8 +24,8 @@
 use super::body::BodyBudget;
 use super::counters::Counters;
 use super::options::{
-    GatewaySettings, MIN_ATTEMPT, OUTAGE_FAILURES, OVERDUE, PROMPT_BURST, PROMPT_PART, START_LAG,
-    TRIAL_PAUSE,
+    FIRST_LOAD_WAIT, FIRST_WATCH_PERIOD, GatewaySettings, MIN_ATTEMPT, OUTAGE_FAILURES, OVERDUE,
+    PROMPT_BURST, PROMPT_PART, START_LAG, TRIAL_PAUSE,
 };
 use super::pool::Pool;
 use super::request::RoutedRequest;
@@ -64,7 +64,8 @@
     clock: Clock,
     table: RefCell<Rc<RouteTable>>,
     targets: RefCell<TargetList>,
-    targets_known: Cell<bool>,
+    targets_known_at: Cell<Option<Moment>>,
+    hears_ranks: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     site: RefCell<Option<Site>>,
     peers: RefCell<BTreeSet<SocketAddr>>,
@@ -101,7 +102,8 @@
             clock: Clock::default(),
             table: RefCell::default(),
             targets: RefCell::default(),
-            targets_known: Cell::new(false),
+            targets_known_at: Cell::default(),
+            hears_ranks: Cell::new(false),
             budgets: RefCell::default(),
             site: RefCell::default(),
             peers: RefCell::default(),
@@ -188,7 +190,9 @@
 
     /// Notes that the list of targets was read whole.
     pub fn set_targets_known(&self) {
-        self.targets_known.set(true);
+        if self.targets_known_at.get().is_none() {
+            self.targets_known_at.set(Some(self.now()));
+        }
     }
 
     /// Drops targets that have lapsed.
@@ -208,7 +212,9 @@
 
     /// Tells whether the process can serve requests.
     pub fn is_ready(&self) -> bool {
-        self.table.borrow().version() > 0 && self.targets_known.get() && !self.stop.is_stopping()
+        self.table.borrow().version() > 0
+            && self.targets_known_at.get().is_some()
+            && !self.stop.is_stopping()
     }
 
     /// Notes the first attempt of a request for a service.
@@ -337,6 +343,10 @@
 
     /// Gets the time until the next prompt may go to a service's group.
     pub fn prompt_wait(&self, service: &str, now: Moment) -> Duration {
+        if self.waits_for_ranks(service, now) {
+            return FIRST_WATCH_PERIOD;
+        }
+
         self.prompts.borrow().get(service).map_or(Duration::ZERO, |rate| rate.wait(now))
     }
 
@@ -369,8 +379,25 @@
         rate.take(tokens, now);
     }
 
+    /// Tells whether some rank has told its load.
+    pub fn hears_ranks(&self) -> bool {
+        self.hears_ranks.get()
+    }
+
+    /// Tells whether a request for a model should wait for the ranks' first word on their group.
+    fn waits_for_ranks(&self, service: &str, now: Moment) -> bool {
+        let is_early = self.targets_known_at.get().is_none_or(|at| now < at + FIRST_LOAD_WAIT);
+
+        !self.hears_ranks() && is_early && self.is_model(service)
+    }
+
+    fn is_model(&self, service: &str) -> bool {
+        self.table().service(service).is_some_and(|s| s.engine.is_some())
+    }
+
     /// Takes in what the process beside a rank says of it.
     pub fn note_rank(&self, address: SocketAddr, load: &RankLoad) {
+        self.hears_ranks.set(true);
         let found = self.targets.borrow().newest_at(address);
         let Some(target) = found else {
             return;
@@ -452,9 +479,7 @@
 
     /// Gets the load that a service's targets may have, in requests for each place.
     pub fn allowed_load(&self, service: &str, targets: &[Arc<TargetEntry>], now: Moment) -> f64 {
-        let is_model = self.table().service(service).is_some_and(|s| s.engine.is_some());
-
-        if !is_model {
+        if !self.is_model(service) {
             return self.settings().load.plain;
         }
 
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -291,6 +291,8 @@
         }
 
         let is_late = self.request.is_late(self.gateway.now());
+        let reason =
+            reason.unwrap_or_else(|| NoPlace::after_attempts(self.gateway, &self.request.service));
         let (run, names) = (self.run_state(), &self.gateway.names);
         self.answer(WholeAnswer::given_up(run, is_late, reason, self.request, names)).await
     }
--- a/grebedeck/src/gateway/whole.rs
+++ b/grebedeck/src/gateway/whole.rs
@@ -62,16 +62,15 @@
         }
     }
 
-    /// Makes the answer to a request that is given up; `reason` is why there was no place, if that is
-    /// why.
+    /// Makes the answer to a request that is given up; `reason` is why there is no place for it.
     pub fn given_up(
         run: RunState,
         is_late: bool,
-        reason: Option<NoPlace>,
+        reason: NoPlace,
         request: &RoutedRequest,
         names: &HeaderNames,
     ) -> Self {
-        let wait = reason.unwrap_or(NoPlace::Full).retry_after(request.admitted.rule.objective);
+        let wait = reason.retry_after(request.admitted.rule.objective);
         let retry_after = (run == RunState::NotRun).then_some(wait);
 
         WholeAnswer::own(give_up_status(run, is_late), retry_after, &request.request, names)
@@ -107,7 +106,11 @@
 
     match timeout(left, attempts.run(gateway, request)).await {
         Ok(answer) => answer,
-        Err(_) => WholeAnswer::given_up(attempts.run_state(), true, None, request, &gateway.names),
+        Err(_) => {
+            let reason = NoPlace::after_attempts(gateway, &request.service);
+            let run = attempts.run_state();
+            WholeAnswer::given_up(run, true, reason, request, &gateway.names)
+        }
     }
 }
 
@@ -129,7 +132,7 @@
         loop {
             let target = match place::find(gateway, request, &self.tried).await {
                 Ok(target) => target,
-                Err(reason) => return self.give_up(gateway, request, Some(reason)),
+                Err(reason) => return self.give_up(gateway, request, reason),
             };
 
             // From here on the request may reach the target, also if this task is dropped.
@@ -143,7 +146,8 @@
             }
 
             if !gateway.may_send_again(request, self.run_state(), self.tried.len()) {
-                return self.give_up(gateway, request, None);
+                let reason = NoPlace::after_attempts(gateway, &request.service);
+                return self.give_up(gateway, request, reason);
             }
         }
     }
@@ -179,7 +183,7 @@
         &mut self,
         gateway: &Gateway,
         request: &RoutedRequest,
-        reason: Option<NoPlace>,
+        reason: NoPlace,
     ) -> WholeAnswer {
         let run = self.run_state();
         let is_late = request.is_late(gateway.now());
--- a/grebedeck/src/lib.rs
+++ b/grebedeck/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gateway;
 pub mod message;
 pub mod operator;
+pub mod pages;
 pub mod peer;
 pub mod process;
 pub mod random;
--- a/grebedeck/src/main.rs
+++ b/grebedeck/src/main.rs
@@ -6,7 +6,7 @@
 use anyhow::Result;
 use grebedeck::agent::Agent;
 use grebedeck::command::client::OperatorClient;
-use grebedeck::command::{Command, EXIT_REFUSED, EXIT_UNKNOWN, changes, options};
+use grebedeck::command::{Command, EXIT_REFUSED, EXIT_UNKNOWN, changes, explain, options};
 use grebedeck::entry::Entry;
 use grebedeck::gateway::{self, GatewaySettings};
 use grebedeck::rank::{self, RankSettings};
@@ -35,6 +35,10 @@
         Command::Entry { settings } => run_entry(&settings).await,
         Command::Agent { settings } => run_agent(&settings).await,
         Command::Rank { settings } => run_rank(&settings).await,
+        Command::Explain { id, files } => {
+            print!("{}", explain::explain(&id, &files)?);
+            Ok(0)
+        }
         Command::Apply { operator, file, dry_run, wait, json } => {
             changes::apply(operator, &file, dry_run, wait, json).await
         }
@@ -126,7 +130,11 @@
     let checked = match role {
         "entry" => settings::read::<EntrySettings>(file).map(|_| ()),
         "agent" => settings::read::<AgentSettings>(file).map(|_| ()),
-        other => anyhow::bail!("role: `{other}`: expected entry or agent"),
+        "gateway" => settings::read::<GatewaySettings>(file).map(|_| ()),
+        "rank" => settings::read::<RankSettings>(file).map(|_| ()),
+        other => {
+            anyhow::bail!("role: `{other}`: expected entry, agent, gateway or rank");
+        }
     };
 
     match checked {
--- a/grebedeck/src/gateway/pages.rs
+++ b/grebedeck/src/pages.rs
@@ -1,4 +1,4 @@
-//! Short answers on the process's other ports: readiness, metrics, dump, and what gateways tell each
+//! Short answers on a process's other ports: readiness, metrics, state, and what gateways tell each
 //! other.
 
 use std::rc::Rc;
@@ -10,8 +10,10 @@
 use grebedeck_http::{Connection, RequestHead, ResponseHead};
 use grebedeck_kernel::log;
 
-use super::options::{ACCEPT_PAUSE, MAX_ANSWER_HEAD_BYTES};
-
+/// Pause after a failed accept, such as for lack of file descriptors.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 /// How long a connection may rest; whoever asks does so every few seconds at the most.
 const REST_LIMIT: Duration = Duration::from_secs(10);
 /// How long an asker may take to read its answer.
@@ -82,7 +84,7 @@
     let mut connection = Connection::new(stream);
 
     loop {
-        let read = timeout(REST_LIMIT, connection.read_request_head(MAX_ANSWER_HEAD_BYTES)).await;
+        let read = timeout(REST_LIMIT, connection.read_request_head(MAX_HEAD_BYTES)).await;
         let Ok(Ok(request)) = read else {
             return;
         };
--- a/grebedeck/src/rank.rs
+++ b/grebedeck/src/rank.rs
@@ -6,6 +6,7 @@
 //! Messages are datagrams: each tells a state, so that a lost one is made good by the next.
 
 pub mod balance;
+pub mod counters;
 pub mod driver;
 pub mod message;
 pub mod options;
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -1,5 +1,6 @@
 //! Drives a node: reads its engine, carries messages and orders, and has the leader plan.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,7 +10,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_signal::{Signal, Signals};
-use async_std::net::UdpSocket;
+use async_std::net::{TcpListener, UdpSocket};
 use futures::{FutureExt, StreamExt};
 use grebedeck_core::{Moment, Rank, Result};
 use grebedeck_experts::balancer::CountDelta;
@@ -17,13 +18,18 @@
 use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote, RankPart};
 use grebedeck_experts::{OrderEnd, RankCounts, RankEngine, RankOrder, RankReport};
 use grebedeck_gateway::{ListedTarget, SiteStore, TargetEntry};
-use grebedeck_kernel::{Clock, log};
+use grebedeck_http::RequestHead;
+use grebedeck_kernel::{Clock, Metrics, log};
+use serde_json::{Value, json};
 
 use super::balance::Balance;
+use super::counters::Counters;
 use super::message::{Body, Datagram, MAX_DATAGRAM_BYTES, RankLoad};
 use super::options::{
     BUSY_POLL, IDLE_POLL, LIST_PAUSE, LOAD_PERIOD, RankSettings, STOP_LIMIT, WATCH_LIFETIME,
 };
+use crate::pages::{self, Page};
+use crate::process;
 use crate::settings::millis;
 
 /// Outcomes of calls that may wait to be taken in.
@@ -73,13 +79,15 @@
     load_at: Moment,
     watchers: BTreeMap<SocketAddr, Moment>,
     is_engine_lost: bool,
+    counters: Counters,
+    state: Rc<RefCell<Value>>,
 }
 
 impl<S: SiteStore, E: RankEngine> Driver<S, E> {
     /// Listens for datagrams.
     pub async fn try_new(
         tasks: Rc<LocalExecutor<'static>>,
-        settings: RankSettings,
+        mut settings: RankSettings,
         store: S,
         engine: E,
     ) -> anyhow::Result<Self> {
@@ -88,6 +96,11 @@
         let socket = UdpSocket::bind((settings.ip, settings.group_port)).await?;
         let life = rand::random();
         let node = Node::new(settings.target_address, life, now, NodeOptions::default());
+        let metrics = Metrics::default();
+        let counters = Counters::new(&metrics);
+        let state: Rc<RefCell<Value>> = Rc::default();
+        let listener = process::bind(&mut settings.metrics_address).await?;
+        tasks.spawn(serve_pages(tasks.clone(), listener, metrics, state.clone())).detach();
         let balance = Balance::new(settings.balance, &settings.service);
 
         Ok(Driver {
@@ -109,6 +122,8 @@
             load_at: now,
             watchers: BTreeMap::new(),
             is_engine_lost: false,
+            counters,
+            state,
         })
     }
 
@@ -184,12 +199,34 @@
             });
         }
 
+        self.show_state();
+
         if now >= self.plan_at {
             self.plan_at = now + millis(self.settings.balance.plan_ms);
             self.plan(now).await;
         }
     }
 
+    /// Puts the node's state where the page shows it.
+    fn show_state(&self) {
+        let report = self.node.report();
+        let placement = report.map(|r| (r.placement, r.prepared, r.armed, r.held));
+
+        *self.state.borrow_mut() = json!({
+            "name": self.settings.name,
+            "engine_lost": self.is_engine_lost,
+            "leading": self.node.is_leading(),
+            "leader": self.node.leader(),
+            "busy": self.node.is_busy(),
+            "rank": report.map(|r| r.rank),
+            "epoch": report.map(|r| r.epoch),
+            "open": report.map(|r| r.is_open),
+            "pass": report.map(|r| r.pass),
+            "placement": placement,
+            "gateways": self.watchers.len(),
+        });
+    }
+
     /// Has the leader look for a better placement.
     async fn plan(&mut self, now: Moment) {
         if !self.node.can_plan(now) {
@@ -206,6 +243,7 @@
             return;
         };
 
+        self.counters.copies.add_many(change.copies as u64, "planned");
         log::info!("placement proposed", kv: {
             skew_before = f64::from(change.skew_before),
             skew_after = f64::from(change.skew_after),
@@ -277,6 +315,7 @@
                 }
             },
             Outcome::Ordered { rank, order, end } => {
+                self.counters.note_order(end);
                 self.node.on_order(rank, &order, end);
                 // What the order changed shows in the engine's own words.
                 self.report_due = match self.report_due {
@@ -380,6 +419,7 @@
                         self.balance.restart();
                     }
 
+                    self.counters.note(&note);
                     log_note(note);
                 }
             }
@@ -452,6 +492,21 @@
     }
 }
 
+async fn serve_pages(
+    tasks: Rc<LocalExecutor<'static>>,
+    listener: TcpListener,
+    metrics: Metrics,
+    state: Rc<RefCell<Value>>,
+) {
+    let answer = move |request: &RequestHead| match request.path() {
+        "/metrics" => Page::text(metrics.text()),
+        "/dump" => Page::json(&state.borrow()),
+        _ => Page::empty(404),
+    };
+
+    pages::serve(tasks, listener, answer).await;
+}
+
 fn log_note(note: RankNote) {
     match note {
         RankNote::Leads(term) => log::info!("leads the group", kv: { round = term.round }),
--- a/grebedeck/src/rank/options.rs
+++ b/grebedeck/src/rank/options.rs
@@ -40,6 +40,8 @@
     pub service: String,
     /// The port on which the rank processes of all instances take datagrams.
     pub group_port: u16,
+    /// Where it shows its metrics and its state.
+    pub metrics_address: SocketAddr,
     /// The platform's store.
     pub store_address: SocketAddr,
     /// How long a call to the store may take.
