Rollout on large groups: nodes know the first placement, and are told what differs

Found by the sizes of what the leader sent.

Ruled out on the way, and mended as they cost the same link or processor: counts of all ranks (830 KB/s; now those of a part of them), the search for a placement (now only the ranks that a step changes), the list of nodes in each message. Errors of sending were dropped without a line; they are logged.

--- a/grebedeck-experts/src/assign.rs
+++ b/grebedeck-experts/src/assign.rs
@@ -7,7 +7,7 @@
 
 use grebedeck_core::{Expert, Rank};
 
-use crate::placement::{Placement, SetPlacement, holders, rank_times};
+use crate::placement::{Placement, SetPlacement, rank_times};
 
 /// Settings of the search.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +33,8 @@
 
 /// Weight of a copy against the relief of the ranks' times when steps are compared.
 const COPY_WEIGHT: f32 = 0.25;
+/// Copies that a step without any counts as when its gain is weighed: it needs a changeover, too.
+const FREE_STEP_COPIES: f32 = 0.25;
 /// Power that makes a sum over ranks follow the busiest ones, without ignoring those close to them.
 const PEAK_POWER: i32 = 8;
 /// Most steps in one set: each brings at most two copies, and few are ever needed.
@@ -58,11 +60,15 @@
     costs: &'a [f32],
     options: &'a AssignOptions,
     set: SetPlacement,
-    holders: Vec<u32>,
+    /// Ranks that hold each expert.
+    holders: Vec<Vec<Rank>>,
     times: Vec<f32>,
     mean: f32,
 }
 
+/// Changes of ranks' times by a step; a rank may stand in it more than once.
+type TimeChanges = Vec<(Rank, f32)>;
+
 impl<'a> Search<'a> {
     fn new(
         before: &'a SetPlacement,
@@ -71,6 +77,11 @@
         options: &'a AssignOptions,
     ) -> Self {
         let total: f32 = popularity.iter().sum();
+        let mut holders = vec![Vec::new(); popularity.len()];
+
+        for (rank, held) in before.iter().enumerate() {
+            held.iter().for_each(|e| holders[usize::from(*e)].push(rank as Rank));
+        }
 
         Search {
             before,
@@ -78,7 +89,7 @@
             costs,
             options,
             set: before.clone(),
-            holders: holders(before, popularity.len()),
+            holders,
             times: rank_times(before, popularity, costs),
             mean: total / before.len() as f32,
         }
@@ -110,7 +121,9 @@
     }
 
     fn best_step(&self, rank: Rank) -> Option<Step> {
-        let now = self.peak(&self.times);
+        let powers: f32 = self.times.iter().map(|t| self.power(*t)).sum();
+        let peak = |powers: f32| powers.max(0.0).powf(1.0 / PEAK_POWER as f32);
+        let now = peak(powers);
         let mut best: Option<(f32, Step)> = None;
 
         for step in self.steps(rank) {
@@ -118,11 +131,10 @@
                 continue;
             }
 
-            let times = self.times_after(&step);
-            let relief = (now - self.peak(&times)) / self.mean;
+            let relief = now - peak(powers + self.power_change(&step));
             let copies = self.copies(&step) as f32;
 
-            if relief <= self.options.min_gain_per_copy * copies.max(0.25) {
+            if relief <= self.options.min_gain_per_copy * copies.max(FREE_STEP_COPIES) {
                 continue;
             }
 
@@ -136,11 +148,27 @@
         best.map(|(_, step)| step)
     }
 
-    /// Gets a smooth measure of the busiest ranks' times.
-    fn peak(&self, times: &[f32]) -> f32 {
-        let sum: f32 = times.iter().map(|t| (t / self.mean).powi(PEAK_POWER)).sum();
+    /// Gets a rank's part in the smooth measure of the busiest ranks' times.
+    fn power(&self, time: f32) -> f32 {
+        (time / self.mean).powi(PEAK_POWER)
+    }
+
+    fn power_change(&self, step: &Step) -> f32 {
+        let changes = self.time_changes(step);
+        let mut sum = 0.0;
+
+        for (at, (rank, _)) in changes.iter().enumerate() {
+            // Each rank counts once, with all its changes.
+            if changes[..at].iter().any(|(earlier, _)| earlier == rank) {
+                continue;
+            }
+
+            let own = changes.iter().filter(|(r, _)| r == rank).map(|(_, change)| change);
+            let before = self.times[usize::from(*rank)];
+            sum += self.power(before + own.sum::<f32>()) - self.power(before);
+        }
 
-        sum.powf(1.0 / PEAK_POWER as f32) * self.mean
+        sum
     }
 
     fn steps(&self, rank: Rank) -> Vec<Step> {
@@ -150,7 +178,7 @@
         for &expert in held {
             let alone = Step { rank, loses: Some(expert), takes: None, other: None };
 
-            if self.holders[usize::from(expert)] > 1 {
+            if self.holders[usize::from(expert)].len() > 1 {
                 steps.push(alone);
             }
 
@@ -180,7 +208,7 @@
         }
 
         for &given in theirs {
-            if self.holders[usize::from(given)] > 1 {
+            if self.holders[usize::from(given)].len() > 1 {
                 steps.push(Step { other: Some((other, Some(given), Some(expert))), ..spread });
             }
 
@@ -214,62 +242,53 @@
         usize::from(is_copy(step.rank, step.takes)) + usize::from(other)
     }
 
-    /// Gets the change of each expert's number of holders.
-    fn holder_changes(step: &Step) -> impl Iterator<Item = (Expert, i32)> {
-        let other = step.other.map(|(_, loses, takes)| (loses, takes));
-        let sides = [Some((step.loses, step.takes)), other];
-
-        sides.into_iter().flatten().flat_map(|(loses, takes)| {
-            loses.map(|e| (e, -1)).into_iter().chain(takes.map(|e| (e, 1)))
-        })
-    }
-
-    fn times_after(&self, step: &Step) -> Vec<f32> {
-        let mut times = self.times.clone();
-        let mut after = self.clone_holders(step);
-        self.add_share_changes(step, &mut after, &mut times);
+    /// Gets the experts of a step with the change of the number of ranks that hold them. An exchange
+    /// leaves it as it is.
+    fn holder_changes(&self, step: &Step) -> Vec<(Expert, i32)> {
+        let other = step.other.map(|(_, loses, takes)| (loses, takes)).unwrap_or_default();
+        let moved = [(step.loses, -1), (step.takes, 1), (other.0, -1), (other.1, 1)];
+        let mut changes: Vec<(Expert, i32)> = Vec::with_capacity(4);
+
+        for (expert, change) in moved.into_iter().filter_map(|(e, c)| Some((e?, c))) {
+            match changes.iter_mut().find(|(e, _)| *e == expert) {
+                Some((_, sum)) => *sum += change,
+                None => changes.push((expert, change)),
+            }
+        }
 
-        times
+        changes
     }
 
-    fn clone_holders(&self, step: &Step) -> Vec<(Expert, u32)> {
-        let mut after: Vec<(Expert, u32)> = Vec::with_capacity(4);
+    /// Gets what a step does to the times of the ranks that hold its experts, before or after it.
+    fn time_changes(&self, step: &Step) -> TimeChanges {
+        let mut changes = Vec::with_capacity(16);
+
+        for (expert, change) in self.holder_changes(step) {
+            let popularity = self.popularity[usize::from(expert)];
+            let holders = &self.holders[usize::from(expert)];
+            let share_before = popularity / holders.len() as f32;
+            let count = (holders.len() as u32).saturating_add_signed(change).max(1);
+            let share_after = popularity / count as f32;
+
+            for &rank in holders {
+                let stays = holds_after(step, rank, expert, true);
+                let after = if stays { share_after } else { 0.0 };
+                changes.push((rank, (after - share_before) * self.costs[usize::from(rank)]));
+            }
 
-        for (expert, change) in Self::holder_changes(step) {
-            match after.iter_mut().find(|(e, _)| *e == expert) {
-                Some((_, count)) => *count = count.saturating_add_signed(change),
-                None => {
-                    let count = self.holders[usize::from(expert)].saturating_add_signed(change);
-                    after.push((expert, count));
+            for (rank, takes) in takers(step) {
+                if takes == Some(expert) {
+                    changes.push((rank, share_after * self.costs[usize::from(rank)]));
                 }
             }
         }
 
-        after
-    }
-
-    fn add_share_changes(&self, step: &Step, after: &mut [(Expert, u32)], times: &mut [f32]) {
-        for (expert, count) in after {
-            let popularity = self.popularity[usize::from(*expert)];
-            let share_before = popularity / self.holders[usize::from(*expert)] as f32;
-            let share_after = popularity / (*count).max(1) as f32;
-
-            for (rank, held) in self.set.iter().enumerate() {
-                let had = held.contains(expert);
-                let has = holds_after(step, rank as Rank, *expert, had);
-                let before = if had { share_before } else { 0.0 };
-                let after = if has { share_after } else { 0.0 };
-                times[rank] += (after - before) * self.costs[rank];
-            }
-        }
+        changes
     }
 
     fn apply(&mut self, step: &Step) {
-        self.times = self.times_after(step);
-
-        for (expert, change) in Self::holder_changes(step) {
-            let count = &mut self.holders[usize::from(expert)];
-            *count = count.saturating_add_signed(change);
+        for (rank, change) in self.time_changes(step) {
+            self.times[usize::from(rank)] += change;
         }
 
         self.change(step.rank, step.loses, step.takes);
@@ -283,9 +302,24 @@
         let held = &mut self.set[usize::from(rank)];
         held.retain(|e| Some(*e) != loses);
         held.extend(takes);
+
+        if let Some(expert) = loses {
+            self.holders[usize::from(expert)].retain(|r| *r != rank);
+        }
+
+        if let Some(expert) = takes {
+            self.holders[usize::from(expert)].push(rank);
+        }
     }
 }
 
+/// Gets the ranks of a step with the experts that they take.
+fn takers(step: &Step) -> impl Iterator<Item = (Rank, Option<Expert>)> {
+    let other = step.other.map(|(rank, _, takes)| (rank, takes));
+
+    std::iter::once((step.rank, step.takes)).chain(other)
+}
+
 fn holds_after(step: &Step, rank: Rank, expert: Expert, had: bool) -> bool {
     let change = |loses: Option<Expert>, takes: Option<Expert>| {
         (had && loses != Some(expert)) || takes == Some(expert)
--- a/grebedeck-experts/src/balancer.rs
+++ b/grebedeck-experts/src/balancer.rs
@@ -64,6 +64,18 @@
     }
 }
 
+/// Bytes of counts that a leader takes in a second: a seventh of the smallest link, 8 Mbit/s.
+const COUNT_BYTES_PER_S: f64 = 150_000.0;
+
+/// Tells whether a rank's counts are wanted. Popularity is one of the whole group, so with many ranks a
+/// part of them is sample enough, and all counts would fill the leader's link.
+pub fn is_counted(rank: Rank, size: Rank, counters: usize, period: Duration) -> bool {
+    let bytes_per_s = f64::from(size) * counters as f64 / period.as_secs_f64().max(1e-3);
+    let stride = (bytes_per_s / COUNT_BYTES_PER_S).ceil().max(1.0) as Rank;
+
+    rank.is_multiple_of(stride)
+}
+
 /// A placement that is worth rolling out.
 #[derive(Clone, Debug)]
 pub struct Change {
--- a/grebedeck-experts/src/placement.rs
+++ b/grebedeck-experts/src/placement.rs
@@ -13,7 +13,46 @@
     pub sets: Vec<SetPlacement>,
 }
 
+/// What one rank holds of one set in a new placement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankChange {
+    /// The set.
+    pub set: u16,
+    /// The rank.
+    pub rank: Rank,
+    /// Its experts.
+    pub experts: Vec<Expert>,
+}
+
 impl Placement {
+    /// Gets what differs in the next placement, which is a small part of it as a rule.
+    pub fn changes_to(&self, next: &Placement) -> Vec<RankChange> {
+        let mut changes = Vec::new();
+
+        for (set, (before, after)) in self.sets.iter().zip(&next.sets).enumerate() {
+            for (rank, (had, has)) in before.iter().zip(after).enumerate() {
+                if had != has {
+                    let (set, rank) = (set as u16, rank as Rank);
+                    changes.push(RankChange { set, rank, experts: has.clone() });
+                }
+            }
+        }
+
+        changes
+    }
+
+    /// Gives the placement that changes lead to, or `None` where they do not fit this one.
+    pub fn with(&self, changes: &[RankChange]) -> Option<Placement> {
+        let mut next = self.clone();
+
+        for change in changes {
+            let set = next.sets.get_mut(usize::from(change.set))?;
+            *set.get_mut(usize::from(change.rank))? = change.experts.clone();
+        }
+
+        Some(next)
+    }
+
     /// Makes the placement that engines start with: experts are dealt to the ranks in turn.
     pub fn dealt(ranks: Rank, sets: usize, experts: Expert) -> Self {
         let held_by = |rank: Rank| (rank..experts).step_by(usize::from(ranks)).collect();
@@ -44,6 +83,13 @@
         self.sets.iter().map(held).collect()
     }
 
+    /// Gets the number of sets, and of experts in each.
+    pub fn shape(&self) -> (u16, Expert) {
+        let highest = self.sets.iter().flatten().flatten().max();
+
+        (self.sets.len() as u16, highest.map_or(0, |e| e + 1))
+    }
+
     /// Gets the number of experts that ranks must copy to get from this placement to the next.
     pub fn copies_to(&self, next: &Placement) -> usize {
         let copies = |(before, after): (&SetPlacement, &SetPlacement)| -> usize {
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use grebedeck_core::{Moment, Rank};
+use grebedeck_core::{Expert, Moment, Rank};
 
 use super::message::{Directive, Stage, Status, Term};
 use super::node::{Action, Node, NodeOptions, RankNote};
 use crate::engine::{PassNo, PlacementNo, RankAction, RankOrder, RankReport};
-use crate::placement::Placement;
+use crate::placement::{Placement, RankChange};
+
+/// Bits of a placement's number that tell the starts of the leaders' processes apart.
+const LIFE_BITS: u32 = 20;
+const LIFE_MASK: u64 = (1 << LIFE_BITS) - 1;
 
 /// A leadership.
 #[derive(Clone, Debug)]
@@ -24,7 +28,12 @@
 #[derive(Clone, Debug)]
 enum Plan {
     Idle,
-    Prepare { placement_no: PlacementNo, placement: Arc<Placement> },
+    Prepare {
+        placement_no: PlacementNo,
+        base_no: PlacementNo,
+        shape: (u16, Expert),
+        changes: Arc<Vec<RankChange>>,
+    },
     Hold(HoldPlan),
 }
 
@@ -90,9 +99,12 @@
     fn directive(&self, own: &RankReport) -> Directive {
         let stage = match &self.plan {
             Plan::Idle => Stage::Idle,
-            Plan::Prepare { placement_no, placement } => {
-                Stage::Prepare { placement_no: *placement_no, placement: placement.clone() }
-            }
+            Plan::Prepare { placement_no, base_no, shape, changes } => Stage::Prepare {
+                placement_no: *placement_no,
+                base_no: *base_no,
+                shape: *shape,
+                changes: Some(changes.clone()),
+            },
             Plan::Hold(HoldPlan { placement_no, pass, holder, .. }) => {
                 Stage::Hold { placement_no: *placement_no, pass: *pass, holder: *holder }
             }
@@ -114,6 +126,13 @@
         }
     }
 
+    /// Tells whether a rank has prepared a placement.
+    pub(super) fn has_prepared(&self, rank: Rank, placement_no: PlacementNo) -> bool {
+        let status = self.statuses.get(&rank);
+
+        status.is_some_and(|(s, _)| s.report.prepared == Some(placement_no))
+    }
+
     fn newest_pass(&self) -> PassNo {
         self.statuses.values().map(|(status, _)| status.report.pass).max().unwrap_or(0)
     }
@@ -149,12 +168,17 @@
             return actions;
         }
 
+        let Some(base) = self.placement_in_use().cloned() else {
+            return actions;
+        };
+        let base_no = self.report.as_ref().map_or(0, |r| r.placement);
         let placement_no = self.next_placement_no();
-        let placement = Arc::new(placement);
-        self.keep_placement(placement_no, placement.clone());
+        let changes = Arc::new(base.changes_to(&placement));
+        self.keep_placement(placement_no, Arc::new(placement));
 
         if let Some(lead) = &mut self.lead {
-            lead.set_plan(Plan::Prepare { placement_no, placement }, now);
+            let shape = base.shape();
+            lead.set_plan(Plan::Prepare { placement_no, base_no, shape, changes }, now);
         }
 
         actions.extend(self.tick(now));
@@ -163,9 +187,6 @@
 
     /// Gets a number above all that any engine has had, and that no other leader draws.
     fn next_placement_no(&self) -> PlacementNo {
-        let Some(own) = &self.report else {
-            return 0;
-        };
         let seen = |s: &Status| {
             let r = &s.report;
             let armed = r.armed.map(|a| a.placement_no);
@@ -173,9 +194,9 @@
         };
         let statuses = self.lead.iter().flat_map(|l| l.statuses.values());
         let highest = statuses.filter_map(|(s, _)| seen(s)).max().unwrap_or(0);
-        let size = u64::from(own.size.max(1));
 
-        (highest / size + 1) * size + u64::from(own.rank)
+        // Two starts of a process may see the same numbers, and must not give one to two placements.
+        (((highest >> LIFE_BITS) + 1) << LIFE_BITS) | (self.life & LIFE_MASK)
     }
 
     pub(super) fn step_lead(
--- a/grebedeck-experts/src/rollout/message.rs
+++ b/grebedeck-experts/src/rollout/message.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{GroupEpoch, PassNo, PlacementNo, RankReport};
-use crate::placement::Placement;
+use crate::placement::{Placement, RankChange};
 
 /// Number of a leadership; a later one has a higher number, and no two are equal.
 #[derive(
@@ -45,8 +45,12 @@
     Prepare {
         /// The placement's number.
         placement_no: PlacementNo,
-        /// The placement.
-        placement: Arc<Placement>,
+        /// The placement that it differs from.
+        base_no: PlacementNo,
+        /// Sets, and experts in each, from which a node knows the placement that engines start with.
+        shape: (u16, Expert),
+        /// What differs; left out for nodes that have prepared it.
+        changes: Option<Arc<Vec<RankChange>>>,
     },
     /// A pass is to be held at one rank, whose node then brings all ranks to the placement.
     Hold {
@@ -140,6 +144,18 @@
     Changeover(Changeover),
     /// From a node to a holder.
     Answer(ChangeoverAnswer),
+    /// From a node that does not know what a wanted placement differs from.
+    AskPlacement {
+        /// The placement's number.
+        placement_no: PlacementNo,
+    },
+    /// A whole placement that was asked for.
+    Placement {
+        /// The placement's number.
+        placement_no: PlacementNo,
+        /// The placement.
+        placement: Arc<Placement>,
+    },
     /// From a leader that does not know the placement in use.
     AskPart {
         /// The placement's number.
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use grebedeck_core::{Moment, Rank};
+use grebedeck_core::{Expert, Moment, Rank};
 
 use super::changeover::{Holding, HoldingAction};
 use super::lead::Lead;
@@ -12,7 +12,7 @@
     Changeover, ChangeoverAnswer, ChangeoverStep, Directive, Message, RankPart, Stage, Status, Term,
 };
 use crate::engine::{Armed, OrderEnd, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
-use crate::placement::Placement;
+use crate::placement::{Placement, RankChange};
 
 /// Settings of a node.
 #[derive(Clone, Copy, Debug)]
@@ -178,13 +178,14 @@
     /// Whether the own engine was seen without a hold since the node started.
     saw_unheld: bool,
     /// Drawn at the start of the process.
-    life: u64,
+    pub(super) life: u64,
     /// The next changeover's round, counted from the life.
     next_round: u64,
     placements: BTreeMap<PlacementNo, Arc<Placement>>,
     parts: BTreeMap<Rank, RankPart>,
     parts_of: PlacementNo,
     asked_parts_at: Option<Moment>,
+    asked_placement_at: Option<Moment>,
 }
 
 /// Placements that a node remembers: the one in use, the one before it, and one that was given up.
@@ -222,6 +223,7 @@
             parts: BTreeMap::new(),
             parts_of: 0,
             asked_parts_at: None,
+            asked_placement_at: None,
         }
     }
 
@@ -329,6 +331,15 @@
                 self.take_changeover(from, changeover, now, &mut actions);
             }
             Message::Answer(answer) => self.take_answer(from, answer, now, &mut actions),
+            Message::AskPlacement { placement_no } => {
+                if let Some(placement) = self.placements.get(&placement_no).cloned() {
+                    let message = Message::Placement { placement_no, placement };
+                    actions.push(Action::Send { to: from, message });
+                }
+            }
+            Message::Placement { placement_no, placement } => {
+                self.keep_placement(placement_no, placement);
+            }
             Message::AskPart { placement_no } => self.send_part(from, placement_no, &mut actions),
             Message::Part { placement_no, rank, part } => self.take_part(placement_no, rank, part),
         }
@@ -452,8 +463,11 @@
         let is_newer = self.directive.as_ref().is_none_or(|d| d.revision < directive.revision);
 
         if epoch == Some(directive.epoch) && is_newer {
-            if let Stage::Prepare { placement_no, placement } = &directive.stage {
-                self.keep_placement(*placement_no, placement.clone());
+            if let Stage::Prepare { placement_no, base_no, shape, changes: Some(changes) } =
+                &directive.stage
+            {
+                self.keep_first_placement(*shape);
+                self.take_changes(*placement_no, *base_no, changes);
             }
 
             self.directive = Some(directive);
@@ -461,6 +475,48 @@
         }
     }
 
+    /// Notes the placement that engines start with.
+    fn keep_first_placement(&mut self, (sets, experts): (u16, Expert)) {
+        let size = self.report.as_ref().map_or(0, |r| r.size);
+
+        if size > 0 && !self.placements.contains_key(&0) {
+            let first = Placement::dealt(size, usize::from(sets), experts);
+            self.keep_placement(0, Arc::new(first));
+        }
+    }
+
+    /// Puts a wanted placement together from what it differs from, where the node knows that.
+    fn take_changes(
+        &mut self,
+        placement_no: PlacementNo,
+        base_no: PlacementNo,
+        changes: &[RankChange],
+    ) {
+        let wanted = self.placements.get(&base_no).and_then(|base| base.with(changes));
+
+        match wanted {
+            Some(wanted) => self.keep_placement(placement_no, Arc::new(wanted)),
+            // What was kept under this number before is not to be taken for it.
+            None => drop(self.placements.remove(&placement_no)),
+        }
+    }
+
+    /// Asks the leader for a wanted placement whose base the node does not know.
+    fn ask_placement(
+        &mut self,
+        placement_no: PlacementNo,
+        now: Moment,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let pause = self.options.order_pause;
+        let is_due = self.asked_placement_at.is_none_or(|at| now >= at + pause);
+
+        if let Some(to) = self.leader.clone().filter(|_| is_due) {
+            self.asked_placement_at = Some(now);
+            actions.push(Action::Send { to, message: Message::AskPlacement { placement_no } });
+        }
+    }
+
     /// Follows a later leadership.
     fn follow(&mut self, term: Term, actions: &mut Vec<Action<A>>) {
         self.promised = term;
@@ -489,11 +545,16 @@
 
     /// Has the own engine copy what the leader wants.
     fn prepare(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        let Some(Directive { epoch, stage: Stage::Prepare { placement_no, placement }, .. }) =
+        let Some(Directive { epoch, stage: Stage::Prepare { placement_no, .. }, .. }) =
             &self.directive
         else {
             return;
         };
+        let Some(placement) = self.placements.get(placement_no).cloned() else {
+            let placement_no = *placement_no;
+            self.ask_placement(placement_no, now, actions);
+            return;
+        };
 
         let is_done = *epoch != report.epoch
             || report.prepared == Some(*placement_no)
@@ -501,8 +562,7 @@
             || self.refused == Some(*placement_no);
 
         if !is_done {
-            let (placement_no, placement) = (*placement_no, placement.clone());
-            let action = RankAction::Prepare { placement_no, placement };
+            let action = RankAction::Prepare { placement_no: *placement_no, placement };
             self.order_own(report, action, now, actions);
         }
     }
@@ -901,16 +961,35 @@
         }
     }
 
+    /// Gets the directive for one node, without changes that it has taken: with many ranks they are longer
+    /// than all else that a leader sends.
+    fn directive_for(&self, rank: Option<Rank>, directive: &Directive) -> Directive {
+        let mut directive = directive.clone();
+
+        if let (Some(rank), Some(lead), Stage::Prepare { placement_no, changes, .. }) =
+            (rank, &self.lead, &mut directive.stage)
+            && lead.has_prepared(rank, *placement_no)
+        {
+            *changes = None;
+        }
+
+        directive
+    }
+
     /// Sends the leader's message to all nodes that are known, and takes it itself.
     pub(super) fn broadcast(&mut self, directive: Directive, actions: &mut Vec<Action<A>>) {
-        let roster: Vec<(Rank, A)> = self.roster.iter().map(|(r, a)| (*r, a.clone())).collect();
-        let mut addresses: Vec<&A> = self.roster.values().collect();
-        addresses.extend(self.others.iter().filter(|a| !self.roster.values().any(|r| r == *a)));
+        // A datagram with many ranks and changes would be longer than networks pass on in one piece.
+        let roster: Vec<(Rank, A)> = match directive.stage {
+            Stage::Idle => self.roster.iter().map(|(r, a)| (*r, a.clone())).collect(),
+            Stage::Prepare { .. } | Stage::Hold { .. } => Vec::new(),
+        };
+        let unknown = self.others.iter().filter(|a| !self.roster.values().any(|r| r == *a));
+        let known = self.roster.iter().map(|(rank, to)| (Some(*rank), to));
 
-        for to in addresses {
+        for (rank, to) in known.chain(unknown.map(|to| (None, to))) {
             if *to != self.own_address {
-                let message =
-                    Message::Lead { directive: directive.clone(), roster: roster.clone() };
+                let directive = self.directive_for(rank, &directive);
+                let message = Message::Lead { directive, roster: roster.clone() };
                 actions.push(Action::Send { to: to.clone(), message });
             }
         }
--- a/grebedeck-experts/tests/assign.rs
+++ b/grebedeck-experts/tests/assign.rs
@@ -103,3 +103,19 @@
 
     assert_eq!(Placement::from_parts(parts.iter()), placement);
 }
+
+/// With 72 ranks a whole placement to each of them filled the leader's link: its messages were lost, and
+/// the others took it for gone.
+#[test]
+fn what_differs_in_a_placement_leads_to_it_and_is_short() {
+    let mut random = SeededSource::new(9);
+    let popularity = vec![skewed(&mut random), skewed(&mut random)];
+    let costs = vec![1.0; usize::from(RANKS)];
+    let placement = Placement::dealt(RANKS, 2, EXPERTS);
+    let next = improve(&placement, &popularity, &costs, &options());
+    let changes = placement.changes_to(&next);
+
+    assert_eq!(placement.with(&changes), Some(next));
+    assert!(!changes.is_empty() && changes.len() < 2 * usize::from(RANKS), "{}", changes.len());
+    assert_eq!(Placement::dealt(2, 1, 4).with(&changes), None, "it does not fit another");
+}
--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -364,6 +364,11 @@
                 continue;
             };
 
+            if node.can_plan(now) {
+                // Only whoever plans knows the engines' shape; the others learn it from the plan.
+                node.keep_placement(0, first_placement(usize::from(size)));
+            }
+
             if node.can_plan(now) && node.placement_in_use().is_some() {
                 let experts = |rank: Rank| vec![rank, rank + size, (rank + shift) % (2 * size)];
                 let placement = Placement { sets: vec![(0..size).map(experts).collect()] };
@@ -377,13 +382,16 @@
 fn new_node(at: usize, size: usize, life: u64, now: Moment) -> Node<usize> {
     let mut node = Node::new(at, life, now, NodeOptions::default());
     node.set_others((0..size).filter(|other| *other != at).collect());
-    node.keep_placement(0, Arc::new(Placement::dealt(size as Rank, 1, 2 * size as u16)));
     node
 }
 
+fn first_placement(size: usize) -> Arc<Placement> {
+    Arc::new(Placement::dealt(size as Rank, 1, 2 * size as u16))
+}
+
 impl Machine {
     fn new(at: usize, size: usize, random: &mut SeededSource) -> Self {
-        let first = Arc::new(Placement::dealt(size as Rank, 1, 2 * size as u16));
+        let first = first_placement(size);
         let engine = Engine {
             epoch: 1,
             placement: 0,
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -77,6 +77,15 @@
     all_faults(570);
 }
 
+/// A leader that came back gave a number that it had given before to another placement; nodes that did not
+/// know the base of the new one took what they had kept under the number.
+#[test]
+fn no_two_placements_have_one_number() {
+    for seed in 0..40 {
+        run(5, seed, Faults { kills: 0.1, kills_all: 0.05, lost: 0.05, ..NO_FAULTS });
+    }
+}
+
 /// Number of random runs; long runs by hand set more.
 fn seeds() -> u64 {
     std::env::var("GREBEDECK_ROLLOUT_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(60)
--- a/grebedeck/src/rank/counters.rs
+++ b/grebedeck/src/rank/counters.rs
@@ -10,6 +10,8 @@
     pub decisions: Counter,
     /// Orders to engines by how they ended.
     pub orders: Counter,
+    /// Datagrams by how sending them ended.
+    pub datagrams: Counter,
     /// Experts that ranks were told to copy.
     pub copies: Counter,
     /// Time for which held passes were decided on.
@@ -30,6 +32,11 @@
                 "end",
                 "Orders to engines by how they ended",
             ),
+            datagrams: metrics.counter(
+                "grebedeck_rank_datagrams",
+                "end",
+                "Datagrams by how sending them ended",
+            ),
             copies: metrics.counter(
                 "grebedeck_rank_copies",
                 "kind",
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -12,8 +12,8 @@
 use async_signal::{Signal, Signals};
 use async_std::net::{TcpListener, UdpSocket};
 use futures::{FutureExt, StreamExt};
-use grebedeck_core::{Moment, Rank, Result};
-use grebedeck_experts::balancer::CountDelta;
+use grebedeck_core::{Error, Moment, Rank, Result};
+use grebedeck_experts::balancer::{CountDelta, is_counted};
 use grebedeck_experts::engine::PlacementNo;
 use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote, RankPart};
 use grebedeck_experts::{OrderEnd, RankCounts, RankEngine, RankOrder, RankReport};
@@ -397,6 +397,12 @@
         let Some(report) = self.delta.next(rank, counts) else {
             return;
         };
+        let size = self.node.report().map_or(1, |r| r.size);
+        let period = millis(self.settings.balance.count_ms);
+
+        if !is_counted(rank, size, report.codes.len(), period) {
+            return;
+        }
 
         if self.node.is_leading() {
             self.balance.count(&report);
@@ -430,10 +436,18 @@
         let datagram = Datagram { from: self.settings.target_address, body };
         let address = SocketAddr::new(to.ip(), self.settings.group_port);
 
-        match datagram.to_bytes() {
-            // A lost datagram is made good by the next one, so a failure is no more than that.
-            Ok(bytes) => drop(self.socket.send_to(&bytes, address).await),
-            Err(error) => log::error!("datagram not sent", kv: { error = error.to_string() }),
+        let sent = match datagram.to_bytes() {
+            Ok(bytes) => self.socket.send_to(&bytes, address).await.map_err(Error::from),
+            Err(error) => Err(error),
+        };
+
+        // A lost datagram is made good by the next one, but one that never can be sent is a fault.
+        match sent {
+            Ok(_) => self.counters.datagrams.add("sent"),
+            Err(error) => {
+                self.counters.datagrams.add("failed");
+                log::warn!("datagram not sent", kv: { to = to.to_string(), error = error.to_string() });
+            }
         }
     }
 
