--- a/scripts/days.py
+++ b/scripts/days.py
@@ -2,7 +2,7 @@
 """Plays each kind of trouble of bench/kinds.txt alone, twice in quick succession, and together with
 planned work or a store that is away.
 
-    scripts/days.py BENCH SITE.toml WHY [--only TEXT] [--jobs N]
+    scripts/days.py BENCH SITE.toml WHY [--only TEXT] [--partners alone,roll,change,away] [--jobs N]
 
 Makes a copy of the site file whose days are these, plays it, and prints the days whose rules broke.
 """
@@ -54,7 +54,7 @@
     )
 
 
-def days(site, only):
+def days(site, only, partners):
     services = re.findall(r'\{ name = "([^"]+)"[^\n]*?(llm = )?', site[site.index("services = ["):])
     lines = site[site.index("services = ["):].splitlines()
     model = next(re.search(r'name = "([^"]+)"', l)[1] for l in lines if "llm = {" in l)
@@ -67,6 +67,8 @@
             continue
         twice = [(table, entry, FIRST_S), (table, entry, AGAIN_S)]
         for partner, others in PARTNERS.items():
+            if partner not in partners:
+                continue
             first = [(table, entry, FIRST_S)] if partner != "alone" else twice
             tables = first + [(t, e, FIRST_S + at) for t, e, at in others]
             number += 1
@@ -79,13 +81,14 @@
     parser.add_argument("site", type=pathlib.Path)
     parser.add_argument("why")
     parser.add_argument("--only", default="")
+    parser.add_argument("--partners", default=",".join(PARTNERS))
     parser.add_argument("--jobs", default="6")
     args = parser.parse_args()
     site = args.site.read_text()
     head = site[: site.index("[[day]]")]
     with tempfile.TemporaryDirectory() as folder:
         copy = pathlib.Path(folder) / args.site.name
-        copy.write_text(head + "\n".join(days(site, args.only)))
+        copy.write_text(head + "\n".join(days(site, args.only, args.partners.split(","))))
         for other in args.site.parent.iterdir():
             if other.suffix in (".json", ".days") or other.name == "CUT":
                 (copy.parent / other.name).write_bytes(other.read_bytes())
