--- a/grebedeck-experts/src/rollout.rs
+++ b/grebedeck-experts/src/rollout.rs
@@ -22,9 +22,12 @@
 //! nodes, or the engines of those that do not answer, whether anybody is armed, and goes on from there.
 
 mod changeover;
+mod engaged;
+mod holder;
 mod lead;
 pub mod message;
 pub mod node;
+mod parts;
 
 pub use message::{
     Changeover, ChangeoverAnswer, ChangeoverStep, Directive, Message, RankPart, Stage, Status, Term,
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -4,15 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use grebedeck_core::{Expert, Moment, Rank};
+use grebedeck_core::{Moment, Rank};
 
-use super::changeover::{Holding, HoldingAction};
+use super::changeover::Holding;
+use super::engaged::Engaged;
 use super::lead::Lead;
-use super::message::{
-    Changeover, ChangeoverAnswer, ChangeoverStep, Directive, Message, RankPart, Stage, Status, Term,
-};
-use crate::engine::{Armed, OrderEnd, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
-use crate::placement::{Placement, RankChange};
+use super::message::{Directive, Message, RankPart, Stage, Status, Term};
+use crate::engine::{OrderEnd, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
+use crate::placement::Placement;
 
 /// Settings of a node.
 #[derive(Clone, Copy, Debug)]
@@ -140,18 +139,6 @@
     },
 }
 
-/// A changeover that a node takes part in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Engaged {
-    holder: Rank,
-    round: u64,
-    pass: PassNo,
-    armed: Option<PlacementNo>,
-    heard_at: Moment,
-    /// Own reports that must still come before the holder gets an answer.
-    reports_due: u8,
-}
-
 /// One node.
 #[derive(Clone, Debug)]
 pub struct Node<A> {
@@ -161,39 +148,35 @@
     pub(super) promised: Term,
     pub(super) roster: BTreeMap<Rank, A>,
     pub(super) lead: Option<Lead>,
-    others: Vec<A>,
-    leader: Option<A>,
-    heard_at: Moment,
-    directive: Option<Directive>,
-    refused: Option<PlacementNo>,
-    ordered: Option<(RankOrder, Moment)>,
-    told_at: Option<Moment>,
-    told: Option<Status>,
-    engaged: Option<Engaged>,
-    holding: Option<Holding>,
+    pub(super) others: Vec<A>,
+    pub(super) leader: Option<A>,
+    pub(super) heard_at: Moment,
+    pub(super) directive: Option<Directive>,
+    pub(super) refused: Option<PlacementNo>,
+    pub(super) ordered: Option<(RankOrder, Moment)>,
+    pub(super) told_at: Option<Moment>,
+    pub(super) told: Option<Status>,
+    pub(super) engaged: Option<Engaged>,
+    pub(super) holding: Option<Holding>,
     /// When a hold was first seen that the node has no changeover for.
-    held_since: Option<Moment>,
+    pub(super) held_since: Option<Moment>,
     /// The last pass that the node has let go.
-    released: Option<PassNo>,
+    pub(super) released: Option<PassNo>,
     /// Whether the own engine was seen without a hold since the node started.
-    saw_unheld: bool,
+    pub(super) saw_unheld: bool,
     /// Drawn at the start of the process.
     pub(super) life: u64,
     /// The next changeover's round, counted from the life.
-    next_round: u64,
-    placements: BTreeMap<PlacementNo, Arc<Placement>>,
-    parts: BTreeMap<Rank, RankPart>,
-    parts_of: PlacementNo,
-    asked_parts_at: Option<Moment>,
-    asked_placement_at: Option<Moment>,
+    pub(super) next_round: u64,
+    pub(super) placements: BTreeMap<PlacementNo, Arc<Placement>>,
+    pub(super) parts: BTreeMap<Rank, RankPart>,
+    pub(super) parts_of: PlacementNo,
+    pub(super) asked_parts_at: Option<Moment>,
+    pub(super) asked_placement_at: Option<Moment>,
 }
 
 /// Placements that a node remembers: the one in use, the one before it, and one that was given up.
 const KEPT_PLACEMENTS: usize = 4;
-/// Own reports that come before a node answers a holder without memory: the first may have been asked
-/// for before an order that was just given.
-const REPORTS_BEFORE_ANSWER: u8 = 2;
-
 impl<A: Clone + PartialEq> Node<A> {
     /// Makes a node that knows nothing of its group; `life` is drawn for each start of the process.
     pub fn new(own_address: A, life: u64, now: Moment, options: NodeOptions) -> Self {
@@ -391,7 +374,12 @@
         self.ask_parts(&report, now, actions);
     }
 
-    fn take_own_report(&mut self, report: RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
+    pub(super) fn take_own_report(
+        &mut self,
+        report: RankReport,
+        now: Moment,
+        actions: &mut Vec<Action<A>>,
+    ) {
         let before = self.report.replace(report.clone());
         let is_new_epoch = before.as_ref().is_none_or(|b| b.epoch != report.epoch);
 
@@ -475,50 +463,8 @@
         }
     }
 
-    /// Notes the placement that engines start with.
-    fn keep_first_placement(&mut self, (sets, experts): (u16, Expert)) {
-        let size = self.report.as_ref().map_or(0, |r| r.size);
-
-        if size > 0 && !self.placements.contains_key(&0) {
-            let first = Placement::dealt(size, usize::from(sets), experts);
-            self.keep_placement(0, Arc::new(first));
-        }
-    }
-
-    /// Puts a wanted placement together from what it differs from, where the node knows that.
-    fn take_changes(
-        &mut self,
-        placement_no: PlacementNo,
-        base_no: PlacementNo,
-        changes: &[RankChange],
-    ) {
-        let wanted = self.placements.get(&base_no).and_then(|base| base.with(changes));
-
-        match wanted {
-            Some(wanted) => self.keep_placement(placement_no, Arc::new(wanted)),
-            // What was kept under this number before is not to be taken for it.
-            None => drop(self.placements.remove(&placement_no)),
-        }
-    }
-
-    /// Asks the leader for a wanted placement whose base the node does not know.
-    fn ask_placement(
-        &mut self,
-        placement_no: PlacementNo,
-        now: Moment,
-        actions: &mut Vec<Action<A>>,
-    ) {
-        let pause = self.options.order_pause;
-        let is_due = self.asked_placement_at.is_none_or(|at| now >= at + pause);
-
-        if let Some(to) = self.leader.clone().filter(|_| is_due) {
-            self.asked_placement_at = Some(now);
-            actions.push(Action::Send { to, message: Message::AskPlacement { placement_no } });
-        }
-    }
-
     /// Follows a later leadership.
-    fn follow(&mut self, term: Term, actions: &mut Vec<Action<A>>) {
+    pub(super) fn follow(&mut self, term: Term, actions: &mut Vec<Action<A>>) {
         self.promised = term;
         self.lead = None;
         self.directive = None;
@@ -568,7 +514,7 @@
     }
 
     /// Gives the own engine an order, unless the same one was given a moment ago.
-    fn order_own(
+    pub(super) fn order_own(
         &mut self,
         report: &RankReport,
         action: RankAction,
@@ -585,274 +531,6 @@
         }
     }
 
-    fn take_changeover(
-        &mut self,
-        from: A,
-        changeover: Changeover,
-        now: Moment,
-        actions: &mut Vec<Action<A>>,
-    ) {
-        let Some(report) = self.report.clone() else {
-            return;
-        };
-
-        if changeover.epoch != report.epoch || !report.is_open {
-            return;
-        }
-
-        self.roster.insert(changeover.holder, from.clone());
-        let is_same = self.engaged.is_some_and(|e| e.round == changeover.round);
-
-        match changeover.step {
-            ChangeoverStep::Ready { placement_no } => {
-                let accepts = is_same || self.is_ready(&report, &changeover, placement_no);
-
-                // The pass is held, so the order that a leader may still wait for was taken.
-                if let Some(lead) = &mut self.lead {
-                    lead.note_held(changeover.pass);
-                }
-
-                if accepts && !is_same {
-                    self.promised = self.promised.max(changeover.term);
-                    self.engage(&changeover, 0, now);
-                }
-
-                self.send_answer(from, &changeover, accepts, actions);
-            }
-            ChangeoverStep::Recover => {
-                if !is_same && changeover.pass > report.pass {
-                    self.engage(&changeover, REPORTS_BEFORE_ANSWER, now);
-                }
-            }
-            ChangeoverStep::Arm { placement_no } => {
-                if let Some(engaged) = self.engaged.as_mut().filter(|_| is_same) {
-                    engaged.armed = Some(placement_no);
-                    engaged.heard_at = now;
-                    self.send_answer(from, &changeover, true, actions);
-                }
-            }
-            ChangeoverStep::Over if is_same => self.engaged = None,
-            ChangeoverStep::Over => {}
-        }
-    }
-
-    /// Tells whether the node takes part in a changeover to a placement.
-    fn is_ready(
-        &self,
-        report: &RankReport,
-        changeover: &Changeover,
-        placement_no: PlacementNo,
-    ) -> bool {
-        changeover.term >= self.promised
-            && changeover.pass > report.pass
-            && self.is_free_for(report, placement_no)
-    }
-
-    /// Tells whether the own rank can be brought to a placement, and takes part in nothing else.
-    fn is_free_for(&self, report: &RankReport, placement_no: PlacementNo) -> bool {
-        report.prepared == Some(placement_no)
-            && report.armed.is_none()
-            && self.engaged.is_none()
-            && self.holding.is_none()
-    }
-
-    fn engage(&mut self, changeover: &Changeover, reports_due: u8, now: Moment) {
-        let Changeover { holder, round, pass, .. } = *changeover;
-        self.engaged =
-            Some(Engaged { holder, round, pass, armed: None, heard_at: now, reports_due });
-    }
-
-    fn send_answer(
-        &self,
-        to: A,
-        changeover: &Changeover,
-        accepts: bool,
-        actions: &mut Vec<Action<A>>,
-    ) {
-        let Some(report) = self.report.clone() else {
-            return;
-        };
-        let Changeover { round, pass, .. } = *changeover;
-        let message = Message::Answer(ChangeoverAnswer { round, pass, accepts, report });
-        actions.push(Action::Send { to, message });
-    }
-
-    /// Answers the holder of the changeover that the node takes part in.
-    fn answer_holder(&self, report: &RankReport, actions: &mut Vec<Action<A>>) {
-        let Some(Engaged { holder, round, pass, .. }) = self.engaged else {
-            return;
-        };
-
-        if let Some(to) = self.roster.get(&holder).cloned() {
-            let report = report.clone();
-            let answer = ChangeoverAnswer { round, pass, accepts: true, report };
-            actions.push(Action::Send { to, message: Message::Answer(answer) });
-        }
-    }
-
-    /// Tells the holder what the own engine says, as soon as it says what the holder waits for.
-    fn answer_after_report(&mut self, report: &RankReport, actions: &mut Vec<Action<A>>) {
-        let Some(engaged) = &mut self.engaged else {
-            return;
-        };
-
-        if engaged.reports_due > 0 {
-            engaged.reports_due -= 1;
-
-            if engaged.reports_due == 0 {
-                self.answer_holder(report, actions);
-            }
-        } else if engaged.armed.is_some() && report.armed.is_some() {
-            self.answer_holder(report, actions);
-        }
-    }
-
-    /// Arms the own rank where the holder wants it, and asks a holder that has gone silent.
-    fn step_engaged(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        let Some(engaged) = self.engaged else {
-            return;
-        };
-
-        if report.pass >= engaged.pass {
-            self.engaged = None;
-            return;
-        }
-
-        if let Some(placement_no) = engaged.armed {
-            let target = Armed { placement_no, pass: engaged.pass };
-
-            if report.armed != Some(target) {
-                let action = RankAction::Arm { placement_no, pass: engaged.pass };
-                self.order_own(report, action, now, actions);
-            }
-        }
-
-        if engaged.reports_due == 0 && now >= engaged.heard_at + self.options.period {
-            self.engaged = Some(Engaged { heard_at: now, ..engaged });
-            self.answer_holder(report, actions);
-        }
-    }
-
-    fn take_answer(
-        &mut self,
-        from: A,
-        answer: ChangeoverAnswer,
-        now: Moment,
-        actions: &mut Vec<Action<A>>,
-    ) {
-        let Some(report) = self.report.clone() else {
-            return;
-        };
-
-        if report.epoch != answer.report.epoch {
-            return;
-        }
-
-        self.roster.insert(answer.report.rank, from.clone());
-
-        match &mut self.holding {
-            Some(holding) if holding.round() == answer.round => {
-                holding.note_answer(answer.accepts, answer.report, now);
-            }
-            // The node takes part in a changeover that has ended.
-            _ if report.held != Some(answer.pass) => {
-                let over = Changeover {
-                    term: self.promised,
-                    epoch: report.epoch,
-                    holder: report.rank,
-                    round: answer.round,
-                    pass: answer.pass,
-                    step: ChangeoverStep::Over,
-                };
-                actions.push(Action::Send { to: from, message: Message::Changeover(over) });
-            }
-            _ => {}
-        }
-    }
-
-    /// Does what the node beside the engine that holds a pass has to do.
-    fn step_holding(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        self.begin_holding(report, now, actions);
-        let Some(mut holding) = self.holding.take() else {
-            return;
-        };
-        let is_over = report.pass >= holding.pass()
-            || (!holding.is_arming() && report.held != Some(holding.pass()));
-
-        for action in holding.step(now, &self.options) {
-            match action {
-                HoldingAction::Tell(changeover) => self.tell_others(changeover, actions),
-                // What was wanted of engines is void once the pass has begun.
-                _ if is_over => {}
-                HoldingAction::Order(rank, order) => actions.push(Action::Order { rank, order }),
-                HoldingAction::Ask(rank) => actions.push(Action::Ask { rank }),
-            }
-        }
-
-        if is_over {
-            self.released = Some(holding.pass());
-            let note = RankNote::Released {
-                pass: holding.pass(),
-                placement_no: report.armed.map(|a| a.placement_no),
-                held_for: now.saturating_sub(holding.since()),
-            };
-            actions.push(Action::Note(note));
-        } else {
-            self.holding = Some(holding);
-        }
-    }
-
-    fn begin_holding(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        let Some(pass) = report.held.filter(|pass| *pass > report.pass) else {
-            return;
-        };
-
-        if self.holding.is_some() {
-            return;
-        }
-
-        let held_since = *self.held_since.get_or_insert(now);
-        let round = self.next_round;
-        let term = self.promised;
-
-        self.holding = match self.wanted_hold(report) {
-            // An order that was given again holds a pass once more that is decided already.
-            _ if self.released == Some(pass) => {
-                Some(Holding::release(report, term, pass, round, now))
-            }
-            // The hold is older than the process, and so may be what an earlier one has begun.
-            _ if !self.saw_unheld => {
-                actions.push(Action::Note(RankNote::Recovers { pass }));
-                Some(Holding::recover(report, term, pass, round, now))
-            }
-            Some((wanted, no)) if wanted == pass && self.is_free_for(report, no) => {
-                Some(Holding::new(report, term, no, pass, round, now))
-            }
-            _ if now < held_since + self.options.hold_grace => return,
-            // Nobody wants it, and nobody can be armed for it.
-            _ => Some(Holding::release(report, term, pass, round, now)),
-        };
-        self.next_round = self.next_round.wrapping_add(1);
-        self.held_since = None;
-    }
-
-    /// Gets the pass that the leader wants held at the own engine, and for what.
-    fn wanted_hold(&self, report: &RankReport) -> Option<(PassNo, PlacementNo)> {
-        match &self.directive.as_ref()?.stage {
-            Stage::Hold { placement_no, pass, holder } if *holder == report.rank => {
-                Some((*pass, *placement_no))
-            }
-            _ => None,
-        }
-    }
-
-    fn tell_others(&self, changeover: Changeover, actions: &mut Vec<Action<A>>) {
-        for to in self.roster.values().filter(|a| **a != self.own_address) {
-            let message = Message::Changeover(changeover.clone());
-            actions.push(Action::Send { to: to.clone(), message });
-        }
-    }
-
     fn may_claim(&self, rank: Rank, now: Moment) -> bool {
         let wait = self.options.claim_after + self.options.claim_per_rank * u32::from(rank);
 
@@ -910,57 +588,6 @@
         }
     }
 
-    /// Asks all nodes what they hold, where a leader does not know the placement in use.
-    fn ask_parts(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        let is_known = self.placements.contains_key(&report.placement);
-        let period = self.options.period;
-        let is_due = self.asked_parts_at.is_none_or(|at| now >= at + period);
-
-        if self.lead.is_none() || is_known || !is_due {
-            return;
-        }
-
-        self.asked_parts_at = Some(now);
-        actions.push(Action::ReadPart);
-
-        for to in self.roster.values().filter(|a| **a != self.own_address) {
-            let message = Message::AskPart { placement_no: report.placement };
-            actions.push(Action::Send { to: to.clone(), message });
-        }
-    }
-
-    fn send_part(&mut self, to: A, placement_no: PlacementNo, actions: &mut Vec<Action<A>>) {
-        let Some(rank) = self.report.as_ref().map(|r| r.rank) else {
-            return;
-        };
-        let known = self.placements.get(&placement_no);
-        let from_placement = || known.map(|p| p.part_of(rank));
-        let from_engine = || self.parts.get(&rank).filter(|_| self.parts_of == placement_no);
-
-        match from_placement().or_else(|| from_engine().cloned()) {
-            Some(part) => {
-                let message = Message::Part { placement_no, rank, part };
-                actions.push(Action::Send { to, message });
-            }
-            None => actions.push(Action::ReadPart),
-        }
-    }
-
-    fn take_part(&mut self, placement_no: PlacementNo, rank: Rank, part: RankPart) {
-        if self.parts_of != placement_no {
-            self.parts.clear();
-            self.parts_of = placement_no;
-        }
-
-        self.parts.insert(rank, part);
-        let size = self.report.as_ref().map_or(0, |r| usize::from(r.size));
-
-        if size > 0 && self.parts.len() == size && !self.placements.contains_key(&placement_no) {
-            let placement = Placement::from_parts(self.parts.values());
-            self.keep_placement(placement_no, Arc::new(placement));
-        }
-    }
-
     /// Gets the directive for one node, without changes that it has taken: with many ranks they are longer
     /// than all else that a leader sends.
     fn directive_for(&self, rank: Option<Rank>, directive: &Directive) -> Directive {
--- /dev/null
+++ b/grebedeck-experts/src/rollout/parts.rs
@@ -0,0 +1,116 @@
+//! Knowing placements: from what a wanted one differs in, from the leader, or put together from what each
+//! engine holds.
+
+use std::sync::Arc;
+
+use grebedeck_core::{Expert, Moment, Rank};
+
+use super::message::{Message, RankPart};
+use super::node::{Action, Node};
+use crate::engine::{PlacementNo, RankReport};
+use crate::placement::{Placement, RankChange};
+
+impl<A: Clone + PartialEq> Node<A> {
+    /// Notes the placement that engines start with.
+    pub(super) fn keep_first_placement(&mut self, (sets, experts): (u16, Expert)) {
+        let size = self.report.as_ref().map_or(0, |r| r.size);
+
+        if size > 0 && !self.placements.contains_key(&0) {
+            let first = Placement::dealt(size, usize::from(sets), experts);
+            self.keep_placement(0, Arc::new(first));
+        }
+    }
+
+    /// Puts a wanted placement together from what it differs from, where the node knows that.
+    pub(super) fn take_changes(
+        &mut self,
+        placement_no: PlacementNo,
+        base_no: PlacementNo,
+        changes: &[RankChange],
+    ) {
+        let wanted = self.placements.get(&base_no).and_then(|base| base.with(changes));
+
+        match wanted {
+            Some(wanted) => self.keep_placement(placement_no, Arc::new(wanted)),
+            // What was kept under this number before is not to be taken for it.
+            None => drop(self.placements.remove(&placement_no)),
+        }
+    }
+
+    /// Asks the leader for a wanted placement whose base the node does not know.
+    pub(super) fn ask_placement(
+        &mut self,
+        placement_no: PlacementNo,
+        now: Moment,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let pause = self.options.order_pause;
+        let is_due = self.asked_placement_at.is_none_or(|at| now >= at + pause);
+
+        if let Some(to) = self.leader.clone().filter(|_| is_due) {
+            self.asked_placement_at = Some(now);
+            actions.push(Action::Send { to, message: Message::AskPlacement { placement_no } });
+        }
+    }
+
+    /// Asks all nodes what they hold, where a leader does not know the placement in use.
+    pub(super) fn ask_parts(
+        &mut self,
+        report: &RankReport,
+        now: Moment,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let is_known = self.placements.contains_key(&report.placement);
+        let period = self.options.period;
+        let is_due = self.asked_parts_at.is_none_or(|at| now >= at + period);
+
+        if self.lead.is_none() || is_known || !is_due {
+            return;
+        }
+
+        self.asked_parts_at = Some(now);
+        actions.push(Action::ReadPart);
+
+        for to in self.roster.values().filter(|a| **a != self.own_address) {
+            let message = Message::AskPart { placement_no: report.placement };
+            actions.push(Action::Send { to: to.clone(), message });
+        }
+    }
+
+    pub(super) fn send_part(
+        &mut self,
+        to: A,
+        placement_no: PlacementNo,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let Some(rank) = self.report.as_ref().map(|r| r.rank) else {
+            return;
+        };
+        let known = self.placements.get(&placement_no);
+        let from_placement = || known.map(|p| p.part_of(rank));
+        let from_engine = || self.parts.get(&rank).filter(|_| self.parts_of == placement_no);
+
+        match from_placement().or_else(|| from_engine().cloned()) {
+            Some(part) => {
+                let message = Message::Part { placement_no, rank, part };
+                actions.push(Action::Send { to, message });
+            }
+            None => actions.push(Action::ReadPart),
+        }
+    }
+
+    pub(super) fn take_part(&mut self, placement_no: PlacementNo, rank: Rank, part: RankPart) {
+        if self.parts_of != placement_no {
+            self.parts.clear();
+            self.parts_of = placement_no;
+        }
+
+        self.parts.insert(rank, part);
+        let size = self.report.as_ref().map_or(0, |r| usize::from(r.size));
+
+        if size > 0 && self.parts.len() == size && !self.placements.contains_key(&placement_no) {
+            let placement = Placement::from_parts(self.parts.values());
+            self.keep_placement(placement_no, Arc::new(placement));
+        }
+    }
+}
--- a/grebedeck-gateway/src/outage.rs
+++ b/grebedeck-gateway/src/outage.rs
@@ -19,6 +19,8 @@
     pub expected: Duration,
     /// What is expected once an outage has lasted longer than that.
     pub overdue: Duration,
+    /// How long the group's own word that it is open outweighs failures.
+    pub open_lifetime: Duration,
     /// Pause between two trials: a few round trips, so that a return is noticed at once.
     pub trial_pause: Duration,
 }
@@ -39,13 +41,14 @@
     failures: u32,
     since: Moment,
     tried_at: Option<Moment>,
+    open_until: Moment,
 }
 
 impl Outage {
     /// Makes the view of a service that nothing is known of; `since` is when an outage would have begun
     /// that is found by the first requests.
     pub fn new(options: OutageOptions, since: Moment) -> Self {
-        Outage { options, failures: 0, since, tried_at: None }
+        Outage { options, failures: 0, since, tried_at: None, open_until: Moment::ZERO }
     }
 
     /// Notes that a target took a request; tells whether that ended an outage.
@@ -58,8 +61,20 @@
         was_out
     }
 
-    /// Notes that a target with room took no request; tells whether the service is out since then.
-    pub fn failed(&mut self) -> bool {
+    /// Notes that the service's group says that it makes passes; tells whether that ended an outage.
+    pub fn opened(&mut self, now: Moment) -> bool {
+        self.open_until = now + self.options.open_lifetime;
+
+        self.is_out() && self.succeeded(now)
+    }
+
+    /// Notes that a target with room took no request; tells whether the service is out since then. While
+    /// the group itself says that it is open, failures are those of single targets or connections.
+    pub fn failed(&mut self, now: Moment) -> bool {
+        if now < self.open_until {
+            return false;
+        }
+
         self.failures = self.failures.saturating_add(1);
 
         self.failures == self.options.failures
@@ -69,6 +84,7 @@
     /// since then.
     pub fn closed(&mut self) -> bool {
         let was_out = self.is_out();
+        self.open_until = Moment::ZERO;
         self.failures = self.failures.max(self.options.failures);
 
         !was_out
--- a/grebedeck-gateway/tests/decisions.rs
+++ b/grebedeck-gateway/tests/decisions.rs
@@ -101,8 +101,13 @@
 }
 
 fn outage() -> Outage {
-    let options =
-        OutageOptions { failures: 3, expected: MS(2000), overdue: MS(900), trial_pause: MS(50) };
+    let options = OutageOptions {
+        failures: 3,
+        expected: MS(2000),
+        overdue: MS(900),
+        open_lifetime: MS(500),
+        trial_pause: MS(50),
+    };
 
     Outage::new(options, MS(0))
 }
@@ -111,10 +116,10 @@
 fn a_service_is_out_after_failures_in_a_row_and_back_with_the_first_success() {
     let mut outage = outage();
     outage.succeeded(MS(1000));
-    assert!(!outage.failed());
-    assert!(!outage.failed());
+    assert!(!outage.failed(MS(1050)));
+    assert!(!outage.failed(MS(1060)));
     assert_eq!(outage.availability(MS(1100)), Availability::Up);
-    assert!(outage.failed(), "the third in a row");
+    assert!(outage.failed(MS(1070)), "the third in a row");
     assert_eq!(outage.availability(MS(1500)), Availability::Out(MS(1500)));
     assert_eq!(outage.availability(MS(3500)), Availability::Out(MS(900)), "overdue");
     assert!(outage.succeeded(MS(3600)));
@@ -126,14 +131,29 @@
     let mut outage = outage();
 
     for at in 0..100 {
-        outage.failed();
-        outage.failed();
+        outage.failed(MS(at));
+        outage.failed(MS(at));
         outage.succeeded(MS(at));
     }
 
     assert_eq!(outage.availability(MS(200)), Availability::Up);
 }
 
+/// In an incident, some ranks lost answers one after another; gateways took the whole service for out
+/// although its ranks said that their group was open, and refused callers.
+#[test]
+fn failures_of_single_targets_are_no_outage_of_an_open_group() {
+    let mut outage = outage();
+    outage.opened(MS(1000));
+    (1100..1200).for_each(|at| assert!(!outage.failed(MS(at))));
+    assert_eq!(outage.availability(MS(1200)), Availability::Up);
+
+    assert!(outage.closed(), "its own word that it is closed counts at once");
+    assert!(matches!(outage.availability(MS(1200)), Availability::Out(_)));
+    assert!(outage.opened(MS(1300)));
+    assert_eq!(outage.availability(MS(1300)), Availability::Up);
+}
+
 #[test]
 fn trials_are_made_one_at_a_time() {
     let mut outage = outage();
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod body;
 pub mod caller;
 pub mod counters;
+pub mod health;
 pub mod loads;
 pub mod options;
 pub mod peers;
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -28,6 +28,9 @@
 pub const PATIENCE_PART: f64 = 0.2;
 /// Failures in a row after which a service is taken for out: more than one bad target has in a row.
 pub const OUTAGE_FAILURES: u32 = 4;
+/// How long a group's own word that it is open outweighs failed requests: some times as long as ranks
+/// are silent between two words.
+pub const OPEN_LIFETIME: Duration = Duration::from_millis(500);
 /// Pause between two requests that find out whether a service is back.
 pub const TRIAL_PAUSE: Duration = Duration::from_millis(40);
 /// What is told of a service that is out for longer than was expected.
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -12,8 +12,8 @@
 use grebedeck_gateway::answer::{self, RunState};
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    Availability, HeaderNames, Outage, OutageOptions, Pacing, PacingOptions, PromptRate,
-    RouteTable, Site, TargetEntry, TargetList, WindowBudget, WindowOptions,
+    Availability, HeaderNames, Outage, Pacing, PromptRate, RouteTable, Site, TargetEntry,
+    TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Metrics, log};
@@ -23,15 +23,11 @@
 use super::Tasks;
 use super::body::BodyBudget;
 use super::counters::Counters;
-use super::options::{
-    FIRST_LOAD_WAIT, FIRST_WATCH_PERIOD, GatewaySettings, MIN_ATTEMPT, OUTAGE_FAILURES, OVERDUE,
-    PROMPT_BURST, PROMPT_PART, START_LAG, TRIAL_PAUSE,
-};
+use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
 use super::request::RoutedRequest;
 use super::stop::StopState;
 use super::story::{Decision, End, STORIES_PER_S, Story};
-use crate::rank::message::RankLoad;
 
 /// Age after which a target's word on its load is no longer believed: much longer and a target that
 /// others have filled since would be taken for a free one.
@@ -63,16 +59,16 @@
     pub chooser: RefCell<Chooser>,
     clock: Clock,
     table: RefCell<Rc<RouteTable>>,
-    targets: RefCell<TargetList>,
-    targets_known_at: Cell<Option<Moment>>,
-    hears_ranks: Cell<bool>,
+    pub(super) targets: RefCell<TargetList>,
+    pub(super) targets_known_at: Cell<Option<Moment>>,
+    pub(super) hears_ranks: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     site: RefCell<Option<Site>>,
     peers: RefCell<BTreeSet<SocketAddr>>,
     store_answered_at: Cell<Option<Moment>>,
-    outages: RefCell<HashMap<ServiceName, Outage>>,
-    paces: RefCell<HashMap<ServiceName, Pacing>>,
-    prompts: RefCell<HashMap<ServiceName, PromptRate>>,
+    pub(super) outages: RefCell<HashMap<ServiceName, Outage>>,
+    pub(super) paces: RefCell<HashMap<ServiceName, Pacing>>,
+    pub(super) prompts: RefCell<HashMap<ServiceName, PromptRate>>,
 }
 
 impl Gateway {
@@ -285,11 +281,6 @@
         }
     }
 
-    /// Gets the mean pause between the events of a service's streams, where it was seen lately.
-    pub fn pause(&self, service: &str) -> Option<Duration> {
-        self.paces.borrow().get(service)?.pause(self.now())
-    }
-
     /// Gets the state for a dump.
     pub fn dump(&self) -> serde_json::Value {
         let now = self.now();
@@ -341,85 +332,6 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
-    /// Gets the time until the next prompt may go to a service's group.
-    pub fn prompt_wait(&self, service: &str, now: Moment) -> Duration {
-        if self.waits_for_ranks(service, now) {
-            return FIRST_WATCH_PERIOD;
-        }
-
-        self.prompts.borrow().get(service).map_or(Duration::ZERO, |rate| rate.wait(now))
-    }
-
-    /// Gets this gateway's share of the requests for some targets: what it has in flight itself, and at
-    /// least an equal part.
-    fn share(&self, targets: &[Arc<TargetEntry>], now: Moment) -> f64 {
-        let chooser = self.chooser.borrow();
-        let own: f64 = targets.iter().map(|t| f64::from(chooser.own_in_flight(&t.id))).sum();
-        let all: f64 = targets.iter().map(|t| chooser.load_view(&t.id, now).in_flight).sum();
-        let equal = 1.0 / (self.peers().len() + 1) as f64;
-
-        (own / all.max(1.0)).clamp(equal, 1.0)
-    }
-
-    /// Notes that a request's prompt goes to its service's group.
-    pub fn take_prompt(&self, request: &RoutedRequest, now: Moment) {
-        let table = self.table();
-        let service = &request.service;
-        let Some(engine) = table.service(service).and_then(|s| s.engine.as_ref()) else {
-            return;
-        };
-        let serving = self.serving(service).unwrap_or_default();
-        let group_tokens_per_s = serving.len() as f64 * engine.read_tokens_per_s * PROMPT_PART;
-        let tokens_per_s = group_tokens_per_s * self.share(&serving, now);
-        let tokens = request.request.prompt_tokens(&self.names).unwrap_or(engine.usual_prompt);
-        let mut prompts = self.prompts.borrow_mut();
-        let first = PromptRate::new(tokens_per_s, PROMPT_BURST);
-        let rate = prompts.entry(service.clone()).or_insert(first);
-        rate.set_rate(tokens_per_s);
-        rate.take(tokens, now);
-    }
-
-    /// Tells whether some rank has told its load.
-    pub fn hears_ranks(&self) -> bool {
-        self.hears_ranks.get()
-    }
-
-    /// Tells whether a request for a model should wait for the ranks' first word on their group.
-    fn waits_for_ranks(&self, service: &str, now: Moment) -> bool {
-        let is_early = self.targets_known_at.get().is_none_or(|at| now < at + FIRST_LOAD_WAIT);
-
-        !self.hears_ranks() && is_early && self.is_model(service)
-    }
-
-    fn is_model(&self, service: &str) -> bool {
-        self.table().service(service).is_some_and(|s| s.engine.is_some())
-    }
-
-    /// Takes in what the process beside a rank says of it.
-    pub fn note_rank(&self, address: SocketAddr, load: &RankLoad) {
-        self.hears_ranks.set(true);
-        let found = self.targets.borrow().newest_at(address);
-        let Some(target) = found else {
-            return;
-        };
-        let report = LoadReport { in_flight: load.running + load.waiting, places: target.slots };
-        self.note_load(&target.id, report);
-
-        if load.is_open {
-            self.note_open(&target.service, &target.id);
-        } else if self.with_outage(&target.service, Outage::closed) {
-            log::warn!("service out", kv: { service = target.service.as_str(), cause = "closed" });
-        }
-    }
-
-    /// Notes that a rank says its group makes passes; where the service was out, it is back.
-    fn note_open(&self, service: &str, target: &str) {
-        if self.availability(service) != Availability::Up {
-            log::info!("group open", kv: { service, target });
-            self.note_taken(service);
-        }
-    }
-
     /// Notes a target's load.
     pub fn note_load(&self, target: &str, report: LoadReport) {
         let now = self.now();
@@ -427,96 +339,6 @@
         self.chooser.borrow_mut().reported(target, report, now);
     }
 
-    /// Gets whether a service is expected to take requests.
-    pub fn availability(&self, service: &str) -> Availability {
-        let now = self.now();
-
-        self.with_outage(service, |outage| outage.availability(now))
-    }
-
-    /// Takes the trial of a service that is out, where one is due.
-    pub fn take_trial(&self, service: &str) -> bool {
-        let now = self.now();
-
-        self.with_outage(service, |outage| outage.take_trial(now))
-    }
-
-    /// Notes that a target of a service took a request.
-    pub fn note_taken(&self, service: &str) {
-        let now = self.now();
-
-        if self.with_outage(service, |outage| outage.succeeded(now)) {
-            log::info!("service back", kv: { service });
-            self.freed.notify(usize::MAX);
-        }
-    }
-
-    /// Notes that a target of a service with room took no request.
-    pub fn note_not_taken(&self, service: &str) {
-        if self.with_outage(service, Outage::failed) {
-            log::warn!("service out", kv: { service });
-        }
-    }
-
-    /// Notes the pause between two events of one stream.
-    pub fn note_pause(&self, service: &str, pause: Duration, limit: Duration) {
-        let now = self.now();
-        let mut paces = self.paces.borrow_mut();
-
-        if let Some(pace) = paces.get_mut(service) {
-            pace.note_pause(pause, now);
-            return;
-        }
-
-        let table = self.table();
-        let engine = table.service(service).and_then(|s| s.engine.as_ref());
-        let base_ms = engine.map_or(0.0, |e| e.step_ms * f64::from(e.steps_per_pass));
-        let base = Duration::from_secs_f64(base_ms / 1000.0);
-        let mut pace = Pacing::new(PacingOptions::new(base, limit));
-        pace.note_pause(pause, now);
-        paces.insert(service.to_string(), pace);
-    }
-
-    /// Gets the load that a service's targets may have, in requests for each place.
-    pub fn allowed_load(&self, service: &str, targets: &[Arc<TargetEntry>], now: Moment) -> f64 {
-        if !self.is_model(service) {
-            return self.settings().load.plain;
-        }
-
-        let paces = self.paces.borrow();
-        let load = self.chooser.borrow().mean_load(targets, now);
-        let paced = paces.get(service).map(|pace| pace.allowed_load(load, now));
-
-        paced.unwrap_or(f64::INFINITY).min(self.settings().load.model)
-    }
-
-    fn with_outage<T>(&self, service: &str, act: impl FnOnce(&mut Outage) -> T) -> T {
-        let mut outages = self.outages.borrow_mut();
-
-        match outages.get_mut(service) {
-            Some(outage) => act(outage),
-            None => {
-                let first = Outage::new(self.outage_options(service), Duration::ZERO);
-                act(outages.entry(service.to_string()).or_insert(first))
-            }
-        }
-    }
-
-    fn outage_options(&self, service: &str) -> OutageOptions {
-        let table = self.table();
-        let form = table.service(service).and_then(|s| s.engine.as_ref()).map(|e| e.form);
-        let stall = Duration::from_millis(self.settings().engine_stall_ms);
-        // The first request of a process may find an outage that is as old as the start took.
-        let expected = (stall + form.unwrap_or_default()).saturating_sub(START_LAG);
-
-        OutageOptions {
-            failures: OUTAGE_FAILURES,
-            expected,
-            overdue: OVERDUE,
-            trial_pause: TRIAL_PAUSE,
-        }
-    }
-
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut WindowBudget) -> T) -> T {
         let retry = self.settings().retry;
         let options = WindowOptions {
--- a/grebedeck/src/rank.rs
+++ b/grebedeck/src/rank.rs
@@ -10,6 +10,7 @@
 pub mod driver;
 pub mod message;
 pub mod options;
+pub mod show;
 
 use std::rc::Rc;
 
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -10,7 +10,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_signal::{Signal, Signals};
-use async_std::net::{TcpListener, UdpSocket};
+use async_std::net::UdpSocket;
 use futures::{FutureExt, StreamExt};
 use grebedeck_core::{Error, Moment, Rank, Result};
 use grebedeck_experts::balancer::{CountDelta, is_counted};
@@ -18,7 +18,6 @@
 use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote, RankPart};
 use grebedeck_experts::{OrderEnd, RankCounts, RankEngine, RankOrder, RankReport};
 use grebedeck_gateway::{ListedTarget, SiteStore, TargetEntry};
-use grebedeck_http::RequestHead;
 use grebedeck_kernel::{Clock, Metrics, log};
 use serde_json::{Value, json};
 
@@ -28,7 +27,7 @@
 use super::options::{
     BUSY_POLL, IDLE_POLL, LIST_PAUSE, LOAD_PERIOD, RankSettings, STOP_LIMIT, WATCH_LIFETIME,
 };
-use crate::pages::{self, Page};
+use super::show;
 use crate::process;
 use crate::settings::millis;
 
@@ -100,7 +99,7 @@
         let counters = Counters::new(&metrics);
         let state: Rc<RefCell<Value>> = Rc::default();
         let listener = process::bind(&mut settings.metrics_address).await?;
-        tasks.spawn(serve_pages(tasks.clone(), listener, metrics, state.clone())).detach();
+        tasks.spawn(show::serve_pages(tasks.clone(), listener, metrics, state.clone())).detach();
         let balance = Balance::new(settings.balance, &settings.service);
 
         Ok(Driver {
@@ -426,7 +425,7 @@
                     }
 
                     self.counters.note(&note);
-                    log_note(note);
+                    show::log_note(note);
                 }
             }
         }
@@ -505,42 +504,3 @@
             .detach();
     }
 }
-
-async fn serve_pages(
-    tasks: Rc<LocalExecutor<'static>>,
-    listener: TcpListener,
-    metrics: Metrics,
-    state: Rc<RefCell<Value>>,
-) {
-    let answer = move |request: &RequestHead| match request.path() {
-        "/metrics" => Page::text(metrics.text()),
-        "/dump" => Page::json(&state.borrow()),
-        _ => Page::empty(404),
-    };
-
-    pages::serve(tasks, listener, answer).await;
-}
-
-fn log_note(note: RankNote) {
-    match note {
-        RankNote::Leads(term) => log::info!("leads the group", kv: { round = term.round }),
-        RankNote::Follows(term) => {
-            log::info!("follows a leader", kv: { round = term.round, rank = term.rank });
-        }
-        RankNote::NewEpoch(epoch) => log::info!("group formed", kv: { epoch }),
-        RankNote::Holding { placement_no, pass, holder } => {
-            log::info!("pass to be held", kv: { placement_no, pass, holder });
-        }
-        RankNote::InUse { placement_no, pass } => {
-            log::info!("placement in use", kv: { placement_no, pass });
-        }
-        RankNote::GivenUp { placement_no, reason } => {
-            log::warn!("placement given up", kv: { placement_no, reason });
-        }
-        RankNote::Recovers { pass } => log::warn!("held pass found", kv: { pass }),
-        RankNote::Released { pass, placement_no, held_for } => {
-            let (held_ms, armed_no) = (held_for.as_millis() as u64, placement_no.unwrap_or(0));
-            log::info!("pass let go", kv: { pass, armed_no, held_ms });
-        }
-    }
-}
--- /dev/null
+++ b/grebedeck/src/rank/show.rs
@@ -0,0 +1,54 @@
+//! What a rank process shows of itself: log lines on decisions, metrics and state.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_std::net::TcpListener;
+use grebedeck_experts::rollout::RankNote;
+use grebedeck_http::RequestHead;
+use grebedeck_kernel::{Metrics, log};
+use serde_json::Value;
+
+use crate::pages::{self, Page};
+
+/// Serves metrics and state until the task is dropped.
+pub async fn serve_pages(
+    tasks: Rc<LocalExecutor<'static>>,
+    listener: TcpListener,
+    metrics: Metrics,
+    state: Rc<RefCell<Value>>,
+) {
+    let answer = move |request: &RequestHead| match request.path() {
+        "/metrics" => Page::text(metrics.text()),
+        "/dump" => Page::json(&state.borrow()),
+        _ => Page::empty(404),
+    };
+
+    pages::serve(tasks, listener, answer).await;
+}
+
+/// Logs what a node has decided or found.
+pub fn log_note(note: RankNote) {
+    match note {
+        RankNote::Leads(term) => log::info!("leads the group", kv: { round = term.round }),
+        RankNote::Follows(term) => {
+            log::info!("follows a leader", kv: { round = term.round, rank = term.rank });
+        }
+        RankNote::NewEpoch(epoch) => log::info!("group formed", kv: { epoch }),
+        RankNote::Holding { placement_no, pass, holder } => {
+            log::info!("pass to be held", kv: { placement_no, pass, holder });
+        }
+        RankNote::InUse { placement_no, pass } => {
+            log::info!("placement in use", kv: { placement_no, pass });
+        }
+        RankNote::GivenUp { placement_no, reason } => {
+            log::warn!("placement given up", kv: { placement_no, reason });
+        }
+        RankNote::Recovers { pass } => log::warn!("held pass found", kv: { pass }),
+        RankNote::Released { pass, placement_no, held_for } => {
+            let (held_ms, armed_no) = (held_for.as_millis() as u64, placement_no.unwrap_or(0));
+            log::info!("pass let go", kv: { pass, armed_no, held_ms });
+        }
+    }
+}
