A refusal with room counts although its group says that it is open; limits of connections take effect

Cause: engines whose ranks lost power say that their group is open until they have given them up; and max_callers and the targets' own limit of connections were read and not used.

--- a/grebedeck-gateway/src/outage.rs
+++ b/grebedeck-gateway/src/outage.rs
@@ -75,6 +75,12 @@
             return false;
         }
 
+        self.refused()
+    }
+
+    /// Notes that a target with room refused a request; tells whether the service is out since then. A
+    /// group whose ranks are gone says that it is open until it has given them up, and refuses already.
+    pub fn refused(&mut self) -> bool {
         self.failures = self.failures.saturating_add(1);
 
         self.failures == self.options.failures
--- a/grebedeck-gateway/src/site.rs
+++ b/grebedeck-gateway/src/site.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use grebedeck_core::{HallName, OrganisationName, ServiceName};
+use grebedeck_core::{OrganisationName, ServiceName};
 use serde::{Deserialize, Serialize};
 
 /// Version of a site's configuration; it only grows.
@@ -109,16 +109,8 @@
     pub places: u16,
     /// Most experts of a set that one new map may bring to a rank.
     pub spare: u16,
-    /// Weights of one expert, in megabytes.
-    pub expert_mb: f64,
-    /// Rate at which weights are copied, in megabits a second.
-    pub link_mbps: f64,
-    /// Part of a token's work that experts do.
-    pub expert_share: f64,
     /// Time of one step without any request, in milliseconds.
     pub step_ms: f64,
-    /// Time that each running request adds to a step, in milliseconds.
-    pub per_request_ms: f64,
     /// Prompt tokens read in a second.
     pub read_tokens_per_s: f64,
     /// Steps in one pass.
@@ -127,19 +119,6 @@
     pub usual_prompt: u64,
     /// Time that a group needs to form.
     pub form: Duration,
-    /// Halls with the one-way delay between them.
-    pub delays: Vec<HallDelay>,
-}
-
-/// One-way delay between two halls.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct HallDelay {
-    /// One hall.
-    pub from: HallName,
-    /// The other hall.
-    pub to: HallName,
-    /// The delay in milliseconds.
-    pub delay_ms: f64,
 }
 
 /// An organisation with its keys.
--- a/grebedeck-gateway/tests/decisions.rs
+++ b/grebedeck-gateway/tests/decisions.rs
@@ -148,6 +148,12 @@
     (1100..1200).for_each(|at| assert!(!outage.failed(MS(at))));
     assert_eq!(outage.availability(MS(1200)), Availability::Up);
 
+    // A group whose ranks lost power says that it is open for a while longer.
+    assert!(!outage.refused());
+    assert!(!outage.refused());
+    assert!(outage.refused(), "the third refusal in a row");
+    assert!(outage.opened(MS(1200)));
+
     assert!(outage.closed(), "its own word that it is closed counts at once");
     assert!(matches!(outage.availability(MS(1200)), Availability::Out(_)));
     assert!(outage.opened(MS(1300)));
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -109,6 +109,12 @@
 /// Takes callers' connections until the process stops.
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
+        // Whoever comes beyond that waits in the listener's queue.
+        if gateway.stop.callers() >= gateway.settings().max_callers {
+            async_std::task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        }
+
         match listener.accept().await {
             Ok((stream, _)) => {
                 let served = caller::serve(gateway.clone(), stream);
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -138,7 +138,9 @@
 
         if self.decoder.is_ended() {
             let now = self.gateway.now();
-            self.gateway.pool.put(self.target.address, self.connection, &self.head, now);
+            let max_kept = self.gateway.max_kept(&self.target.service);
+            let address = self.target.address;
+            self.gateway.pool.put(address, self.connection, &self.head, max_kept, now);
         }
     }
 
@@ -186,7 +188,7 @@
             targets.remove(&target.id);
             Vec::new()
         }),
-        _ => gateway.note_not_taken(&request.service),
+        _ => gateway.note_not_taken(&request.service, cause),
     }
 }
 
--- a/grebedeck/src/gateway/caller.rs
+++ b/grebedeck/src/gateway/caller.rs
@@ -38,6 +38,7 @@
 
 /// Serves a connection until it ends.
 pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let _connected = stop::connected(&gateway);
     let mut connection = Connection::new(stream);
     let mut is_new = true;
 
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -12,15 +12,27 @@
 use grebedeck_kernel::log;
 use grebedeck_routing::LoadReport;
 
+use super::attempt::FailureCause;
 use super::options::{
     FIRST_LOAD_WAIT, FIRST_WATCH_PERIOD, OPEN_LIFETIME, OUTAGE_FAILURES, OVERDUE, PROMPT_BURST,
     PROMPT_PART, START_LAG, TRIAL_PAUSE,
 };
+use super::pool::MAX_KEPT;
 use super::request::RoutedRequest;
 use super::service::Gateway;
 use crate::rank::message::RankLoad;
 
 impl Gateway {
+    /// Gets how many connections may rest to one target of a service: half of this gateway's part of those
+    /// that the target takes from all callers together.
+    pub fn max_kept(&self, service: &str) -> usize {
+        let table = self.table();
+        let cap = table.service(service).map_or(MAX_KEPT, |s| s.max_connections);
+        let part = cap / (self.peers().len() + 1) / 2;
+
+        part.clamp(1, MAX_KEPT)
+    }
+
     /// Gets the mean pause between the events of a service's streams, where it was seen lately.
     pub fn pause(&self, service: &str) -> Option<Duration> {
         self.paces.borrow().get(service)?.pause(self.now())
@@ -132,10 +144,14 @@
     }
 
     /// Notes that a target of a service with room took no request.
-    pub fn note_not_taken(&self, service: &str) {
+    pub fn note_not_taken(&self, service: &str, cause: FailureCause) {
         let now = self.now();
+        let is_out_now = self.with_outage(service, |outage| match cause {
+            FailureCause::Refused => outage.refused(),
+            _ => outage.failed(now),
+        });
 
-        if self.with_outage(service, |outage| outage.failed(now)) {
+        if is_out_now {
             log::warn!("service out", kv: { service, cause = "failures" });
         }
     }
--- a/grebedeck/src/gateway/pool.rs
+++ b/grebedeck/src/gateway/pool.rs
@@ -14,8 +14,8 @@
 /// Part of the time that a target promises to keep a connection which is made use of; near its end a
 /// request and the target's close may cross.
 const SAFE_REST_PART: f64 = 0.6;
-/// Most connections kept to one target.
-const MAX_KEPT: usize = 16;
+/// Most connections kept to one target: about as many as it works on at once.
+pub const MAX_KEPT: usize = 16;
 
 struct Kept {
     connection: Connection,
@@ -43,12 +43,13 @@
         None
     }
 
-    /// Keeps a connection after a whole answer, if its head allows that.
+    /// Keeps a connection after a whole answer, if its head allows that and fewer than `max_kept` are.
     pub fn put(
         &self,
         address: SocketAddr,
         connection: Connection,
         head: &ResponseHead,
+        max_kept: usize,
         now: Moment,
     ) {
         if !head.keeps_alive() {
@@ -59,7 +60,7 @@
         let mut all = self.kept.borrow_mut();
         let kept = all.entry(address).or_default();
 
-        if kept.len() < MAX_KEPT {
+        if kept.len() < max_kept {
             kept.push(Kept { connection, until: now + rest });
         }
     }
--- a/grebedeck/src/gateway/stop.rs
+++ b/grebedeck/src/gateway/stop.rs
@@ -30,6 +30,17 @@
     since: Cell<Option<Moment>>,
     began: Event,
     in_flight: Cell<usize>,
+    callers: Cell<usize>,
+}
+
+/// Counts a caller's connection until it is dropped.
+pub struct Connected(Rc<Gateway>);
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        let callers = &self.0.stop.callers;
+        callers.set(callers.get() - 1);
+    }
 }
 
 /// Counts a request as in flight until it is dropped.
@@ -58,17 +69,31 @@
         self.began.listen()
     }
 
+    /// Gets the number of callers' connections.
+    pub fn callers(&self) -> usize {
+        self.callers.get()
+    }
+
     /// Gets the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
     }
 
-    fn begin(&self, now: Moment) {
+    /// Begins to stop: resting connections are closed, and each of the others behind its answer.
+    pub fn begin(&self, now: Moment) {
         self.since.set(Some(now));
         self.began.notify(usize::MAX);
     }
 }
 
+/// Counts a caller's connection.
+pub fn connected(gateway: &Rc<Gateway>) -> Connected {
+    let callers = &gateway.stop.callers;
+    callers.set(callers.get() + 1);
+
+    Connected(gateway.clone())
+}
+
 /// Counts a request as in flight.
 pub fn serving(gateway: &Rc<Gateway>) -> Serving {
     let in_flight = &gateway.stop.in_flight;
