Gateways no longer run to the same idle rank; a request that waits weighs more than one that runs

Ruled out: skew (pauses at most 90 ms), waits in the gateway (all were sent at once), outages (none). Change: three targets are drawn, the least loaded is taken; what waits, or was sent since the report, weighs five times what runs. Tests: grebedeck-gateway/tests/choice.rs, all three fail with the old choice.

--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod answer;
+pub mod choice;
 pub mod events;
 pub mod outage;
 pub mod pacing;
@@ -19,6 +20,7 @@
 pub mod wire;
 
 pub use answer::{RunState, Verdict, judge};
+pub use choice::chooser_options;
 pub use events::{Event, EventBuffer};
 pub use outage::{Availability, Outage, OutageOptions};
 pub use pacing::{Pacing, PacingOptions, PromptRate};
--- /dev/null
+++ b/grebedeck-gateway/tests/choice.rs
@@ -0,0 +1,84 @@
+//! Choosing among a service's targets.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use grebedeck_core::random::SeededSource;
+use grebedeck_gateway::{TargetEntry, TargetState, chooser_options};
+use grebedeck_routing::{Chooser, LoadReport};
+
+const NOW: Duration = Duration::from_secs(1);
+const GATEWAYS: usize = 12;
+
+fn targets(count: usize) -> Vec<Arc<TargetEntry>> {
+    let target = |number: usize| TargetEntry {
+        id: format!("target-{number:03}"),
+        service: "model".to_string(),
+        address: ([10, 0, 0, number as u8], 80).into(),
+        hall: "hall".to_string(),
+        slots: 10,
+        state: TargetState::Serving,
+    };
+
+    (0..count).map(|number| Arc::new(target(number))).collect()
+}
+
+fn report(running: u32, waiting: u32) -> LoadReport {
+    LoadReport { in_flight: running + waiting, waiting, places: 10 }
+}
+
+#[test]
+fn gateways_that_hear_the_same_loads_do_not_run_to_the_same_target() {
+    let all = targets(72);
+    let mut chosen: HashMap<String, u32> = HashMap::new();
+
+    for seed in 0..GATEWAYS {
+        let mut chooser = Chooser::new("hall", chooser_options());
+        let mut random = SeededSource::new(seed as u64);
+
+        for (number, target) in all.iter().enumerate() {
+            // One of them has nothing to do.
+            chooser.reported(&target.id, report(u32::from(number > 0), 0), NOW);
+        }
+
+        // What one gateway sends until the loads are told anew.
+        for _ in 0..3 {
+            let target = chooser.choose(&all, &[], NOW, &mut random).unwrap();
+            chooser.sent(&target.id);
+            *chosen.entry(target.id.clone()).or_default() += 1;
+        }
+    }
+
+    let most = chosen.values().max().unwrap();
+    assert!(*most <= 4, "{most} of {} requests at one of 72 targets", 3 * GATEWAYS);
+}
+
+#[test]
+fn a_target_that_reads_prompts_is_left_for_one_that_runs_more() {
+    let all = targets(2);
+    let mut random = SeededSource::new(1);
+    let mut chooser = Chooser::new("hall", chooser_options());
+    chooser.reported("target-000", report(0, 2), NOW);
+    chooser.reported("target-001", report(6, 0), NOW);
+
+    assert!((0..50).all(|_| {
+        let chosen = chooser.choose(&all, &[], NOW, &mut random).unwrap();
+        chosen.id == "target-001"
+    }));
+}
+
+#[test]
+fn what_was_sent_since_the_report_counts_as_waiting() {
+    let all = targets(2);
+    let mut random = SeededSource::new(1);
+    let mut chooser = Chooser::new("hall", chooser_options());
+    chooser.reported("target-000", report(0, 0), NOW);
+    chooser.reported("target-001", report(3, 0), NOW);
+    chooser.sent("target-000");
+
+    assert!((0..50).all(|_| {
+        let chosen = chooser.choose(&all, &[], NOW, &mut random).unwrap();
+        chosen.id == "target-001"
+    }));
+}
--- a/grebedeck-lab/src/cost/probes/routing.rs
+++ b/grebedeck-lab/src/cost/probes/routing.rs
@@ -22,7 +22,7 @@
     let mut random = SeededSource::new(1);
 
     for route in allowed.iter() {
-        let report = LoadReport { in_flight: random.below(60) as u32, places: 64 };
+        let report = LoadReport { in_flight: random.below(60) as u32, waiting: 0, places: 64 };
         chooser.reported(&route.name, report, Duration::ZERO);
     }
 
--- a/grebedeck-lab/src/routing.rs
+++ b/grebedeck-lab/src/routing.rs
@@ -297,6 +297,7 @@
 
             let report = LoadReport {
                 in_flight: self.targets[at].load() as u32,
+                waiting: 0,
                 places: self.setup.places as u32,
             };
             chooser.reported(&self.routes[at].name, report, at_time);
@@ -341,7 +342,7 @@
     }
 
     fn load_report(&self, load: usize) -> LoadReport {
-        LoadReport { in_flight: load as u32, places: self.setup.places as u32 }
+        LoadReport { in_flight: load as u32, waiting: 0, places: self.setup.places as u32 }
     }
 
     /// Sends everybody's loads to all entries; they arrive one lag later. `ours` has no use for
--- a/grebedeck-routing/src/choice.rs
+++ b/grebedeck-routing/src/choice.rs
@@ -39,6 +39,9 @@
 pub struct ChooserOptions {
     /// How many targets are drawn.
     pub draws: usize,
+    /// How much more a request counts that has not begun than one that runs. A target that reads prompts
+    /// one after the other makes a new request wait for those, and hardly for the ones that run.
+    pub waiting_weight: f64,
     /// Load that another hall counts as, in places.
     pub other_hall_places: f64,
     /// Age after which a report is no longer believed.
@@ -57,6 +60,7 @@
     fn default() -> Self {
         ChooserOptions {
             draws: 3,
+            waiting_weight: 0.0,
             other_hall_places: 0.5,
             report_lifetime: Duration::from_secs(10),
             min_usable: 0.3,
@@ -72,6 +76,8 @@
 pub struct LoadReport {
     /// Requests in flight, from all entries.
     pub in_flight: u32,
+    /// Those of them that have not begun to run.
+    pub waiting: u32,
     /// Places for requests.
     pub places: u32,
 }
@@ -95,6 +101,8 @@
     report: Option<(Moment, LoadReport)>,
     /// Own requests sent minus ended since the report.
     since_report: i64,
+    /// Own requests sent since the report, which wait for all that is known.
+    sent_since_report: u32,
     leaving_until: Option<Moment>,
     health: Health,
 }
@@ -167,8 +175,20 @@
         };
 
         let (in_flight, places) = self.load_or_own(view, now);
+        let waiting = self.options.waiting_weight * self.waiting(view, now);
 
-        (in_flight + distance + 1.0) / places / view.health.weight(&self.options.health)
+        (in_flight + waiting + distance + 1.0) / places / view.health.weight(&self.options.health)
+    }
+
+    /// Gets the estimated requests on a target that have not begun to run.
+    fn waiting(&self, view: &View, now: Moment) -> f64 {
+        match view.report {
+            Some((at, report)) if now < at + self.options.report_lifetime => {
+                f64::from(report.waiting + view.sent_since_report)
+            }
+            // Without its own word nobody knows which requests have begun.
+            _ => 0.0,
+        }
     }
 
     /// Tells whether, for all that is known, some target that was not tried has a free place.
@@ -300,6 +320,7 @@
 
         view.own_in_flight += 1;
         view.since_report += 1;
+        view.sent_since_report += 1;
         view.health.sent();
     }
 
@@ -328,6 +349,7 @@
 
         view.report = Some((now, report));
         view.since_report = 0;
+        view.sent_since_report = 0;
     }
 
     /// Notes that a target said it is leaving; it is asked again after a while, as its place may
--- a/grebedeck-routing/tests/decisions.rs
+++ b/grebedeck-routing/tests/decisions.rs
@@ -197,7 +197,7 @@
     let mut chooser = Chooser::new("hall-0", ChooserOptions { draws: 16, ..Default::default() });
     let mut random = SeededSource::new(4);
     let now = Duration::from_secs(1);
-    let busy = LoadReport { in_flight: 60, places: 64 };
+    let busy = LoadReport { in_flight: 60, waiting: 0, places: 64 };
 
     chooser.reported("target-000", busy, now);
     chooser.set_leaving("target-001", now);
--- a/grebedeck/src/agent/service.rs
+++ b/grebedeck/src/agent/service.rs
@@ -95,7 +95,7 @@
     pub(super) fn load(&self) -> LoadReport {
         let gate = self.gate();
 
-        LoadReport { in_flight: gate.in_flight() as u32, places: gate.places() as u32 }
+        LoadReport { in_flight: gate.in_flight() as u32, waiting: 0, places: gate.places() as u32 }
     }
 
     pub(super) fn now(&self) -> Moment {
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -277,7 +277,11 @@
     let text = head.headers.text(gateway.names.load);
 
     if let Some(load) = text.and_then(TargetLoad::parse) {
-        let report = LoadReport { in_flight: load.running + load.waiting, places: load.slots };
+        let report = LoadReport {
+            in_flight: load.running + load.waiting,
+            waiting: load.waiting,
+            places: load.slots,
+        };
         gateway.note_load(&target.id, report);
     }
 }
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -99,7 +99,11 @@
         let Some(target) = found else {
             return;
         };
-        let report = LoadReport { in_flight: load.running + load.waiting, places: target.slots };
+        let report = LoadReport {
+            in_flight: load.running + load.waiting,
+            waiting: load.waiting,
+            places: target.slots,
+        };
         self.note_load(&target.id, report);
 
         if load.is_open {
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -13,11 +13,11 @@
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
     Availability, HeaderNames, Outage, Pacing, PromptRate, RouteTable, Site, TargetEntry,
-    TargetList, WindowBudget, WindowOptions,
+    TargetList, WindowBudget, WindowOptions, chooser_options,
 };
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Metrics, log};
-use grebedeck_routing::{Chooser, ChooserOptions, LoadReport};
+use grebedeck_routing::{Chooser, LoadReport};
 use serde_json::json;
 
 use super::Tasks;
@@ -29,9 +29,6 @@
 use super::stop::StopState;
 use super::story::{Decision, End, STORIES_PER_S, Story};
 
-/// Age after which a target's word on its load is no longer believed: much longer and a target that
-/// others have filled since would be taken for a free one.
-const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 /// Part of a process's memory that callers' bodies may take together.
 const BODY_MEMORY_PART: usize = 4;
 
@@ -74,17 +71,11 @@
 impl Gateway {
     /// Makes a gateway that knows nothing yet.
     pub fn new(settings: GatewaySettings, names: HeaderNames, tasks: Tasks) -> Self {
-        let options = ChooserOptions {
-            // All targets are looked at: a few dozen cost little beside a request.
-            draws: usize::MAX,
-            report_lifetime: REPORT_LIFETIME,
-            ..ChooserOptions::default()
-        };
         let metrics = Metrics::default();
         let body_bytes = (settings.memory_mb << 20) / BODY_MEMORY_PART;
 
         Gateway {
-            chooser: RefCell::new(Chooser::new(&settings.hall, options)),
+            chooser: RefCell::new(Chooser::new(&settings.hall, chooser_options())),
             bodies: Rc::new(BodyBudget::new(body_bytes)),
             settings: RefCell::new(Rc::new(settings)),
             counters: Counters::new(&metrics),
--- a/grebedeck/src/gateway/story.rs
+++ b/grebedeck/src/gateway/story.rs
@@ -95,6 +95,15 @@
         /// The last event that the caller has.
         last_event_id: Option<u64>,
     },
+    /// A stream came slower than its route wants.
+    Slow {
+        /// Time until the first event.
+        first_event: Duration,
+        /// Longest pause between two events.
+        longest_pause: Duration,
+        /// When the longest pause ended, since the request arrived.
+        pause_ended: Duration,
+    },
     /// Another attempt was not made.
     NotRepeated {
         /// Why.
@@ -246,6 +255,14 @@
                     last_event_id = optional(*last_event_id),
                 });
             }
+            Decision::Slow { first_event, longest_pause, pause_ended } => {
+                log::info!("stream slow", kv: {
+                    request, at_ms,
+                    first_event_ms = first_event.as_millis() as u64,
+                    longest_pause_ms = longest_pause.as_millis() as u64,
+                    pause_ended_ms = pause_ended.as_millis() as u64,
+                });
+            }
             Decision::NotRepeated { reason } => {
                 log::info!("not repeated", kv: { request, at_ms, reason = *reason });
             }
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -5,6 +5,7 @@
 //! first. A stream that cannot go on ends with its connection, so that it never looks whole.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_std::future::timeout;
 use bytes::Bytes;
@@ -43,9 +44,45 @@
     head_sent: bool,
     tried: Vec<TargetId>,
     may_have_run: bool,
-    /// Whether the first event or a pause took longer than the route's objective.
-    is_late: bool,
+    tempo: Tempo,
+}
+
+/// How fast the events of a stream have come.
+#[derive(Default)]
+struct Tempo {
+    first_event: Option<Duration>,
     event_at: Option<Moment>,
+    longest_pause: Duration,
+    longest_pause_ended: Option<Moment>,
+    /// Whether the first event or a pause took longer than the route wants.
+    is_late: bool,
+}
+
+impl Tempo {
+    /// Takes in an event of a request that arrived then; gives the pause since the one before it.
+    fn note_event(&mut self, arrived: Moment, now: Moment) -> Option<Duration> {
+        let Some(before) = self.event_at.replace(now) else {
+            self.first_event = Some(now - arrived);
+            return None;
+        };
+        let pause = now - before;
+
+        if pause > self.longest_pause {
+            self.longest_pause = pause;
+            self.longest_pause_ended = Some(now);
+        }
+
+        Some(pause)
+    }
+
+    /// Gets what the story of a late stream tells.
+    fn decision(&self, arrived: Moment) -> Decision {
+        Decision::Slow {
+            first_event: self.first_event.unwrap_or_default(),
+            longest_pause: self.longest_pause,
+            pause_ended: self.longest_pause_ended.map_or(Duration::ZERO, |at| at - arrived),
+        }
+    }
 }
 
 /// Serves a request; the answer is written to the caller as it comes.
@@ -64,11 +101,15 @@
         head_sent: false,
         tried: Vec::new(),
         may_have_run: false,
-        is_late: false,
-        event_at: None,
+        tempo: Tempo::default(),
     };
     let (end, after) = relay.run().await;
-    let is_late = relay.is_late;
+    let is_late = relay.tempo.is_late;
+
+    if is_late {
+        request.story.add(gateway.now(), relay.tempo.decision(request.request.arrived));
+    }
+
     gateway.note_end(&request.story, end, is_late);
 
     after
@@ -173,19 +214,20 @@
         let rule = &self.request.admitted.rule;
         let counters = &self.gateway.counters;
 
-        match self.event_at.replace(now) {
+        let arrived = self.request.request.arrived;
+
+        match self.tempo.note_event(arrived, now) {
             None => {
-                let first = now - self.request.request.arrived;
+                let first = now - arrived;
                 counters.first_event_times.note(first, "stream");
-                self.is_late |= first > rule.objective;
+                self.tempo.is_late |= first > rule.objective;
             }
-            Some(before) => {
-                let pause = now - before;
+            Some(pause) => {
                 counters.pauses.note(pause, "stream");
 
                 if let Some(limit) = rule.pause_limit {
                     self.gateway.note_pause(&self.request.service, pause, limit);
-                    self.is_late |= pause > limit;
+                    self.tempo.is_late |= pause > limit;
                 }
             }
         }
