A rank that says it is slow gets no requests while enough others are well

One of 16 ranks was 12 and 6 times slower; it still got its share of the requests, so its own part of each pass (pauses of 210 to 440 ms) held up the whole group, and stayed so for 10 s after the store of slow work was over, as the allowed load kept new requests away and the slow rank's own remained. Ruled out: placements (they were moved off the slow rank within 1 s), outages (the group was open). Change: ranks tell gateways their slowdown; from 1.5 on they are left out, unless more than 7 in 10 are slow. Test: slow_targets_get_nothing_while_enough_others_are_well.

--- a/grebedeck-gateway/tests/choice.rs
+++ b/grebedeck-gateway/tests/choice.rs
@@ -82,3 +82,26 @@
         chosen.id == "target-001"
     }));
 }
+
+#[test]
+fn slow_targets_get_nothing_while_enough_others_are_well() {
+    let all = targets(4);
+    let mut chooser = Chooser::new("hall", chooser_options());
+    let later = NOW + Duration::from_secs(3);
+    let steady = |chooser: &Chooser, now| chooser.without_slow(&all, now).len();
+
+    assert!(chooser.set_slow("target-001", true, NOW));
+    assert!(!chooser.set_slow("target-001", true, NOW), "it was slow before");
+    assert_eq!(steady(&chooser, NOW), 3);
+    assert_eq!(steady(&chooser, later), 4, "its word is old");
+
+    for target in &all {
+        chooser.set_slow(&target.id, true, NOW);
+    }
+
+    assert_eq!(steady(&chooser, NOW), 4, "where all are slow, all are used");
+    assert!(chooser.set_slow("target-001", false, NOW));
+    assert_eq!(steady(&chooser, NOW), 4, "one of four is not enough");
+    chooser.set_slow("target-002", false, NOW);
+    assert_eq!(steady(&chooser, NOW), 2);
+}
--- a/grebedeck-routing/src/choice.rs
+++ b/grebedeck-routing/src/choice.rs
@@ -104,6 +104,7 @@
     /// Own requests sent since the report, which wait for all that is known.
     sent_since_report: u32,
     leaving_until: Option<Moment>,
+    slow_until: Option<Moment>,
     health: Health,
 }
 
@@ -360,6 +361,33 @@
         self.views.entry(target.to_string()).or_default().leaving_until = Some(until);
     }
 
+    /// Notes whether a target says that it is slow; tells whether that is new. Like its reports this is
+    /// believed for a while.
+    pub fn set_slow(&mut self, target: &str, is_slow: bool, now: Moment) -> bool {
+        let until = now + self.options.report_lifetime;
+        let was_slow = self.is_slow(target, now);
+        let view = self.views.entry(target.to_string()).or_default();
+        view.slow_until = is_slow.then_some(until);
+
+        is_slow != was_slow
+    }
+
+    fn is_slow(&self, target: &str, now: Moment) -> bool {
+        self.view(target).and_then(|v| v.slow_until).is_some_and(|until| now < until)
+    }
+
+    /// Gets those of some targets that are not slow, or all of them where too few would be left.
+    pub fn without_slow<'a, T: Candidate>(
+        &self,
+        targets: &'a [Arc<T>],
+        now: Moment,
+    ) -> Vec<&'a Arc<T>> {
+        let steady: Vec<_> = targets.iter().filter(|t| !self.is_slow(t.name(), now)).collect();
+        let is_enough = steady.len() as f64 >= targets.len() as f64 * self.options.min_usable;
+
+        if is_enough { steady } else { targets.iter().collect() }
+    }
+
     /// Drops the views of targets that are gone and have nothing in flight.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.views.retain(|name, view| view.own_in_flight > 0 || keep(name));
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -15,7 +15,7 @@
 use super::attempt::FailureCause;
 use super::options::{
     FIRST_LOAD_WAIT, FIRST_WATCH_PERIOD, OPEN_LIFETIME, OUTAGE_FAILURES, OVERDUE, PROMPT_BURST,
-    PROMPT_PART, START_LAG, TRIAL_PAUSE,
+    PROMPT_PART, SLOW_TARGET, START_LAG, TRIAL_PAUSE,
 };
 use super::pool::MAX_KEPT;
 use super::request::RoutedRequest;
@@ -105,6 +105,7 @@
             places: target.slots,
         };
         self.note_load(&target.id, report);
+        self.note_slowdown(&target.id, load.slowdown);
 
         if load.is_open {
             self.note_open(&target.service, &target.id);
@@ -113,6 +114,17 @@
         }
     }
 
+    /// Notes how slow a rank says that it is.
+    fn note_slowdown(&self, target: &str, slowdown: f32) {
+        let now = self.now();
+        let is_slow = slowdown >= SLOW_TARGET;
+
+        if self.chooser.borrow_mut().set_slow(target, is_slow, now) {
+            let slowdown = f64::from(slowdown);
+            log::info!("target's speed changed", kv: { target, is_slow, slowdown });
+        }
+    }
+
     /// Notes that a rank says its group makes passes; where the service was out, it is back.
     fn note_open(&self, service: &str, target: &str) {
         let now = self.now();
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -163,7 +163,8 @@
     let per_place = gateway.allowed_load(&request.service, &serving, now);
     let chooser = gateway.chooser.borrow();
     let has_room = |t: &&Arc<TargetEntry>| chooser.has_room(&t.id, per_place, now);
-    let with_room: Vec<Arc<TargetEntry>> = serving.iter().filter(has_room).cloned().collect();
+    let steady = chooser.without_slow(&serving, now);
+    let with_room: Vec<Arc<TargetEntry>> = steady.into_iter().filter(has_room).cloned().collect();
 
     let chosen = chooser.choose(&with_room, tried, now, &mut ProcessRandom::default());
     let target = chosen.cloned().ok_or(NoPlace::Full)?;
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -344,8 +344,12 @@
 
         self.load_at = now + LOAD_PERIOD;
         self.watchers.retain(|_, asked_at| now < *asked_at + WATCH_LIFETIME);
-        let load =
-            RankLoad { running: report.running, waiting: report.waiting, is_open: report.is_open };
+        let load = RankLoad {
+            running: report.running,
+            waiting: report.waiting,
+            is_open: report.is_open,
+            slowdown: report.pace,
+        };
         let watchers: Vec<SocketAddr> = self.watchers.keys().copied().collect();
 
         for watcher in watchers {
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -35,7 +35,7 @@
 }
 
 /// A rank's load, as its engine says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RankLoad {
     /// Requests that run.
     pub running: u32,
@@ -43,6 +43,8 @@
     pub waiting: u32,
     /// Whether the group makes passes.
     pub is_open: bool,
+    /// Time that the engine takes for its work, relative to what is usual.
+    pub slowdown: f32,
 }
 
 impl Datagram {
