Fewer calls to the store and fewer loads told; lapsed targets are kept two seconds from the store's return

A gateway called the store 1.8 times a second (watches of one second) and heard 576 loads a second from 72 ranks. Beside it, a target that lapsed while the store was away was given up two seconds after the last failed call, up to 0.9 s before the two seconds that the operators give it from the store's return. Change: watches wait two seconds, so that a lost answer is found out 0.6 s before a process must be up to date again (3 s after the store's trouble); ranks of large groups tell their load each 4 ms times their number, at least 125 ms; lapses count from the store's first answer.

--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -94,7 +94,10 @@
     known: BTreeMap<TargetId, Known>,
     serving: HashMap<ServiceName, Arc<[Arc<TargetEntry>]>>,
     version: StoreVersion,
-    trouble_at: Option<Moment>,
+    /// Whether the store's last answer is missing.
+    is_store_failing: bool,
+    /// When the store first answered again.
+    returned_at: Option<Moment>,
 }
 
 impl TargetList {
@@ -109,6 +112,8 @@
             return Vec::new();
         }
 
+        self.note_return(now);
+
         let listed: HashSet<&TargetId> = entries.iter().map(|listed| &listed.entry.id).collect();
         let missing: Vec<TargetId> =
             self.known.keys().filter(|id| !listed.contains(id)).cloned().collect();
@@ -133,6 +138,7 @@
         changes: Vec<TargetChange>,
         now: Moment,
     ) -> Vec<ListEvent> {
+        self.note_return(now);
         let mut events = Vec::new();
 
         for change in changes {
@@ -151,8 +157,14 @@
     }
 
     /// Notes that the store did not answer, or not as it should.
-    pub fn store_failed(&mut self, now: Moment) {
-        self.trouble_at = Some(now);
+    pub fn store_failed(&mut self) {
+        self.is_store_failing = true;
+    }
+
+    fn note_return(&mut self, now: Moment) {
+        if std::mem::take(&mut self.is_store_failing) {
+            self.returned_at = Some(now);
+        }
     }
 
     /// Drops lapsed targets whose time is over; gives what changed.
@@ -242,7 +254,7 @@
             return None;
         }
 
-        let relisted_by = self.trouble_at.map(|at| at + RELIST_LIMIT);
+        let relisted_by = self.returned_at.map(|at| at + RELIST_LIMIT);
         let is_serving = known.entry.state == TargetState::Serving;
 
         match relisted_by {
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -6,7 +6,7 @@
 use grebedeck_core::Faults;
 use serde::{Deserialize, Serialize};
 
-use crate::settings::Check;
+use crate::settings::{Check, millis};
 
 /// How often rested connections and lapsed targets are looked for: well below the two seconds within
 /// which a lapsed target is to be listed again.
@@ -63,6 +63,9 @@
 pub const RETURN_SPREAD: Duration = Duration::from_millis(300);
 /// How long a request is held at the start of the process, until the configuration is known.
 pub const SITE_WAIT: Duration = Duration::from_millis(300);
+/// How much later than asked the store may answer before it is taken for away: more than an answer takes
+/// when the store is slow.
+const STORE_GRACE: Duration = Duration::from_millis(600);
 /// Time left to a request below which it is not sent to a target any more.
 pub const MIN_ATTEMPT: Duration = Duration::from_millis(5);
 
@@ -174,6 +177,14 @@
     }
 }
 
+impl GatewaySettings {
+    /// Gets the age of the store's last answer beyond which it is taken for away: while it is there, it
+    /// answers at least after each wait for a change of the configuration.
+    pub fn store_silence(&self) -> Duration {
+        millis(self.site_wait_ms) + STORE_GRACE
+    }
+}
+
 impl Check for GatewaySettings {
     fn check(&self, faults: &mut Faults) {
         let mut positive = |field: &str, value: f64| {
@@ -210,12 +221,13 @@
     }
 
     pub fn site_wait_ms() -> u64 {
-        // A change must be in force two seconds after the store has taken it, also if a watch misses it.
-        1000
+        // An answer that is lost leaves a watch waiting for this long. A process must be up to date three
+        // seconds after the store's trouble has ended, so half a second is left for the next call.
+        2000
     }
 
     pub fn targets_wait_ms() -> u64 {
-        1000
+        site_wait_ms()
     }
 
     pub fn targets_pause_ms() -> u64 {
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -24,9 +24,6 @@
 const STATE_PATH: &str = "/peer/state";
 /// How often peers are asked while the store is away: a change must be in force within two seconds.
 const ASK_PERIOD: Duration = Duration::from_millis(400);
-/// Age of the store's last answer beyond which it is taken for away; while it is there it answers at
-/// least each second.
-const STORE_SILENCE: Duration = Duration::from_millis(1600);
 /// How long a peer may take to answer.
 const ASK_LIMIT: Duration = Duration::from_millis(300);
 /// How often the gateways that were published are read, to know whom to ask.
@@ -95,7 +92,7 @@
     loop {
         sleep(ASK_PERIOD).await;
 
-        if !gateway.is_store_away(STORE_SILENCE) {
+        if !gateway.is_store_away(gateway.settings().store_silence()) {
             continue;
         }
 
--- a/grebedeck/src/gateway/watch.rs
+++ b/grebedeck/src/gateway/watch.rs
@@ -119,8 +119,8 @@
             Err(error) => {
                 after = None;
                 gateway.counters.store_calls.add("failed");
-                gateway.change_targets(|targets, now| {
-                    targets.store_failed(now);
+                gateway.change_targets(|targets, _| {
+                    targets.store_failed();
                     Vec::new()
                 });
                 backoff.failed(&error).await;
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -25,7 +25,7 @@
 use super::counters::Counters;
 use super::message::{Body, Datagram, MAX_DATAGRAM_BYTES, RankLoad};
 use super::options::{
-    BUSY_POLL, IDLE_POLL, LIST_PAUSE, LOAD_PERIOD, RankSettings, STOP_LIMIT, WATCH_LIFETIME,
+    BUSY_POLL, IDLE_POLL, LIST_PAUSE, RankSettings, STOP_LIMIT, WATCH_LIFETIME, load_period,
 };
 use super::show;
 use crate::process;
@@ -342,7 +342,7 @@
             return;
         }
 
-        self.load_at = now + LOAD_PERIOD;
+        self.load_at = now + load_period(report.size);
         self.watchers.retain(|_, asked_at| now < *asked_at + WATCH_LIFETIME);
         let load = RankLoad {
             running: report.running,
--- a/grebedeck/src/rank/options.rs
+++ b/grebedeck/src/rank/options.rs
@@ -15,8 +15,11 @@
 /// How long a call to an engine may take before it counts as unanswered; usually it takes a
 /// millisecond or two.
 pub const ENGINE_LIMIT: Duration = Duration::from_millis(150);
-/// How often the load is told at the most: gateways send a request or two to a rank.
-pub const LOAD_PERIOD: Duration = Duration::from_millis(125);
+/// How often a rank of a small group tells its load: gateways send a request or two to it meanwhile.
+const LOAD_PERIOD: Duration = Duration::from_millis(125);
+/// Least time between two loads that a gateway hears, of all ranks together: more of them were a quarter
+/// of what a gateway of a group of 72 ranks did.
+const LOAD_SPACING: Duration = Duration::from_millis(4);
 /// How long a gateway is told the load after it asked.
 pub const WATCH_LIFETIME: Duration = Duration::from_millis(3500);
 /// Pause between two readings of the list of targets while some nodes are not known.
@@ -24,6 +27,11 @@
 /// Longest time that a stopping process goes on with a plan that is under way.
 pub const STOP_LIMIT: Duration = Duration::from_secs(2);
 
+/// Gets how often a rank of a group of this size tells its load.
+pub fn load_period(ranks: u16) -> Duration {
+    LOAD_PERIOD.max(LOAD_SPACING * u32::from(ranks))
+}
+
 /// Settings of a rank process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
