Rollout: the holder is told of all nodes, so that the first placement after an outage succeeds at once

Only messages without a plan named the nodes, and the leader plans before it sends one, so the holder asked those few that it knew by itself and waited for all. Ruled out: nodes that refuse (none answered no), orders lost (holds were taken and let go after 3 ms). Change: the message that wants a pass held names the nodes, too; it carries no changes, so it stays small. Test: a_holder_is_told_of_all_nodes; it fails without the change.

--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -605,10 +605,13 @@
 
     /// Sends the leader's message to all nodes that are known, and takes it itself.
     pub(super) fn broadcast(&mut self, directive: Directive, actions: &mut Vec<Action<A>>) {
-        // A datagram with many ranks and changes would be longer than networks pass on in one piece.
+        // The holder has to reach every node, and may have formed the group a moment ago. Only changes are
+        // left without the nodes: with many ranks both would be longer than networks pass on in one piece.
         let roster: Vec<(Rank, A)> = match directive.stage {
-            Stage::Idle => self.roster.iter().map(|(r, a)| (*r, a.clone())).collect(),
-            Stage::Prepare { .. } | Stage::Hold { .. } => Vec::new(),
+            Stage::Idle | Stage::Hold { .. } => {
+                self.roster.iter().map(|(r, a)| (*r, a.clone())).collect()
+            }
+            Stage::Prepare { .. } => Vec::new(),
         };
         let unknown = self.others.iter().filter(|a| !self.roster.values().any(|r| r == *a));
         let known = self.roster.iter().map(|(rank, to)| (Some(*rank), to));
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -3,8 +3,11 @@
 
 mod group;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use grebedeck_experts::rollout::{Action, Message, Node, NodeOptions, Stage, Status, Term};
+use grebedeck_experts::{Placement, RankReport};
 use group::{Broken, Faults, Group};
 
 const NO_FAULTS: Faults = Faults {
@@ -79,6 +82,72 @@
 
 /// A leader that came back gave a number that it had given before to another placement; nodes that did not
 /// know the base of the new one took what they had kept under the number.
+/// After all machines had lost power, three holds in a row failed: the holder did not know the nodes that
+/// it was to ask, since no message without a plan had told it.
+#[test]
+fn a_holder_is_told_of_all_nodes() {
+    const RANKS: u16 = 3;
+    let report = |rank, prepared| RankReport {
+        epoch: 1,
+        rank,
+        size: RANKS,
+        is_open: true,
+        pass: 5,
+        placement: 0,
+        prepared,
+        armed: None,
+        held: None,
+        running: 1,
+        waiting: 0,
+        pace: 1.0,
+    };
+    let dealt = Placement::dealt(RANKS, 1, 6);
+    let mut node = Node::new(0u16, 1, secs(0), NodeOptions::default());
+    node.keep_placement(0, Arc::new(dealt.clone()));
+    node.on_report(report(0, None), secs(0));
+    node.tick(secs(1));
+    assert!(node.is_leading());
+    let promised = Term { round: 1, rank: 0, life: 1 };
+    let mut actions = Vec::new();
+
+    let mut hear = |node: &mut Node<u16>, prepared: Option<u64>, actions: &mut Vec<Action<u16>>| {
+        actions.extend(node.on_report(report(0, prepared), secs(1)));
+
+        for rank in 1..RANKS {
+            let status = Status {
+                promised,
+                report: report(rank, prepared),
+                refused: None,
+                is_engaged: false,
+            };
+            actions.extend(node.on_message(rank, Message::Status(status), secs(1)));
+        }
+    };
+    hear(&mut node, None, &mut actions);
+    assert!(node.can_plan(secs(1)));
+    let mut next = dealt;
+    next.sets[0][0].push(1);
+    actions.extend(node.propose(next, secs(1)));
+    let planned = actions.iter().find_map(|action| match action {
+        Action::Send { message: Message::Lead { directive, .. }, .. } => match directive.stage {
+            Stage::Prepare { placement_no, .. } => Some(placement_no),
+            _ => None,
+        },
+        _ => None,
+    });
+    hear(&mut node, planned, &mut actions);
+
+    let told = actions.iter().rev().find_map(|action| match action {
+        Action::Send { to: 1, message: Message::Lead { directive, roster } }
+            if matches!(directive.stage, Stage::Hold { holder: 1, .. }) =>
+        {
+            Some(roster.clone())
+        }
+        _ => None,
+    });
+    assert_eq!(told, Some(vec![(0, 0), (1, 1), (2, 2)]));
+}
+
 #[test]
 fn no_two_placements_have_one_number() {
     for seed in 0..40 {
