Callers of a group that forms are held or told to come back after its first placement; no trials meanwhile

A request each 40 ms and gateway was sent to find out whether the group was back, and refused, although the group's ranks said that it was closed; those told to come back came with the opening, when the experts lie as they were dealt (skew 3.6), and 57 of them found all places taken. Change: the group's own word that it is closed counts for half a second, and no trial is made meanwhile; a word of an older formation is not believed while the newer one is heard of; callers come back 0.6 s later and spread over 0.8 s in place of 0.3 s, still within what they wait. Ruled out: the store and the list (known 0.02 s after the start); placements (first one 0.8 s after opening). Test: no_trials_are_made_while_the_group_says_that_it_is_closed.

--- a/grebedeck-gateway/src/outage.rs
+++ b/grebedeck-gateway/src/outage.rs
@@ -19,8 +19,8 @@
     pub expected: Duration,
     /// What is expected once an outage has lasted longer than that.
     pub overdue: Duration,
-    /// How long the group's own word that it is open outweighs failures.
-    pub open_lifetime: Duration,
+    /// How long the group's own word on whether it is open outweighs what requests show.
+    pub word_lifetime: Duration,
     /// Pause between two trials: a few round trips, so that a return is noticed at once.
     pub trial_pause: Duration,
 }
@@ -42,13 +42,26 @@
     since: Moment,
     tried_at: Option<Moment>,
     open_until: Moment,
+    closed_until: Moment,
+    /// The group's newest formation that was told of, and how long others are taken for older ones.
+    formation: u64,
+    formation_until: Moment,
 }
 
 impl Outage {
     /// Makes the view of a service that nothing is known of; `since` is when an outage would have begun
     /// that is found by the first requests.
     pub fn new(options: OutageOptions, since: Moment) -> Self {
-        Outage { options, failures: 0, since, tried_at: None, open_until: Moment::ZERO }
+        Outage {
+            options,
+            failures: 0,
+            since,
+            tried_at: None,
+            open_until: Moment::ZERO,
+            closed_until: Moment::ZERO,
+            formation: 0,
+            formation_until: Moment::ZERO,
+        }
     }
 
     /// Notes that a target took a request; tells whether that ended an outage.
@@ -62,8 +75,14 @@
     }
 
     /// Notes that the service's group says that it makes passes; tells whether that ended an outage.
-    pub fn opened(&mut self, now: Moment) -> bool {
-        self.open_until = now + self.options.open_lifetime;
+    /// `formation` counts how often the group has formed.
+    pub fn opened(&mut self, formation: u64, now: Moment) -> bool {
+        if !self.is_newest(formation, now) {
+            return false;
+        }
+
+        self.open_until = now + self.options.word_lifetime;
+        self.closed_until = Moment::ZERO;
 
         self.is_out() && self.succeeded(now)
     }
@@ -87,10 +106,15 @@
     }
 
     /// Notes that the service's group says that it makes no passes; tells whether the service is out
-    /// since then.
-    pub fn closed(&mut self) -> bool {
+    /// since then. A rank that has not yet noticed the newest formation is late, not closed.
+    pub fn closed(&mut self, formation: u64, now: Moment) -> bool {
+        if !self.is_newest(formation, now) {
+            return false;
+        }
+
         let was_out = self.is_out();
         self.open_until = Moment::ZERO;
+        self.closed_until = now + self.options.word_lifetime;
         self.failures = self.failures.max(self.options.failures);
 
         !was_out
@@ -111,7 +135,12 @@
     }
 
     /// Tells whether a single request may be sent to find out whether the service is back, and notes it.
+    /// While the group itself says that it is closed, each would only be refused.
     pub fn take_trial(&mut self, now: Moment) -> bool {
+        if now < self.closed_until {
+            return false;
+        }
+
         let is_due = self.tried_at.is_none_or(|at| now >= at + self.options.trial_pause);
 
         if is_due {
@@ -121,6 +150,18 @@
         is_due
     }
 
+    /// Tells whether no newer formation was told of lately, and notes this one. Where nobody tells of the
+    /// newer one any more, the group may have begun to count anew.
+    fn is_newest(&mut self, formation: u64, now: Moment) -> bool {
+        if formation < self.formation && now < self.formation_until {
+            return false;
+        }
+
+        self.formation = formation;
+        self.formation_until = now + self.options.word_lifetime;
+        true
+    }
+
     fn is_out(&self) -> bool {
         self.failures >= self.options.failures
     }
--- a/grebedeck-gateway/tests/decisions.rs
+++ b/grebedeck-gateway/tests/decisions.rs
@@ -105,7 +105,7 @@
         failures: 3,
         expected: MS(2000),
         overdue: MS(900),
-        open_lifetime: MS(500),
+        word_lifetime: MS(500),
         trial_pause: MS(50),
     };
 
@@ -144,7 +144,7 @@
 #[test]
 fn failures_of_single_targets_are_no_outage_of_an_open_group() {
     let mut outage = outage();
-    outage.opened(MS(1000));
+    outage.opened(1, MS(1000));
     (1100..1200).for_each(|at| assert!(!outage.failed(MS(at))));
     assert_eq!(outage.availability(MS(1200)), Availability::Up);
 
@@ -152,11 +152,11 @@
     assert!(!outage.refused());
     assert!(!outage.refused());
     assert!(outage.refused(), "the third refusal in a row");
-    assert!(outage.opened(MS(1200)));
+    assert!(outage.opened(1, MS(1200)));
 
-    assert!(outage.closed(), "its own word that it is closed counts at once");
+    assert!(outage.closed(1, MS(1250)), "its own word that it is closed counts at once");
     assert!(matches!(outage.availability(MS(1200)), Availability::Out(_)));
-    assert!(outage.opened(MS(1300)));
+    assert!(outage.opened(1, MS(1300)));
     assert_eq!(outage.availability(MS(1300)), Availability::Up);
 }
 
@@ -190,6 +190,23 @@
     assert!(pacing.allowed_load(0.5, 1.0, 1.0, MS(2)) >= 0.3);
 }
 
+/// While a group formed, a request each 40 ms was sent to find out whether it was back, and refused.
+#[test]
+fn no_trials_are_made_while_the_group_says_that_it_is_closed() {
+    let mut outage = outage();
+    assert!(outage.closed(1, MS(1000)));
+    assert!(!outage.take_trial(MS(1499)));
+    assert!(outage.take_trial(MS(1500)), "its word is old");
+
+    assert!(!outage.closed(1, MS(1600)), "it was out before");
+    assert!(!outage.take_trial(MS(1700)));
+    assert!(outage.opened(2, MS(1800)));
+    assert!(!outage.closed(1, MS(1900)), "a rank that has not noticed the new formation");
+    assert_eq!(outage.availability(MS(1900)), Availability::Up);
+    assert!(outage.closed(2, MS(2000)), "the new formation broke");
+    assert!(outage.opened(1, MS(2600)), "a group that counts its formations anew");
+}
+
 #[test]
 fn where_nothing_can_come_in_time_as_many_as_fit_are_taken() {
     let mut pacing = Pacing::new(PacingOptions::new(MS(30), MS(125)));
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -14,8 +14,8 @@
 
 use super::attempt::FailureCause;
 use super::options::{
-    FIRST_LOAD_WAIT, FIRST_WATCH_PERIOD, OPEN_LIFETIME, OUTAGE_FAILURES, OVERDUE, PROMPT_BURST,
-    PROMPT_PART, START_LAG, TRIAL_PAUSE,
+    FIRST_LOAD_WAIT, FIRST_WATCH_PERIOD, GROUP_WORD_LIFETIME, OUTAGE_FAILURES, OVERDUE,
+    PROMPT_BURST, PROMPT_PART, START_LAG, TRIAL_PAUSE,
 };
 use super::pool::MAX_KEPT;
 use super::request::RoutedRequest;
@@ -108,8 +108,8 @@
         self.note_slowdown(&target.id, load.slowdown);
 
         if load.is_open {
-            self.note_open(&target.service, &target.id);
-        } else if self.with_outage(&target.service, Outage::closed) {
+            self.note_open(&target.service, &target.id, load.formation);
+        } else if self.note_closed(&target.service, load.formation) {
             log::warn!("service out", kv: { service = target.service.as_str(), cause = "closed" });
         }
     }
@@ -124,15 +124,22 @@
     }
 
     /// Notes that a rank says its group makes passes; where the service was out, it is back.
-    fn note_open(&self, service: &str, target: &str) {
+    fn note_open(&self, service: &str, target: &str, formation: u64) {
         let now = self.now();
 
-        if self.with_outage(service, |outage| outage.opened(now)) {
+        if self.with_outage(service, |outage| outage.opened(formation, now)) {
             log::info!("group open", kv: { service, target });
             self.freed.notify(usize::MAX);
         }
     }
 
+    /// Notes that a rank says its group makes no passes; tells whether the service is out since then.
+    fn note_closed(&self, service: &str, formation: u64) -> bool {
+        let now = self.now();
+
+        self.with_outage(service, |outage| outage.closed(formation, now))
+    }
+
     /// Gets whether a service is expected to take requests.
     pub fn availability(&self, service: &str) -> Availability {
         let now = self.now();
@@ -227,7 +234,7 @@
             failures: OUTAGE_FAILURES,
             expected,
             overdue: OVERDUE,
-            open_lifetime: OPEN_LIFETIME,
+            word_lifetime: GROUP_WORD_LIFETIME,
             trial_pause: TRIAL_PAUSE,
         }
     }
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -28,9 +28,9 @@
 pub const PATIENCE_PART: f64 = 0.2;
 /// Failures in a row after which a service is taken for out: more than one bad target has in a row.
 pub const OUTAGE_FAILURES: u32 = 4;
-/// How long a group's own word that it is open outweighs failed requests: some times as long as ranks
-/// are silent between two words.
-pub const OPEN_LIFETIME: Duration = Duration::from_millis(500);
+/// How long a group's own word on whether it is open outweighs what requests show: some times as long as
+/// ranks are silent between two words.
+pub const GROUP_WORD_LIFETIME: Duration = Duration::from_millis(500);
 /// Pause between two requests that find out whether a service is back.
 pub const TRIAL_PAUSE: Duration = Duration::from_millis(40);
 /// What is told of a service that is out for longer than was expected.
@@ -59,8 +59,12 @@
 /// How long requests for a model wait at the start until a rank has told whether its group is open: some
 /// of the pauses above. Without processes beside ranks nobody ever tells, and requests are sent then.
 pub const FIRST_LOAD_WAIT: Duration = Duration::from_millis(250);
-/// Callers that are told to come back are spread over this time.
-pub const RETURN_SPREAD: Duration = Duration::from_millis(300);
+/// Callers that are told to come back are spread over this time: twice the usual arrivals for as long as an
+/// outage lasts would fill a group at once.
+pub const RETURN_SPREAD: Duration = Duration::from_millis(800);
+/// How much later than a model's group is expected back callers are told to come: its experts lie as they
+/// were dealt, and it takes half of the usual requests until its first placement is in use.
+pub const PLACEMENT_LAG: Duration = Duration::from_millis(600);
 /// How long a request is held at the start of the process, until the configuration is known.
 pub const SITE_WAIT: Duration = Duration::from_millis(300);
 /// How much later than asked the store may answer before it is taken for away: more than an answer takes
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -9,8 +9,8 @@
 use grebedeck_gateway::{Availability, TargetEntry, TargetId};
 
 use super::options::{
-    HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, MIN_WAIT, PATIENCE_PART, RETRY_AFTER_PART, RETURN_SPREAD,
-    TRIAL_PAUSE,
+    HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, MIN_WAIT, PATIENCE_PART, PLACEMENT_LAG, RETRY_AFTER_PART,
+    RETURN_SPREAD, TRIAL_PAUSE,
 };
 use super::request::RoutedRequest;
 use super::service::Gateway;
@@ -58,7 +58,8 @@
             NoPlace::NoTargets | NoPlace::Full => {
                 objective.mul_f64(RETRY_AFTER_PART * (1.0 + spread))
             }
-            NoPlace::Out(left) | NoPlace::Paced(left) => left + RETURN_SPREAD.mul_f64(spread),
+            NoPlace::Out(left) => left + PLACEMENT_LAG + RETURN_SPREAD.mul_f64(spread),
+            NoPlace::Paced(left) => left + RETURN_SPREAD.mul_f64(spread),
         }
     }
 }
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -347,6 +347,7 @@
         let load = RankLoad {
             running: report.running,
             waiting: report.waiting,
+            formation: report.epoch,
             is_open: report.is_open,
             slowdown: report.pace,
         };
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -41,6 +41,8 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// How often the group has formed.
+    pub formation: u64,
     /// Whether the group makes passes.
     pub is_open: bool,
     /// Time that the engine takes for its work, relative to what is usual.
