A target's own failure is told also when the next attempt runs out of time; one record of attempts

Cause: reading the path of whole answers again: where a safe request's second attempt ran into the limit, the first target's answer, which was here, was dropped for a 504 of our own. A ready answer is delivered. Change: both ends go the same way.

--- a/grebedeck-experts/src/rollout/engaged.rs
+++ b/grebedeck-experts/src/rollout/engaged.rs
@@ -55,7 +55,7 @@
                     self.engage(&changeover, 0, now);
                 }
 
-                self.send_answer(from, &changeover, accepts, actions);
+                actions.push(answer(from, changeover.round, changeover.pass, accepts, report));
             }
             ChangeoverStep::Recover => {
                 if !is_same && changeover.pass > report.pass {
@@ -66,7 +66,7 @@
                 if let Some(engaged) = self.engaged.as_mut().filter(|_| is_same) {
                     engaged.armed = Some(placement_no);
                     engaged.heard_at = now;
-                    self.send_answer(from, &changeover, true, actions);
+                    actions.push(answer(from, changeover.round, changeover.pass, true, report));
                 }
             }
             ChangeoverStep::Over if is_same => self.engaged = None,
@@ -100,21 +100,6 @@
             Some(Engaged { holder, round, pass, armed: None, heard_at: now, reports_due });
     }
 
-    pub(super) fn send_answer(
-        &self,
-        to: A,
-        changeover: &Changeover,
-        accepts: bool,
-        actions: &mut Vec<Action<A>>,
-    ) {
-        let Some(report) = self.report.clone() else {
-            return;
-        };
-        let Changeover { round, pass, .. } = *changeover;
-        let message = Message::Answer(ChangeoverAnswer { round, pass, accepts, report });
-        actions.push(Action::Send { to, message });
-    }
-
     /// Answers the holder of the changeover that the node takes part in.
     pub(super) fn answer_holder(&self, report: &RankReport, actions: &mut Vec<Action<A>>) {
         let Some(Engaged { holder, round, pass, .. }) = self.engaged else {
@@ -122,9 +107,7 @@
         };
 
         if let Some(to) = self.roster.get(&holder).cloned() {
-            let report = report.clone();
-            let answer = ChangeoverAnswer { round, pass, accepts: true, report };
-            actions.push(Action::Send { to, message: Message::Answer(answer) });
+            actions.push(answer(to, round, pass, true, report.clone()));
         }
     }
 
@@ -180,3 +163,9 @@
         }
     }
 }
+
+fn answer<A>(to: A, round: u64, pass: PassNo, accepts: bool, report: RankReport) -> Action<A> {
+    let message = Message::Answer(ChangeoverAnswer { round, pass, accepts, report });
+
+    Action::Send { to, message }
+}
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -110,7 +110,7 @@
     let promised = Term { round: 1, rank: 0, life: 1 };
     let mut actions = Vec::new();
 
-    let mut hear = |node: &mut Node<u16>, prepared: Option<u64>, actions: &mut Vec<Action<u16>>| {
+    let hear = |node: &mut Node<u16>, prepared: Option<u64>, actions: &mut Vec<Action<u16>>| {
         actions.extend(node.on_report(report(0, prepared), secs(1)));
 
         for rank in 1..RANKS {
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 
 use async_std::future::timeout;
 use grebedeck_gateway::wire::TargetLoad;
-use grebedeck_gateway::{RunState, TargetEntry, Verdict, judge};
+use grebedeck_gateway::{RunState, TargetEntry, TargetId, Verdict, judge};
 use grebedeck_http::{BodyDecoder, Connection, HttpError, ResponseHead, response_framing};
 use grebedeck_routing::LoadReport;
 
@@ -73,6 +73,38 @@
     }
 }
 
+/// The targets that a request was sent to, and whether one of them may have run it.
+#[derive(Default)]
+pub struct Tried {
+    targets: Vec<TargetId>,
+    may_have_run: bool,
+    may_have_run_before: bool,
+}
+
+impl Tried {
+    /// Notes that the request is sent to a target. From here on it may run there, also if the task that
+    /// sends it is dropped.
+    pub fn begin(&mut self, target: &TargetEntry) {
+        self.targets.push(target.id.clone());
+        self.may_have_run_before = std::mem::replace(&mut self.may_have_run, true);
+    }
+
+    /// Notes how the attempt that began last failed.
+    pub fn failed(&mut self, failure: &Failure) {
+        self.may_have_run = self.may_have_run_before || failure.run == RunState::MayHaveRun;
+    }
+
+    /// Gets the targets, in the order of the attempts.
+    pub fn targets(&self) -> &[TargetId] {
+        &self.targets
+    }
+
+    /// Tells whether the request may have run.
+    pub fn run_state(&self) -> RunState {
+        if self.may_have_run { RunState::MayHaveRun } else { RunState::NotRun }
+    }
+}
+
 /// Counts a request as in flight on a target until it is dropped.
 pub struct InFlight {
     gateway: Rc<Gateway>,
@@ -98,7 +130,8 @@
     fn drop(&mut self) {
         let now = self.gateway.now();
         self.gateway.chooser.borrow_mut().ended(&self.target.id, self.success, now);
-        // All that wait look again: which of them goes first is decided by who can wait longest.
+        // One place is free, so one that waits is woken; where it cannot use the place, others find it at
+        // their next look, some ten milliseconds later.
         self.gateway.freed.notify(1);
     }
 }
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -28,7 +28,7 @@
     pub fn max_kept(&self, service: &str) -> usize {
         let table = self.table();
         let cap = table.service(service).map_or(MAX_KEPT, |s| s.max_connections);
-        let part = cap / (self.peers().len() + 1) / 2;
+        let part = cap / self.gateways() / 2;
 
         part.clamp(1, MAX_KEPT)
     }
@@ -53,7 +53,7 @@
         let chooser = self.chooser.borrow();
         let own: f64 = targets.iter().map(|t| f64::from(chooser.own_in_flight(&t.id))).sum();
         let all: f64 = targets.iter().map(|t| chooser.load_view(&t.id, now).in_flight).sum();
-        let equal = 1.0 / (self.peers().len() + 1) as f64;
+        let equal = 1.0 / self.gateways() as f64;
 
         (own / all.max(1.0)).clamp(equal, 1.0)
     }
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -9,7 +9,7 @@
 
 use event_listener::Event;
 use grebedeck_core::{Moment, ServiceName};
-use grebedeck_gateway::answer::{self, RunState};
+use grebedeck_gateway::answer;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
     Availability, HeaderNames, Outage, Pacing, PromptRate, RouteTable, Site, TargetEntry,
@@ -21,6 +21,7 @@
 use serde_json::json;
 
 use super::Tasks;
+use super::attempt::Tried;
 use super::body::BodyBudget;
 use super::counters::Counters;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
@@ -62,6 +63,8 @@
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     site: RefCell<Option<Site>>,
     peers: RefCell<BTreeSet<SocketAddr>>,
+    /// Gateways that are known, this one included.
+    gateways: Cell<usize>,
     store_answered_at: Cell<Option<Moment>>,
     pub(super) outages: RefCell<HashMap<ServiceName, Outage>>,
     pub(super) paces: RefCell<HashMap<ServiceName, Pacing>>,
@@ -74,7 +77,7 @@
         let metrics = Metrics::default();
         let body_bytes = (settings.memory_mb << 20) / BODY_MEMORY_PART;
 
-        Gateway {
+        let gateway = Gateway {
             chooser: RefCell::new(Chooser::new(&settings.hall, chooser_options())),
             bodies: Rc::new(BodyBudget::new(body_bytes)),
             settings: RefCell::new(Rc::new(settings)),
@@ -94,11 +97,15 @@
             budgets: RefCell::default(),
             site: RefCell::default(),
             peers: RefCell::default(),
+            gateways: Cell::new(1),
             store_answered_at: Cell::default(),
             outages: RefCell::default(),
             paces: RefCell::default(),
             prompts: RefCell::default(),
-        }
+        };
+        gateway.count_gateways();
+
+        gateway
     }
 
     /// Gets the time.
@@ -134,6 +141,16 @@
     /// Sets the gateways that the store names.
     pub fn set_peers(&self, peers: BTreeSet<SocketAddr>) {
         *self.peers.borrow_mut() = peers;
+        self.count_gateways();
+    }
+
+    fn count_gateways(&self) {
+        self.gateways.set(self.peers().len() + 1);
+    }
+
+    /// Gets the number of gateways that are known, this one included.
+    pub fn gateways(&self) -> usize {
+        self.gateways.get()
     }
 
     /// Gets the other gateways that are known.
@@ -219,12 +236,12 @@
     }
 
     /// Tells whether a request may be sent to another target, and takes the repeat for it.
-    pub fn may_send_again(&self, request: &RoutedRequest, run: RunState, sent: usize) -> bool {
+    pub fn may_send_again(&self, request: &RoutedRequest, tried: &Tried) -> bool {
         let rule = &request.admitted.rule;
         let now = self.now();
-        let refused = if !answer::may_send_again(rule.kind, run) {
+        let refused = if !answer::may_send_again(rule.kind, tried.run_state()) {
             Some("may have run")
-        } else if sent >= rule.max_targets as usize {
+        } else if tried.targets().len() >= rule.max_targets as usize {
             Some("sent often enough")
         } else if request.deadline <= now + MIN_ATTEMPT {
             Some("no time left")
@@ -321,6 +338,7 @@
     /// Puts new settings in force. What is used only at the start stays as it was.
     pub fn set_settings(&self, settings: GatewaySettings) {
         *self.settings.borrow_mut() = Rc::new(settings);
+        self.count_gateways();
     }
 
     /// Notes a target's load.
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -11,10 +11,10 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use grebedeck_core::Moment;
-use grebedeck_gateway::{EventBuffer, Kind, RunState, TargetEntry, TargetId};
+use grebedeck_gateway::{EventBuffer, Kind, TargetEntry};
 use grebedeck_http::{Connection, ResponseHead, write_chunk};
 
-use super::attempt::{self, Opened};
+use super::attempt::{self, Opened, Tried};
 use super::caller::{After, write_whole};
 use super::options::READ_AHEAD_BYTES;
 use super::place::{self, NoPlace};
@@ -42,8 +42,7 @@
     connection: &'a mut Connection,
     after: After,
     head_sent: bool,
-    tried: Vec<TargetId>,
-    may_have_run: bool,
+    tried: Tried,
     tempo: Tempo,
 }
 
@@ -99,8 +98,7 @@
         connection,
         after,
         head_sent: false,
-        tried: Vec::new(),
-        may_have_run: false,
+        tried: Tried::default(),
         tempo: Tempo::default(),
     };
     let (end, after) = relay.run().await;
@@ -119,7 +117,7 @@
     async fn run(&mut self) -> (End, After) {
         loop {
             let found = {
-                let finding = place::find(self.gateway, self.request, &self.tried);
+                let finding = place::find(self.gateway, self.request, self.tried.targets());
                 futures::select! {
                     found = finding.fuse() => Some(found),
                     () = self.connection.closed(READ_AHEAD_BYTES).fuse() => None,
@@ -131,8 +129,7 @@
                 None => return (End::CallerGone, After::Close),
             };
 
-            let before = std::mem::replace(&mut self.may_have_run, true);
-            self.tried.push(target.id.clone());
+            self.tried.begin(&target);
             let opened = {
                 let opening = attempt::open(self.gateway, self.request, &target);
                 futures::select! {
@@ -153,21 +150,15 @@
                 }
                 Some(Ok(opened)) if !self.head_sent => return self.pass_failure(opened).await,
                 Some(Ok(opened)) => opened.broken(),
-                Some(Err(failure)) => {
-                    self.may_have_run = before || failure.run == RunState::MayHaveRun;
-                }
+                Some(Err(failure)) => self.tried.failed(&failure),
             }
 
-            if !self.gateway.may_send_again(self.request, self.run_state(), self.tried.len()) {
+            if !self.gateway.may_send_again(self.request, &self.tried) {
                 return self.give_up(None).await;
             }
         }
     }
 
-    fn run_state(&self) -> RunState {
-        if self.may_have_run { RunState::MayHaveRun } else { RunState::NotRun }
-    }
-
     /// Passes events on until this target's part ends.
     async fn pass_on(&mut self, mut opened: Opened, target: &TargetEntry) -> Part {
         let mut events = EventBuffer::default();
@@ -335,7 +326,7 @@
         let is_late = self.request.is_late(self.gateway.now());
         let reason =
             reason.unwrap_or_else(|| NoPlace::after_attempts(self.gateway, &self.request.service));
-        let (run, names) = (self.run_state(), &self.gateway.names);
+        let (run, names) = (self.tried.run_state(), &self.gateway.names);
         self.answer(WholeAnswer::given_up(run, is_late, reason, self.request, names)).await
     }
 }
--- a/grebedeck/src/gateway/whole.rs
+++ b/grebedeck/src/gateway/whole.rs
@@ -6,10 +6,10 @@
 
 use async_std::future::timeout;
 use grebedeck_gateway::answer::give_up_status;
-use grebedeck_gateway::{Denied, HeaderNames, RunState, TargetEntry, TargetId, Verdict};
+use grebedeck_gateway::{Denied, HeaderNames, RunState, TargetEntry, Verdict};
 use grebedeck_http::{Headers, ResponseHead};
 
-use super::attempt::{self, Failure, FailureCause};
+use super::attempt::{self, Failure, FailureCause, Tried};
 use super::caller::After;
 use super::place::{self, NoPlace};
 use super::request::{CallerRequest, RoutedRequest};
@@ -108,8 +108,7 @@
         Ok(answer) => answer,
         Err(_) => {
             let reason = NoPlace::after_attempts(gateway, &request.service);
-            let run = attempts.run_state();
-            WholeAnswer::given_up(run, true, reason, request, &gateway.names)
+            attempts.give_up(gateway, request, reason)
         }
     }
 }
@@ -117,35 +116,28 @@
 /// The attempts of one request.
 #[derive(Default)]
 struct Attempts {
-    tried: Vec<TargetId>,
-    may_have_run: bool,
+    tried: Tried,
     /// A target's own failure, which the caller gets where no other attempt does better.
     failure: Option<WholeAnswer>,
 }
 
 impl Attempts {
-    fn run_state(&self) -> RunState {
-        if self.may_have_run { RunState::MayHaveRun } else { RunState::NotRun }
-    }
-
     async fn run(&mut self, gateway: &Rc<Gateway>, request: &RoutedRequest) -> WholeAnswer {
         loop {
-            let target = match place::find(gateway, request, &self.tried).await {
+            let target = match place::find(gateway, request, self.tried.targets()).await {
                 Ok(target) => target,
                 Err(reason) => return self.give_up(gateway, request, reason),
             };
 
-            // From here on the request may reach the target, also if this task is dropped.
-            let before = std::mem::replace(&mut self.may_have_run, true);
-            self.tried.push(target.id.clone());
+            self.tried.begin(&target);
 
             match self.attempt(gateway, request, &target).await {
                 Ok((answer, Verdict::Failure)) => self.failure = Some(answer),
                 Ok((answer, _)) => return answer,
-                Err(failed) => self.may_have_run = before || failed.run == RunState::MayHaveRun,
+                Err(failure) => self.tried.failed(&failure),
             }
 
-            if !gateway.may_send_again(request, self.run_state(), self.tried.len()) {
+            if !gateway.may_send_again(request, &self.tried) {
                 let reason = NoPlace::after_attempts(gateway, &request.service);
                 return self.give_up(gateway, request, reason);
             }
@@ -185,7 +177,7 @@
         request: &RoutedRequest,
         reason: NoPlace,
     ) -> WholeAnswer {
-        let run = self.run_state();
+        let run = self.tried.run_state();
         let is_late = request.is_late(gateway.now());
 
         match self.failure.take() {
