The allowance of repeats is divided among all known gateways

Cause: reading the settings with larger sites in mind: the allowance was divided by 12 whatever the number of gateways, so 40 of them would repeat 3.3 times what they may together, which no site here shows (4 to 12). Change: it is divided by the gateways that are known, and by the setting at the least.

--- a/grebedeck-gateway/src/retry.rs
+++ b/grebedeck-gateway/src/retry.rs
@@ -36,12 +36,26 @@
     slots: VecDeque<Slot>,
 }
 
+impl WindowOptions {
+    /// Gets one gateway's part of what `gateways` of them may do together. Each counts its own requests, so
+    /// only the allowance is divided: by `least` at the least, as some may not be known yet.
+    pub fn part_of(self, gateways: usize, least: f64) -> Self {
+        WindowOptions { allowance: self.allowance / least.max(gateways as f64), ..self }
+    }
+}
+
 impl WindowBudget {
     /// Makes a budget that nothing was taken of.
     pub fn new(options: WindowOptions) -> Self {
         WindowBudget { options, slots: VecDeque::new() }
     }
 
+    /// Puts other settings in force, such as a smaller part of the allowance as gateways are added. What was
+    /// counted stays.
+    pub fn set_options(&mut self, options: WindowOptions) {
+        self.options = options;
+    }
+
     /// Notes a first attempt.
     pub fn earn(&mut self, now: Moment) {
         self.slot(now).requests += 1;
--- a/grebedeck-gateway/tests/decisions.rs
+++ b/grebedeck-gateway/tests/decisions.rs
@@ -74,6 +74,24 @@
     assert_eq!(taken, 23);
 }
 
+/// The allowance was divided by a fixed number, so that 40 gateways would have repeated three times as much
+/// as they may together.
+#[test]
+fn however_many_gateways_there_are_they_share_one_allowance() {
+    for gateways in [1, 4, 12, 40, 100] {
+        let all = WindowOptions { window: Duration::from_secs(10), ratio: 0.2, allowance: 200.0 };
+        let take = |_| {
+            let mut budget = WindowBudget::new(all);
+            // Few gateways are known at first.
+            budget.set_options(all.part_of(gateways, 12.0));
+            (0..1000).filter(|_| budget.take(MS(1000))).count()
+        };
+        let taken: usize = (0..gateways).map(take).sum();
+
+        assert!(taken <= 200, "{taken} repeats of {gateways} gateways");
+    }
+}
+
 #[test]
 fn a_window_wherever_it_lies_holds_no_more_than_its_part() {
     let mut budget = budget();
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -140,7 +140,8 @@
     pub window_s: f64,
     /// Repeats on top of that, by all gateways together.
     pub allowance: f64,
-    /// Gateways that the allowance is divided among, with some to spare for replaced ones.
+    /// Gateways that the allowance is divided among at the least, with some to spare for replaced ones;
+    /// where more are known, it is divided among those.
     #[serde(default = "defaults::gateways")]
     pub gateways: f64,
 }
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -350,16 +350,20 @@
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut WindowBudget) -> T) -> T {
         let retry = self.settings().retry;
-        let options = WindowOptions {
+        let all = WindowOptions {
             window: Duration::from_secs_f64(retry.window_s),
             ratio: retry.ratio,
-            allowance: retry.allowance / retry.gateways,
+            allowance: retry.allowance,
         };
+        let own = all.part_of(self.gateways(), retry.gateways);
         let mut budgets = self.budgets.borrow_mut();
 
         match budgets.get_mut(service) {
-            Some(budget) => act(budget),
-            None => act(budgets.entry(service.to_string()).or_insert(WindowBudget::new(options))),
+            Some(budget) => {
+                budget.set_options(own);
+                act(budget)
+            }
+            None => act(budgets.entry(service.to_string()).or_insert(WindowBudget::new(own))),
         }
     }
 
