Groups of one service are told apart: rollout messages, counts and words on being open

With two groups in a service, an armed rank of one could stand for the rank of the same number in the other, and a pass could begin with two placements; and one group that formed took the whole service out at the gateways. Change: reports name their group; a datagram of another group is dropped and counted; gateways keep each group's word, leave out targets whose group is closed, and take the service for out when no group is open.

--- a/grebedeck-experts/src/engine.rs
+++ b/grebedeck-experts/src/engine.rs
@@ -18,6 +18,8 @@
 pub type PassNo = u64;
 /// Number of a placement; an engine takes only higher ones than it has had.
 pub type PlacementNo = u64;
+/// A group of ranks: a digest of its name.
+pub type GroupId = u64;
 /// Number of the group's formation.
 pub type GroupEpoch = u64;
 
@@ -33,6 +35,8 @@
 /// What a rank's engine says of itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RankReport {
+    /// The group; a service may have several.
+    pub group: GroupId,
     /// The group's formation.
     pub epoch: GroupEpoch,
     /// Its rank in the group.
--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -431,6 +431,7 @@
 
     fn report(&self, at: usize, size: usize, pass: PassNo) -> RankReport {
         RankReport {
+            group: 1,
             epoch: self.epoch,
             rank: at as Rank,
             size: size as Rank,
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -88,6 +88,7 @@
 fn a_holder_is_told_of_all_nodes() {
     const RANKS: u16 = 3;
     let report = |rank, prepared| RankReport {
+        group: 1,
         epoch: 1,
         rank,
         size: RANKS,
--- a/grebedeck-gateway/src/outage.rs
+++ b/grebedeck-gateway/src/outage.rs
@@ -5,10 +5,14 @@
 //! request to one of them tells nothing new, so single trials are made, and callers are told when to come
 //! back, or are held where the service is expected back soon.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use grebedeck_core::Moment;
 
+/// A group of ranks.
+pub type GroupId = u64;
+
 /// Settings of the judgement.
 #[derive(Clone, Copy, Debug)]
 pub struct OutageOptions {
@@ -35,33 +39,31 @@
 }
 
 /// What is known of one service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Outage {
     options: OutageOptions,
     failures: u32,
     since: Moment,
     tried_at: Option<Moment>,
-    open_until: Moment,
-    closed_until: Moment,
-    /// The group's newest formation that was told of, and how long others are taken for older ones.
+    /// What each group said last; a service may have several.
+    groups: BTreeMap<GroupId, Word>,
+}
+
+/// A group's own word on whether it makes passes.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    /// The newest formation that was told of.
     formation: u64,
-    formation_until: Moment,
+    is_open: bool,
+    /// How long it is believed, and words of earlier formations are not.
+    until: Moment,
 }
 
 impl Outage {
     /// Makes the view of a service that nothing is known of; `since` is when an outage would have begun
     /// that is found by the first requests.
     pub fn new(options: OutageOptions, since: Moment) -> Self {
-        Outage {
-            options,
-            failures: 0,
-            since,
-            tried_at: None,
-            open_until: Moment::ZERO,
-            closed_until: Moment::ZERO,
-            formation: 0,
-            formation_until: Moment::ZERO,
-        }
+        Outage { options, failures: 0, since, tried_at: None, groups: BTreeMap::new() }
     }
 
     /// Notes that a target took a request; tells whether that ended an outage.
@@ -74,23 +76,16 @@
         was_out
     }
 
-    /// Notes that the service's group says that it makes passes; tells whether that ended an outage.
+    /// Notes that a group of the service says that it makes passes; tells whether that ended an outage.
     /// `formation` counts how often the group has formed.
-    pub fn opened(&mut self, formation: u64, now: Moment) -> bool {
-        if !self.is_newest(formation, now) {
-            return false;
-        }
-
-        self.open_until = now + self.options.word_lifetime;
-        self.closed_until = Moment::ZERO;
-
-        self.is_out() && self.succeeded(now)
+    pub fn opened(&mut self, group: GroupId, formation: u64, now: Moment) -> bool {
+        self.note_word(group, formation, true, now) && self.is_out() && self.succeeded(now)
     }
 
     /// Notes that a target with room took no request; tells whether the service is out since then. While
     /// the group itself says that it is open, failures are those of single targets or connections.
     pub fn failed(&mut self, now: Moment) -> bool {
-        if now < self.open_until {
+        if self.has_group(true, now) {
             return false;
         }
 
@@ -105,21 +100,29 @@
         self.failures == self.options.failures
     }
 
-    /// Notes that the service's group says that it makes no passes; tells whether the service is out
-    /// since then. A rank that has not yet noticed the newest formation is late, not closed.
-    pub fn closed(&mut self, formation: u64, now: Moment) -> bool {
-        if !self.is_newest(formation, now) {
+    /// Notes that a group of the service says that it makes no passes; tells whether the service is out
+    /// since then, as no other group is open. A rank that has not yet noticed the newest formation is late,
+    /// not closed.
+    pub fn closed(&mut self, group: GroupId, formation: u64, now: Moment) -> bool {
+        if !self.note_word(group, formation, false, now) || self.has_group(true, now) {
             return false;
         }
 
         let was_out = self.is_out();
-        self.open_until = Moment::ZERO;
-        self.closed_until = now + self.options.word_lifetime;
         self.failures = self.failures.max(self.options.failures);
 
         !was_out
     }
 
+    /// Tells whether a group has said lately that it makes no passes.
+    pub fn is_closed(&self, group: GroupId, now: Moment) -> bool {
+        self.groups.get(&group).is_some_and(|word| !word.is_open && now < word.until)
+    }
+
+    fn has_group(&self, is_open: bool, now: Moment) -> bool {
+        self.groups.values().any(|word| word.is_open == is_open && now < word.until)
+    }
+
     /// Gets whether the service is expected to take requests.
     pub fn availability(&self, now: Moment) -> Availability {
         if !self.is_out() {
@@ -137,7 +140,7 @@
     /// Tells whether a single request may be sent to find out whether the service is back, and notes it.
     /// While the group itself says that it is closed, each would only be refused.
     pub fn take_trial(&mut self, now: Moment) -> bool {
-        if now < self.closed_until {
+        if self.has_group(false, now) && !self.has_group(true, now) {
             return false;
         }
 
@@ -150,15 +153,17 @@
         is_due
     }
 
-    /// Tells whether no newer formation was told of lately, and notes this one. Where nobody tells of the
-    /// newer one any more, the group may have begun to count anew.
-    fn is_newest(&mut self, formation: u64, now: Moment) -> bool {
-        if formation < self.formation && now < self.formation_until {
+    /// Notes a group's word; tells whether it counts, as no newer formation was told of lately. Where nobody
+    /// tells of the newer one any more, the group may have begun to count anew.
+    fn note_word(&mut self, group: GroupId, formation: u64, is_open: bool, now: Moment) -> bool {
+        let before = self.groups.get(&group);
+
+        if before.is_some_and(|word| formation < word.formation && now < word.until) {
             return false;
         }
 
-        self.formation = formation;
-        self.formation_until = now + self.options.word_lifetime;
+        let until = now + self.options.word_lifetime;
+        self.groups.insert(group, Word { formation, is_open, until });
         true
     }
 
--- a/grebedeck-gateway/tests/decisions.rs
+++ b/grebedeck-gateway/tests/decisions.rs
@@ -162,7 +162,7 @@
 #[test]
 fn failures_of_single_targets_are_no_outage_of_an_open_group() {
     let mut outage = outage();
-    outage.opened(1, MS(1000));
+    outage.opened(7, 1, MS(1000));
     (1100..1200).for_each(|at| assert!(!outage.failed(MS(at))));
     assert_eq!(outage.availability(MS(1200)), Availability::Up);
 
@@ -170,11 +170,11 @@
     assert!(!outage.refused());
     assert!(!outage.refused());
     assert!(outage.refused(), "the third refusal in a row");
-    assert!(outage.opened(1, MS(1200)));
+    assert!(outage.opened(7, 1, MS(1200)));
 
-    assert!(outage.closed(1, MS(1250)), "its own word that it is closed counts at once");
+    assert!(outage.closed(7, 1, MS(1250)), "its own word that it is closed counts at once");
     assert!(matches!(outage.availability(MS(1200)), Availability::Out(_)));
-    assert!(outage.opened(1, MS(1300)));
+    assert!(outage.opened(7, 1, MS(1300)));
     assert_eq!(outage.availability(MS(1300)), Availability::Up);
 }
 
@@ -212,17 +212,32 @@
 #[test]
 fn no_trials_are_made_while_the_group_says_that_it_is_closed() {
     let mut outage = outage();
-    assert!(outage.closed(1, MS(1000)));
+    assert!(outage.closed(7, 1, MS(1000)));
     assert!(!outage.take_trial(MS(1499)));
     assert!(outage.take_trial(MS(1500)), "its word is old");
 
-    assert!(!outage.closed(1, MS(1600)), "it was out before");
+    assert!(!outage.closed(7, 1, MS(1600)), "it was out before");
     assert!(!outage.take_trial(MS(1700)));
-    assert!(outage.opened(2, MS(1800)));
-    assert!(!outage.closed(1, MS(1900)), "a rank that has not noticed the new formation");
+    assert!(outage.opened(7, 2, MS(1800)));
+    assert!(!outage.closed(7, 1, MS(1900)), "a rank that has not noticed the new formation");
     assert_eq!(outage.availability(MS(1900)), Availability::Up);
-    assert!(outage.closed(2, MS(2000)), "the new formation broke");
-    assert!(outage.opened(1, MS(2600)), "a group that counts its formations anew");
+    assert!(outage.closed(7, 2, MS(2000)), "the new formation broke");
+    assert!(outage.opened(7, 1, MS(2600)), "a group that counts its formations anew");
+}
+
+/// One group that forms took the others of its service out with it.
+#[test]
+fn a_closed_group_is_no_outage_while_another_is_open() {
+    let mut outage = outage();
+    outage.opened(7, 5, MS(1000));
+    assert!(!outage.closed(8, 1, MS(1010)), "the other one serves on");
+    assert_eq!(outage.availability(MS(1010)), Availability::Up);
+    assert!(outage.is_closed(8, MS(1010)) && !outage.is_closed(7, MS(1010)));
+    assert!(!outage.is_closed(8, MS(1600)), "its word is old");
+
+    assert!(outage.closed(7, 5, MS(1020)), "now none is open");
+    assert!(!outage.take_trial(MS(1030)));
+    assert!(outage.opened(8, 1, MS(1040)), "its formations are its own");
 }
 
 #[test]
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -107,9 +107,11 @@
         self.note_load(&target.id, report);
         self.note_slowdown(&target.id, load.slowdown);
 
+        self.groups.borrow_mut().insert(target.id.clone(), load.group);
+
         if load.is_open {
-            self.note_open(&target.service, &target.id, load.formation);
-        } else if self.note_closed(&target.service, load.formation) {
+            self.note_open(&target, load);
+        } else if self.note_closed(&target.service, load) {
             log::warn!("service out", kv: { service = target.service.as_str(), cause = "closed" });
         }
     }
@@ -124,20 +126,30 @@
     }
 
     /// Notes that a rank says its group makes passes; where the service was out, it is back.
-    fn note_open(&self, service: &str, target: &str, formation: u64) {
+    fn note_open(&self, target: &TargetEntry, load: &RankLoad) {
         let now = self.now();
+        let service = target.service.as_str();
 
-        if self.with_outage(service, |outage| outage.opened(formation, now)) {
-            log::info!("group open", kv: { service, target });
+        if self.with_outage(service, |outage| outage.opened(load.group, load.formation, now)) {
+            log::info!("group open", kv: { service, target = target.id.as_str() });
             self.freed.notify(usize::MAX);
         }
     }
 
     /// Notes that a rank says its group makes no passes; tells whether the service is out since then.
-    fn note_closed(&self, service: &str, formation: u64) -> bool {
+    fn note_closed(&self, service: &str, load: &RankLoad) -> bool {
         let now = self.now();
 
-        self.with_outage(service, |outage| outage.closed(formation, now))
+        self.with_outage(service, |outage| outage.closed(load.group, load.formation, now))
+    }
+
+    /// Tells whether a target's group has said lately that it makes no passes.
+    pub fn is_group_closed(&self, target: &TargetEntry, now: Moment) -> bool {
+        let Some(group) = self.groups.borrow().get(&target.id).copied() else {
+            return false;
+        };
+
+        self.with_outage(&target.service, |outage| outage.is_closed(group, now))
     }
 
     /// Gets whether a service is expected to take requests.
--- a/grebedeck/src/gateway/loads.rs
+++ b/grebedeck/src/gateway/loads.rs
@@ -43,7 +43,7 @@
 
 fn take(gateway: &Gateway, bytes: &[u8]) {
     match Datagram::parse(bytes) {
-        Ok(Datagram { from, body: Body::Load(load) }) => gateway.note_rank(from, &load),
+        Ok(Datagram { from, body: Body::Load(load), .. }) => gateway.note_rank(from, &load),
         Ok(_) => {}
         Err(error) => {
             log::warn!("datagram not understood", kv: { error = error.to_string() });
@@ -55,7 +55,7 @@
 async fn ask(gateway: &Gateway, socket: &UdpSocket) {
     let settings = gateway.settings();
     let own = SocketAddr::new(settings.ip, settings.group_port);
-    let Ok(bytes) = (Datagram { from: own, body: Body::Watch }).to_bytes() else {
+    let Ok(bytes) = (Datagram { from: own, group: None, body: Body::Watch }).to_bytes() else {
         return;
     };
     let table = gateway.table();
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -164,8 +164,9 @@
     let per_place = gateway.allowed_load(&request.service, &serving, now);
     let chooser = gateway.chooser.borrow();
     let has_room = |t: &&Arc<TargetEntry>| chooser.has_room(&t.id, per_place, now);
-    let steady = chooser.without_slow(&serving, now);
-    let with_room: Vec<Arc<TargetEntry>> = steady.into_iter().filter(has_room).cloned().collect();
+    let is_closed = |t: &&Arc<TargetEntry>| gateway.is_group_closed(t, now);
+    let steady = chooser.without_slow(&serving, now).into_iter().filter(|t| !is_closed(t));
+    let with_room: Vec<Arc<TargetEntry>> = steady.filter(has_room).cloned().collect();
 
     let chosen = chooser.choose(&with_room, tried, now, &mut ProcessRandom::default());
     let target = chosen.cloned().ok_or(NoPlace::Full)?;
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -10,9 +10,10 @@
 use event_listener::Event;
 use grebedeck_core::{Moment, ServiceName};
 use grebedeck_gateway::answer;
+use grebedeck_gateway::outage::GroupId;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    Availability, HeaderNames, Outage, Pacing, PromptRate, RouteTable, Site, TargetEntry,
+    Availability, HeaderNames, Outage, Pacing, PromptRate, RouteTable, Site, TargetEntry, TargetId,
     TargetList, WindowBudget, WindowOptions, chooser_options,
 };
 use grebedeck_kernel::log::LineBudget;
@@ -67,6 +68,8 @@
     gateways: Cell<usize>,
     store_answered_at: Cell<Option<Moment>>,
     pub(super) outages: RefCell<HashMap<ServiceName, Outage>>,
+    /// Groups of the models' ranks, as those told.
+    pub(super) groups: RefCell<HashMap<TargetId, GroupId>>,
     pub(super) paces: RefCell<HashMap<ServiceName, Pacing>>,
     pub(super) prompts: RefCell<HashMap<ServiceName, PromptRate>>,
 }
@@ -100,6 +103,7 @@
             gateways: Cell::new(1),
             store_answered_at: Cell::default(),
             outages: RefCell::default(),
+            groups: RefCell::default(),
             paces: RefCell::default(),
             prompts: RefCell::default(),
         };
@@ -386,6 +390,7 @@
                 let targets = &self.targets;
                 let keep = |name: &str| targets.try_borrow().is_ok_and(|t| t.get(name).is_some());
                 self.chooser.borrow_mut().retain(keep);
+                self.groups.borrow_mut().remove(id);
             }
         }
     }
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -14,7 +14,7 @@
 use futures::{FutureExt, StreamExt};
 use grebedeck_core::{Error, Moment, Rank, Result};
 use grebedeck_experts::balancer::{CountDelta, is_counted};
-use grebedeck_experts::engine::PlacementNo;
+use grebedeck_experts::engine::{GroupId, PlacementNo};
 use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote, RankPart};
 use grebedeck_experts::{OrderEnd, RankCounts, RankEngine, RankOrder, RankReport};
 use grebedeck_gateway::{ListedTarget, SiteStore, TargetEntry};
@@ -258,6 +258,11 @@
             return;
         };
 
+        if !datagram.concerns(self.group()) {
+            self.counters.datagrams.add("of_other_groups");
+            return;
+        }
+
         match datagram.body {
             Body::Rollout(message) => {
                 let now = self.clock.now();
@@ -345,6 +350,7 @@
         self.load_at = now + load_period(report.size);
         self.watchers.retain(|_, asked_at| now < *asked_at + WATCH_LIFETIME);
         let load = RankLoad {
+            group: report.group,
             running: report.running,
             waiting: report.waiting,
             formation: report.epoch,
@@ -437,7 +443,7 @@
     }
 
     async fn send(&self, to: SocketAddr, body: Body) {
-        let datagram = Datagram { from: self.settings.target_address, body };
+        let datagram = Datagram { from: self.settings.target_address, group: self.group(), body };
         let address = SocketAddr::new(to.ip(), self.settings.group_port);
 
         let sent = match datagram.to_bytes() {
@@ -455,6 +461,11 @@
         }
     }
 
+    /// Gets the own engine's group, once it is known.
+    fn group(&self) -> Option<GroupId> {
+        self.node.report().map(|report| report.group)
+    }
+
     fn order(&self, rank: Rank, order: RankOrder) {
         let Some(engine) = self.engine_of(rank) else {
             return;
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -4,6 +4,7 @@
 
 use grebedeck_core::Result;
 use grebedeck_experts::CountReport;
+use grebedeck_experts::engine::GroupId;
 use grebedeck_experts::rollout::Message;
 use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
 use serde::{Deserialize, Serialize};
@@ -17,6 +18,8 @@
 pub struct Datagram {
     /// The target beside which the sender stands.
     pub from: SocketAddr,
+    /// The group that it concerns; a gateway's concerns whoever gets it.
+    pub group: Option<GroupId>,
     /// What it says.
     pub body: Body,
 }
@@ -37,6 +40,8 @@
 /// A rank's load, as its engine says.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RankLoad {
+    /// The rank's group.
+    pub group: GroupId,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
@@ -56,6 +61,12 @@
         Ok(encode(self)?.slice(PREFIX_BYTES..))
     }
 
+    /// Tells whether it concerns a rank of this group. Ranks of other groups of the same service have the
+    /// same numbers, and what they say must not be taken for what the own group's ranks say.
+    pub fn concerns(&self, own: Option<GroupId>) -> bool {
+        self.group.is_none() || self.group == own
+    }
+
     /// Reads a datagram's bytes.
     pub fn parse(bytes: &[u8]) -> Result<Self> {
         decode(bytes)
