--- a/grebedeck-core/src/id.rs
+++ b/grebedeck-core/src/id.rs
@@ -39,3 +39,6 @@
     /// Count of earlier attempts of the same request.
     pub number: u32,
 }
+
+/// A group of ranks: a digest of its name. A service may have several.
+pub type GroupId = u64;
--- a/grebedeck-experts/src/engine.rs
+++ b/grebedeck-experts/src/engine.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use grebedeck_core::{Expert, Rank, Result};
+use grebedeck_core::{Expert, GroupId, Rank, Result};
 use serde::{Deserialize, Serialize};
 
 use crate::placement::Placement;
@@ -18,8 +18,6 @@
 pub type PassNo = u64;
 /// Number of a placement; an engine takes only higher ones than it has had.
 pub type PlacementNo = u64;
-/// A group of ranks: a digest of its name.
-pub type GroupId = u64;
 /// Number of the group's formation.
 pub type GroupEpoch = u64;
 
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -82,12 +82,11 @@
 
 /// A leader that came back gave a number that it had given before to another placement; nodes that did not
 /// know the base of the new one took what they had kept under the number.
-/// After all machines had lost power, three holds in a row failed: the holder did not know the nodes that
-/// it was to ask, since no message without a plan had told it.
-#[test]
-fn a_holder_is_told_of_all_nodes() {
-    const RANKS: u16 = 3;
-    let report = |rank, prepared| RankReport {
+/// Ranks of the group of a single node that the test talks to.
+const RANKS: u16 = 3;
+
+fn report(rank: u16, prepared: Option<u64>) -> RankReport {
+    RankReport {
         group: 1,
         epoch: 1,
         rank,
@@ -101,7 +100,13 @@
         running: 1,
         waiting: 0,
         pace: 1.0,
-    };
+    }
+}
+
+/// After all machines had lost power, three holds in a row failed: the holder did not know the nodes that
+/// it was to ask, since no message without a plan had told it.
+#[test]
+fn a_holder_is_told_of_all_nodes() {
     let dealt = Placement::dealt(RANKS, 1, 6);
     let mut node = Node::new(0u16, 1, secs(0), NodeOptions::default());
     node.keep_placement(0, Arc::new(dealt.clone()));
--- a/grebedeck-gateway/src/outage.rs
+++ b/grebedeck-gateway/src/outage.rs
@@ -8,10 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use grebedeck_core::Moment;
-
-/// A group of ranks.
-pub type GroupId = u64;
+use grebedeck_core::{GroupId, Moment};
 
 /// Settings of the judgement.
 #[derive(Clone, Copy, Debug)]
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -8,9 +8,8 @@
 use std::time::Duration;
 
 use event_listener::Event;
-use grebedeck_core::{Moment, ServiceName};
+use grebedeck_core::{GroupId, Moment, ServiceName};
 use grebedeck_gateway::answer;
-use grebedeck_gateway::outage::GroupId;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
     Availability, HeaderNames, Outage, Pacing, PromptRate, RouteTable, Site, TargetEntry, TargetId,
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -2,9 +2,8 @@
 
 use std::net::SocketAddr;
 
-use grebedeck_core::Result;
+use grebedeck_core::{GroupId, Result};
 use grebedeck_experts::CountReport;
-use grebedeck_experts::engine::GroupId;
 use grebedeck_experts::rollout::Message;
 use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
 use serde::{Deserialize, Serialize};
