Rollout: only the holder is told the nodes beside a wanted hold

Change: the names go to the holder alone, which is who has to reach every node. The test a_holder_is_told_of_all_nodes holds.

--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -619,21 +619,23 @@
 
     /// Sends the leader's message to all nodes that are known, and takes it itself.
     pub(super) fn broadcast(&mut self, directive: Directive, actions: &mut Vec<Action<A>>) {
-        // The holder has to reach every node, and may have formed the group a moment ago. Only changes are
-        // left without the nodes: with many ranks both would be longer than networks pass on in one piece.
-        let roster: Vec<(Rank, A)> = match directive.stage {
-            Stage::Idle | Stage::Hold { .. } => {
-                self.roster.iter().map(|(r, a)| (*r, a.clone())).collect()
-            }
-            Stage::Prepare { .. } => Vec::new(),
-        };
+        let roster: Vec<(Rank, A)> = self.roster.iter().map(|(r, a)| (*r, a.clone())).collect();
         let unknown = self.unknown_others();
         let known = self.roster.iter().map(|(rank, to)| (Some(*rank), to));
 
         for (rank, to) in known.chain(unknown.into_iter().map(|to| (None, to))) {
             if *to != self.own_address {
                 let directive = self.directive_for(rank, &directive);
-                let message = Message::Lead { directive, roster: roster.clone() };
+                // The holder has to reach every node, and may have formed the group a moment ago. For the
+                // others names come with the messages that want nothing: told to 72 nodes at the moment
+                // of a hold, or beside changes, they would fill the leader's link.
+                let is_named = match directive.stage {
+                    Stage::Idle => true,
+                    Stage::Hold { holder, .. } => rank == Some(holder),
+                    Stage::Prepare { .. } => false,
+                };
+                let roster = if is_named { roster.clone() } else { Vec::new() };
+                let message = Message::Lead { directive, roster };
                 actions.push(Action::Send { to: to.clone(), message });
             }
         }
