--- a/grebedeck-experts/src/assign.rs
+++ b/grebedeck-experts/src/assign.rs
@@ -1,9 +1,12 @@
 //! Finding a better placement with few copies.
 //!
-//! Each set is improved by itself: the busiest rank gives something away, by dropping a replica, by an
-//! exchange, or by a replica elsewhere in place of one that is missed least. Of all such steps the one
-//! is taken that lowers the ranks' times most for its copies, until the target is met, no step is worth
-//! its copies, or the engines take no more new experts at once.
+//! The set whose busiest rank stands highest above the mean is improved first: that rank gives something
+//! away, by dropping a replica, by an exchange, or by a replica elsewhere in place of one that is missed
+//! least. Of all such steps the one is taken that lowers the ranks' times most for its copies, until the
+//! target is met everywhere, no step is worth its copies, or the engines take no more new experts at once.
+//!
+//! A rank copies over one link for all sets, one expert after the other, and all ranks wait for the one
+//! that copies most; so what a rank copies is limited over all sets together.
 
 use grebedeck_core::{Expert, Rank};
 
@@ -16,6 +19,8 @@
     pub places: usize,
     /// Most experts of a set that a placement may bring to a rank.
     pub max_new: usize,
+    /// Most experts that a placement may bring to a rank, over all sets.
+    pub max_copies_per_rank: usize,
     /// Load of the busiest rank, relative to the mean, that is good enough.
     pub target_skew: f32,
     /// Least gain in skew that is worth the copy of one expert.
@@ -31,6 +36,15 @@
     other: Option<(Rank, Option<Expert>, Option<Expert>)>,
 }
 
+impl Step {
+    /// Gets the ranks whose experts it changes.
+    fn ranks(&self) -> impl Iterator<Item = Rank> + use<> {
+        let other = self.other.map(|(rank, _, _)| rank);
+
+        std::iter::once(self.rank).chain(other)
+    }
+}
+
 /// Weight of a copy against the relief of the ranks' times when steps are compared.
 const COPY_WEIGHT: f32 = 0.25;
 /// Copies that a step without any counts as when its gain is weighed: it needs a changeover, too.
@@ -47,11 +61,22 @@
     costs: &[f32],
     options: &AssignOptions,
 ) -> Placement {
-    let improve = |(set, popularity): (&SetPlacement, &Vec<f32>)| {
-        Search::new(set, popularity, costs, options).run()
-    };
+    let sets = current.sets.iter().zip(popularity);
+    let mut searches: Vec<_> = sets.map(|(s, p)| Search::new(s, p, costs, options)).collect();
+    let mut copied = vec![0; costs.len()];
+
+    for _ in 0..MAX_STEPS * searches.len() {
+        let peak_of = |s: &Search<'_>| (!s.is_done).then(|| s.peak());
+        let open = searches.iter_mut().filter(|s| peak_of(s).is_some());
+
+        let Some(search) = open.max_by(|a, b| a.peak().total_cmp(&b.peak())) else {
+            break;
+        };
+
+        search.advance(&mut copied);
+    }
 
-    Placement { sets: current.sets.iter().zip(popularity).map(improve).collect() }
+    Placement { sets: searches.into_iter().map(|s| s.set).collect() }
 }
 
 struct Search<'a> {
@@ -63,7 +88,11 @@
     /// Ranks that hold each expert.
     holders: Vec<Vec<Rank>>,
     times: Vec<f32>,
+    /// Experts that each rank has to copy.
+    new: Vec<usize>,
     mean: f32,
+    /// Whether no further step is needed or worth its copies.
+    is_done: bool,
 }
 
 /// Changes of ranks' times by a step; a rank may stand in it more than once.
@@ -91,26 +120,38 @@
             set: before.clone(),
             holders,
             times: rank_times(before, popularity, costs),
+            new: vec![0; before.len()],
             mean: total / before.len() as f32,
+            is_done: false,
         }
     }
 
-    fn run(mut self) -> SetPlacement {
-        for _ in 0..MAX_STEPS {
-            let busiest = self.busiest();
+    /// Gets the load of the busiest rank, relative to the mean.
+    fn peak(&self) -> f32 {
+        self.times[usize::from(self.busiest())] / self.mean
+    }
 
-            if self.times[usize::from(busiest)] <= self.mean * self.options.target_skew {
-                break;
-            }
+    /// Takes the best step, where one is needed; `copied` counts what each rank copies for all sets.
+    fn advance(&mut self, copied: &mut [usize]) {
+        if self.peak() <= self.options.target_skew {
+            self.is_done = true;
+            return;
+        }
 
-            let Some(step) = self.best_step(busiest) else {
-                break;
-            };
+        let Some(step) = self.best_step(self.busiest(), copied) else {
+            self.is_done = true;
+            return;
+        };
 
-            self.apply(&step);
+        for rank in step.ranks() {
+            copied[usize::from(rank)] -= self.new[usize::from(rank)];
         }
 
-        self.set
+        self.apply(&step);
+
+        for rank in step.ranks() {
+            copied[usize::from(rank)] += self.new[usize::from(rank)];
+        }
     }
 
     fn busiest(&self) -> Rank {
@@ -120,14 +161,14 @@
         busiest.unwrap_or(0) as Rank
     }
 
-    fn best_step(&self, rank: Rank) -> Option<Step> {
+    fn best_step(&self, rank: Rank, copied: &[usize]) -> Option<Step> {
         let powers: f32 = self.times.iter().map(|t| self.power(*t)).sum();
         let peak = |powers: f32| powers.max(0.0).powf(1.0 / PEAK_POWER as f32);
         let now = peak(powers);
         let mut best: Option<(f32, Step)> = None;
 
         for step in self.steps(rank) {
-            if !self.is_allowed(&step) {
+            if !self.is_allowed(&step, copied) {
                 continue;
             }
 
@@ -219,14 +260,19 @@
         }
     }
 
-    fn is_allowed(&self, step: &Step) -> bool {
+    fn is_new(&self, rank: Rank, expert: Expert) -> bool {
+        !self.before[usize::from(rank)].contains(&expert)
+    }
+
+    fn is_allowed(&self, step: &Step, copied: &[usize]) -> bool {
         let within = |rank: Rank, loses: Option<Expert>, takes: Option<Expert>| {
-            let before = &self.before[usize::from(rank)];
-            let is_new = |e: &Expert| !before.contains(e);
-            let held = &self.set[usize::from(rank)];
-            let new = held.iter().filter(|e| is_new(e) && Some(**e) != loses).count();
+            let before = self.new[usize::from(rank)];
+            let lost = usize::from(loses.is_some_and(|e| self.is_new(rank, e)));
+            let taken = usize::from(takes.is_some_and(|e| self.is_new(rank, e)));
+            let after = before + taken - lost;
+            let for_all_sets = copied[usize::from(rank)] - before + after;
 
-            new + takes.iter().filter(|e| is_new(e)).count() <= self.options.max_new
+            after <= self.options.max_new && for_all_sets <= self.options.max_copies_per_rank
         };
 
         within(step.rank, step.loses, step.takes)
@@ -234,9 +280,8 @@
     }
 
     fn copies(&self, step: &Step) -> usize {
-        let is_copy = |rank: Rank, takes: Option<Expert>| {
-            takes.is_some_and(|e| !self.before[usize::from(rank)].contains(&e))
-        };
+        let is_copy =
+            |rank: Rank, takes: Option<Expert>| takes.is_some_and(|e| self.is_new(rank, e));
         let other = step.other.is_some_and(|(rank, _, takes)| is_copy(rank, takes));
 
         usize::from(is_copy(step.rank, step.takes)) + usize::from(other)
@@ -299,9 +344,11 @@
     }
 
     fn change(&mut self, rank: Rank, loses: Option<Expert>, takes: Option<Expert>) {
+        let had = &self.before[usize::from(rank)];
         let held = &mut self.set[usize::from(rank)];
         held.retain(|e| Some(*e) != loses);
         held.extend(takes);
+        self.new[usize::from(rank)] = held.iter().filter(|e| !had.contains(e)).count();
 
         if let Some(expert) = loses {
             self.holders[usize::from(expert)].retain(|r| *r != rank);
--- a/grebedeck-experts/tests/assign.rs
+++ b/grebedeck-experts/tests/assign.rs
@@ -9,7 +9,13 @@
 const EXPERTS: u16 = 64;
 
 fn options() -> AssignOptions {
-    AssignOptions { places: 5, max_new: 2, target_skew: 1.1, min_gain_per_copy: 0.001 }
+    AssignOptions {
+        places: 5,
+        max_new: 2,
+        max_copies_per_rank: 4,
+        target_skew: 1.1,
+        min_gain_per_copy: 0.001,
+    }
 }
 
 /// Draws a popularity in which a few experts have much of the load.
@@ -60,6 +66,29 @@
     }
 }
 
+/// A rank copies over one link for all sets, and all ranks wait for the one that copies most.
+#[test]
+fn no_rank_copies_more_than_is_allowed_over_all_sets() {
+    let costs = vec![1.0; usize::from(RANKS)];
+    let mut random = SeededSource::new(13);
+    let before = Placement::dealt(RANKS, 3, EXPERTS);
+
+    for most in 1..=3 {
+        let popularity: Vec<_> = (0..3).map(|_| skewed(&mut random)).collect();
+        let options = AssignOptions { max_copies_per_rank: most, ..options() };
+        let after = improve(&before, &popularity, &costs, &options);
+        let copies_of = |rank| -> usize {
+            let parts = before.part_of(rank).into_iter().zip(after.part_of(rank));
+            parts.map(|(had, has)| has.iter().filter(|e| !had.contains(e)).count()).sum()
+        };
+        let copies: Vec<usize> = (0..RANKS).map(copies_of).collect();
+
+        assert!(copies.iter().all(|c| *c <= most), "at most {most} a rank: {copies:?}");
+        assert!(copies.contains(&most), "what is allowed is used: {copies:?}");
+        assert!(after.skew(&popularity, &costs) < before.skew(&popularity, &costs));
+    }
+}
+
 #[test]
 fn a_level_placement_is_left_as_it_is() {
     let placement = Placement::dealt(RANKS, 1, EXPERTS);
--- a/grebedeck/src/rank/balance.rs
+++ b/grebedeck/src/rank/balance.rs
@@ -88,6 +88,7 @@
         assign: AssignOptions {
             places: usize::from(spec.places),
             max_new: usize::from(spec.spare),
+            max_copies_per_rank: settings.max_copies_per_rank,
             target_skew: settings.target_skew,
             min_gain_per_copy: settings.min_gain_per_copy,
         },
