Lab: losses, which puts each late, refused and failed request of logs down to a cause

From logs alone one had to count by hand what made streams late. Not done: the picture. explain takes lines of moved and slow streams for those of a request.

--- a/grebedeck-lab/src/command.rs
+++ b/grebedeck-lab/src/command.rs
@@ -3,6 +3,7 @@
 pub mod cost;
 pub mod experts;
 pub mod fleet;
+pub mod losses;
 pub mod path;
 pub mod routing;
 pub mod storm;
--- a/grebedeck-lab/src/lib.rs
+++ b/grebedeck-lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod command;
 pub mod cost;
 pub mod http;
+pub mod losses;
 pub mod model;
 pub mod plain;
 pub mod platform;
--- a/grebedeck-lab/src/main.rs
+++ b/grebedeck-lab/src/main.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Result;
 use bpaf::Bpaf;
-use grebedeck_lab::command::{cost, experts, fleet, path, routing, storm, switch};
+use grebedeck_lab::command::{cost, experts, fleet, losses, path, routing, storm, switch};
 
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
@@ -43,6 +43,9 @@
     /// Balance a model of one group in virtual time, by several policies
     #[bpaf(command)]
     Experts(#[bpaf(external(experts::experts_options))] experts::ExpertsOptions),
+    /// Where worth was lost, by the logs of gateways and rank processes
+    #[bpaf(command)]
+    Losses(#[bpaf(external(losses::losses_options))] losses::LossesOptions),
 }
 
 fn main() -> Result<()> {
@@ -59,5 +62,6 @@
         Options::FleetStandIns(options) => fleet::run_stand_ins(&options),
         Options::FleetMeasure(options) => fleet::measure(&options),
         Options::Experts(options) => experts::run(&options),
+        Options::Losses(options) => losses::run(&options),
     }
 }
--- a/grebedeck/src/command/explain.rs
+++ b/grebedeck/src/command/explain.rs
@@ -13,7 +13,7 @@
 /// Changes of belief that are told in front of a request.
 const CONTEXT_LINES: usize = 12;
 /// Lines on requests; all others are changes of what a process believes.
-const REQUEST_EVENTS: [&str; 9] = [
+const REQUEST_EVENTS: [&str; 11] = [
     "request admitted",
     "request denied",
     "target chosen",
@@ -21,6 +21,8 @@
     "attempt failed",
     "target failed",
     "stream broke",
+    "stream moved",
+    "stream slow",
     "not repeated",
     "request ended",
 ];
