Gateway: mechanisms can be left out by a setting, to measure what each is worth

Ablations were patches, and could not be repeated. `without` names mechanisms; an unknown name is refused with its word. Tests: mechanisms_are_left_out_by_name, figures_of_balance_and_load_are_checked. Nothing changes without it.

--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod counters;
 pub mod health;
 pub mod loads;
+pub mod mechanism;
 pub mod options;
 pub mod peers;
 pub mod place;
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -14,6 +14,7 @@
 use grebedeck_routing::LoadReport;
 
 use super::attempt::FailureCause;
+use super::mechanism::Mechanism;
 use super::options::{
     FIRST_LOAD_WAIT, FIRST_WATCH_PERIOD, GROUP_WORD_LIFETIME, OUTAGE_FAILURES, OVERDUE,
     PROMPT_BURST, PROMPT_PART, START_LAG, TRIAL_PAUSE, UNKNOWN_ANSWER_TIME,
@@ -45,6 +46,10 @@
             return FIRST_WATCH_PERIOD;
         }
 
+        if !self.uses(Mechanism::PromptRate) {
+            return Duration::ZERO;
+        }
+
         self.prompts.borrow().get(service).map_or(Duration::ZERO, |rate| rate.wait(now))
     }
 
@@ -125,7 +130,7 @@
         let now = self.now();
         let is_late = self.pause(&target.service).is_some_and(|pause| pause > pause_limit);
 
-        if !is_late {
+        if !is_late || !self.uses(Mechanism::SlowMoves) {
             return false;
         }
 
@@ -230,6 +235,7 @@
         let options =
             PacingOptions { deviations: load.pause_deviations, ..PacingOptions::new(base, limit) };
         let passes = engine.and_then(EngineSpec::usual_passes);
+        let passes = passes.filter(|_| self.uses(Mechanism::LateLimit));
         let options =
             passes.map_or(options, |passes| options.with_deadline(rule.time_limit, passes));
         let mut pace = Pacing::new(options);
@@ -244,6 +250,11 @@
         }
 
         let full = self.settings().load.model;
+
+        if !self.uses(Mechanism::Pace) {
+            return full;
+        }
+
         let paces = self.paces.borrow();
         let chooser = self.chooser.borrow();
         let load = chooser.mean_load(targets, now);
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use grebedeck_core::Faults;
+use grebedeck_gateway::chooser_options;
+use grebedeck_routing::ChooserOptions;
 use serde::{Deserialize, Serialize};
 
+use super::mechanism::Mechanism;
 use crate::settings::{Check, millis};
 
 /// How often rested connections and lapsed targets are looked for: well below the two seconds within
@@ -130,6 +133,9 @@
     /// Requests that a target may have, as a multiple of those that it works on at the same time.
     #[serde(default)]
     pub load: LoadSettings,
+    /// Mechanisms that are left out, to measure what they are worth.
+    #[serde(default)]
+    pub without: Vec<Mechanism>,
 }
 
 /// Limits on requests that are sent to more than one target.
@@ -167,6 +173,30 @@
 }
 
 impl GatewaySettings {
+    /// Tells whether a mechanism is in use.
+    pub fn uses(&self, mechanism: Mechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
+
+    /// Gets how targets are chosen.
+    pub fn chooser_options(&self) -> ChooserOptions {
+        let mut options = chooser_options();
+
+        if !self.uses(Mechanism::DrawnTargets) {
+            options.draws = usize::MAX;
+        }
+
+        if !self.uses(Mechanism::WaitingWeight) {
+            options.waiting_weight = 0.0;
+        }
+
+        if !self.uses(Mechanism::SlowExclusion) {
+            options.slow_from = f32::INFINITY;
+        }
+
+        options
+    }
+
     /// Gets the names of the settings that are used only at the start and differ from others.
     pub fn fixed_fields_that_differ(&self, others: &GatewaySettings) -> Vec<&'static str> {
         let fields = [
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -8,6 +8,7 @@
 use grebedeck_core::{Moment, RandomSource};
 use grebedeck_gateway::{Availability, TargetEntry, TargetId};
 
+use super::mechanism::Mechanism;
 use super::options::{
     HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, MIN_RETURN_SPREAD, MIN_WAIT, NO_TARGETS_WAIT, PLACEMENT_LAG,
     RETURN_SPREAD, TRIAL_PAUSE,
@@ -51,9 +52,9 @@
     }
 
     /// Gets how long the caller should wait before it asks again.
-    pub fn retry_after(self) -> Duration {
+    pub fn retry_after(self, is_spread: bool) -> Duration {
         // Those that come back at the same moment find the targets full.
-        let spread = ProcessRandom::default().unit();
+        let spread = if is_spread { ProcessRandom::default().unit() } else { 0.0 };
 
         match self {
             NoPlace::NoTargets => NO_TARGETS_WAIT.mul_f64(1.0 + spread),
@@ -130,7 +131,9 @@
     let limit = if request.request.resumes(&gateway.names) { MAX_HOLD } else { HOLD_LIMIT };
 
     match reason {
-        NoPlace::Out(left) | NoPlace::Paced(left) if left <= limit => {
+        NoPlace::Out(left) | NoPlace::Paced(left)
+            if left <= limit && gateway.uses(Mechanism::Hold) =>
+        {
             (now + left + HOLD_MARGIN).min(request.request.arrived + MAX_HOLD).min(request.deadline)
         }
         _ => Moment::ZERO,
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -13,7 +13,7 @@
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
     Availability, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, RouteTable,
-    Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions, chooser_options,
+    Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Metrics, log};
@@ -24,6 +24,7 @@
 use super::attempt::Tried;
 use super::body::BodyBudget;
 use super::counters::Counters;
+use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
 use super::request::RoutedRequest;
@@ -81,7 +82,7 @@
         let body_bytes = (settings.memory_mb << 20) / BODY_MEMORY_PART;
 
         let gateway = Gateway {
-            chooser: RefCell::new(Chooser::new(&settings.hall, chooser_options())),
+            chooser: RefCell::new(Chooser::new(&settings.hall, settings.chooser_options())),
             bodies: Rc::new(BodyBudget::new(body_bytes)),
             settings: RefCell::new(Rc::new(settings)),
             counters: Counters::new(&metrics),
@@ -281,6 +282,10 @@
 
     /// Gets how long a request of a service may wait for a place and still be answered in time.
     pub fn patience(&self, service: &str, objective: Duration) -> Duration {
+        if !self.uses(Mechanism::Patience) {
+            return PatienceOptions::default().least;
+        }
+
         let patience = self.patience.borrow();
 
         patience.get(service).map_or(objective, |patience| patience.wait(objective))
@@ -361,6 +366,11 @@
         })
     }
 
+    /// Tells whether a mechanism is in use.
+    pub fn uses(&self, mechanism: Mechanism) -> bool {
+        self.settings.borrow().uses(mechanism)
+    }
+
     /// Gets the settings in force.
     pub fn settings(&self) -> Rc<GatewaySettings> {
         self.settings.borrow().clone()
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -360,7 +360,7 @@
         let is_late = self.request.is_late(self.gateway.now());
         let reason =
             reason.unwrap_or_else(|| NoPlace::after_attempts(self.gateway, &self.request.service));
-        let (run, names) = (self.tried.run_state(), &self.gateway.names);
-        self.answer(WholeAnswer::given_up(run, is_late, reason, self.request, names)).await
+        let run = self.tried.run_state();
+        self.answer(WholeAnswer::given_up(run, is_late, reason, self.request, self.gateway)).await
     }
 }
--- a/grebedeck/src/gateway/whole.rs
+++ b/grebedeck/src/gateway/whole.rs
@@ -11,6 +11,7 @@
 
 use super::attempt::{self, Failure, FailureCause, Tried};
 use super::caller::After;
+use super::mechanism::Mechanism;
 use super::place::{self, NoPlace};
 use super::request::{CallerRequest, RoutedRequest};
 use super::service::Gateway;
@@ -68,12 +69,17 @@
         is_late: bool,
         reason: NoPlace,
         request: &RoutedRequest,
-        names: &HeaderNames,
+        gateway: &Gateway,
     ) -> Self {
-        let wait = reason.retry_after();
+        let wait = reason.retry_after(gateway.uses(Mechanism::ReturnSpread));
         let retry_after = (run == RunState::NotRun).then_some(wait);
 
-        WholeAnswer::own(give_up_status(run, is_late), retry_after, &request.request, names)
+        WholeAnswer::own(
+            give_up_status(run, is_late),
+            retry_after,
+            &request.request,
+            &gateway.names,
+        )
     }
 
     /// Gets how a request ends that gets this answer.
@@ -186,7 +192,7 @@
 
         match self.failure.take() {
             Some(failure) => failure,
-            None => WholeAnswer::given_up(run, is_late, reason, request, &gateway.names),
+            None => WholeAnswer::given_up(run, is_late, reason, request, gateway),
         }
     }
 }
--- a/grebedeck/tests/settings.rs
+++ b/grebedeck/tests/settings.rs
@@ -1,5 +1,8 @@
 //! Settings are checked whole, and every fault names its field.
 
+use grebedeck::gateway::GatewaySettings;
+use grebedeck::gateway::mechanism::Mechanism;
+use grebedeck::rank::options::RankSettings;
 use grebedeck::settings::{AgentSettings, EntrySettings, parse};
 use grebedeck_config::Change;
 
@@ -48,3 +51,43 @@
 
     assert_eq!(faults.0[0].field, "max_in_flight");
 }
+
+const GATEWAY: &str = r#"{
+    "name": "gateway-1", "hall": "north", "caller_address": "127.0.0.1:1",
+    "ready_address": "127.0.0.1:2", "peer_address": "127.0.0.1:3", "metrics_address": "127.0.0.1:4",
+    "ip": "127.0.0.1", "group_port": 5, "store_address": "127.0.0.1:6", "stop_limit_ms": 5000,
+    "memory_mb": 100, "retry": { "ratio": 0.2, "window_s": 10.0, "allowance": 50.0 },
+    "load": { "pause_deviations": 3.0 }, "without": ["slow_exclusion"]
+}"#;
+
+const RANK: &str = r#"{
+    "name": "rank-1", "hall": "north", "ip": "127.0.0.1", "target_address": "127.0.0.1:1",
+    "service": "notes", "group_port": 5, "metrics_address": "127.0.0.1:4",
+    "store_address": "127.0.0.1:6", "balance": { "max_copies_per_rank": 1 }
+}"#;
+
+#[test]
+fn mechanisms_are_left_out_by_name() {
+    let settings = parse::<GatewaySettings>(GATEWAY).expect("valid settings");
+    assert!(!settings.uses(Mechanism::SlowExclusion) && settings.uses(Mechanism::Pace));
+    assert_eq!(settings.chooser_options().slow_from, f32::INFINITY);
+
+    let unknown = GATEWAY.replace("slow_exclusion", "everything");
+    let faults = parse::<GatewaySettings>(&unknown).unwrap_err().to_string();
+    assert!(faults.contains("everything"), "{faults}");
+}
+
+#[test]
+fn figures_of_balance_and_load_are_checked() {
+    let fields = |faults: grebedeck_core::Faults| -> Vec<String> {
+        faults.0.into_iter().map(|fault| fault.field).collect()
+    };
+    let negative = GATEWAY.replace("\"pause_deviations\": 3.0", "\"pause_deviations\": -1.0");
+    let faults = parse::<GatewaySettings>(&negative).unwrap_err();
+    assert_eq!(fields(faults), ["load.pause_deviations"]);
+
+    assert!(parse::<RankSettings>(RANK).is_ok());
+    let none = RANK.replace("\"max_copies_per_rank\": 1", "\"max_copies_per_rank\": 0");
+    let faults = parse::<RankSettings>(&none).unwrap_err();
+    assert_eq!(fields(faults), ["balance.max_copies_per_rank"]);
+}
