Gateway: what was learnt of pauses outlasts a reload

Cause: the switch for mechanisms forgot all paces at each reload, and a gateway without them takes as many requests as fit. Now they go only where the figures of the load change. Test: pauses_are_forgotten_only_where_the_figures_of_the_load_change, fails without.

--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -155,7 +155,7 @@
 }
 
 /// Requests that a target may have, as a multiple of those that it works on at the same time.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LoadSettings {
     /// For a model's ranks: those that wait only make the passes of the whole group longer.
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -378,9 +378,12 @@
 
     /// Puts new settings in force. What is used only at the start stays as it was.
     pub fn set_settings(&self, settings: GatewaySettings) {
+        // Paces are made with the settings' figures. Learning them anew admits too many for some passes.
+        if settings.load != self.settings().load || settings.without != self.settings().without {
+            self.paces.borrow_mut().clear();
+        }
+
         *self.settings.borrow_mut() = Rc::new(settings);
-        // Paces are made with the settings' figures; they are known again after a few passes.
-        self.paces.borrow_mut().clear();
         self.count_gateways();
     }
 
