--- a/grebedeck-experts/src/assign.rs
+++ b/grebedeck-experts/src/assign.rs
@@ -66,8 +66,7 @@
     let mut copied = vec![0; costs.len()];
 
     for _ in 0..MAX_STEPS * searches.len() {
-        let peak_of = |s: &Search<'_>| (!s.is_done).then(|| s.peak());
-        let open = searches.iter_mut().filter(|s| peak_of(s).is_some());
+        let open = searches.iter_mut().filter(|s| !s.is_done);
 
         let Some(search) = open.max_by(|a, b| a.peak().total_cmp(&b.peak())) else {
             break;
--- a/grebedeck-lab/src/losses.rs
+++ b/grebedeck-lab/src/losses.rs
@@ -172,10 +172,10 @@
     no_place: Option<String>,
 }
 
-/// The longest wanted pause and the latest wanted first event of streams, in milliseconds.
+/// What streams are wanted to keep to.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Longest wanted pause between two events.
+    /// Longest wanted pause between two events, in milliseconds.
     pub pause_ms: i64,
 }
 
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -23,9 +23,8 @@
 pub enum NoPlace {
     /// No target of the service is known that takes work.
     NoTargets,
-    /// All targets have as many requests as they should, and enough of those will have ended after this
-    /// time.
-    Full(Duration),
+    /// All targets have as many requests as they should.
+    Full,
     /// The service is out, and expected back after this time.
     Out(Duration),
     /// Too many prompts have begun lately; the next one may after this time.
@@ -37,7 +36,7 @@
     pub fn after_attempts(gateway: &Gateway, service: &str) -> Self {
         match gateway.availability(service) {
             Availability::Out(left) => NoPlace::Out(left),
-            Availability::Up => NoPlace::Full(gateway.time_to_place(service)),
+            Availability::Up => NoPlace::Full,
         }
     }
 
@@ -45,20 +44,24 @@
     pub fn word(self) -> &'static str {
         match self {
             NoPlace::NoTargets => "no_targets",
-            NoPlace::Full(_) => "full",
+            NoPlace::Full => "full",
             NoPlace::Out(_) => "out",
             NoPlace::Paced(_) => "paced",
         }
     }
 
     /// Gets how long the caller should wait before it asks again.
-    pub fn retry_after(self, is_spread: bool) -> Duration {
+    pub fn retry_after(self, gateway: &Gateway, service: &str) -> Duration {
+        let is_spread = gateway.uses(Mechanism::ReturnSpread);
         // Those that come back at the same moment find the targets full.
         let spread = if is_spread { ProcessRandom::default().unit() } else { 0.0 };
 
         match self {
             NoPlace::NoTargets => NO_TARGETS_WAIT.mul_f64(1.0 + spread),
-            NoPlace::Full(left) => left + left.max(MIN_RETURN_SPREAD).mul_f64(spread),
+            NoPlace::Full => {
+                let left = gateway.time_to_place(service);
+                left + left.max(MIN_RETURN_SPREAD).mul_f64(spread)
+            }
             NoPlace::Out(left) => left + PLACEMENT_LAG + RETURN_SPREAD.mul_f64(spread),
             NoPlace::Paced(left) => left + RETURN_SPREAD.mul_f64(spread),
         }
@@ -202,8 +205,7 @@
     let (targets, per_place) = with_room(gateway, request, tried, now)?;
     let chooser = gateway.chooser.borrow();
     let chosen = chooser.choose(&targets, tried, now, &mut ProcessRandom::default()).cloned();
-    let full = || NoPlace::Full(gateway.time_to_place(&request.service));
-    let target = chosen.ok_or_else(full)?;
+    let target = chosen.ok_or(NoPlace::Full)?;
     let view = chooser.load_view(&target.id, now);
     let decision = Decision::Chosen {
         target: target.id.clone(),
--- a/grebedeck/src/gateway/whole.rs
+++ b/grebedeck/src/gateway/whole.rs
@@ -11,7 +11,6 @@
 
 use super::attempt::{self, Failure, FailureCause, Tried};
 use super::caller::After;
-use super::mechanism::Mechanism;
 use super::place::{self, NoPlace};
 use super::request::{CallerRequest, RoutedRequest};
 use super::service::Gateway;
@@ -71,7 +70,7 @@
         request: &RoutedRequest,
         gateway: &Gateway,
     ) -> Self {
-        let wait = reason.retry_after(gateway.uses(Mechanism::ReturnSpread));
+        let wait = reason.retry_after(gateway, &request.service);
         let retry_after = (run == RunState::NotRun).then_some(wait);
 
         WholeAnswer::own(
