--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use grebedeck_core::{Expert, Moment, Rank};
 
@@ -22,6 +23,8 @@
     plan: Plan,
     since: Moment,
     told_at: Option<Moment>,
+    /// When some nodes were told last what the plan changes.
+    changes_told_at: Option<Moment>,
     statuses: BTreeMap<Rank, (Status, Moment)>,
 }
 
@@ -75,6 +78,7 @@
             plan: Plan::Idle,
             since: now,
             told_at: None,
+            changes_told_at: None,
             statuses: BTreeMap::new(),
         }
     }
@@ -101,6 +105,7 @@
         self.since = now;
         self.revision += 1;
         self.told_at = None;
+        self.changes_told_at = None;
     }
 
     /// Tells whether every rank's node has promised to follow and was heard of lately.
@@ -156,6 +161,22 @@
         status.is_some_and(|(s, _)| s.report.prepared == Some(placement_no))
     }
 
+    pub(super) fn note_changes_told(&mut self, now: Moment) {
+        self.changes_told_at = Some(now);
+    }
+
+    /// Tells whether what the plan changes may be told now, where it is told again after `pause`.
+    pub(super) fn may_tell_changes(&self, now: Moment, pause: Duration) -> bool {
+        self.changes_told_at.is_none_or(|at| now >= at + pause)
+    }
+
+    /// Tells whether a rank's node has taken a word of this leadership.
+    pub(super) fn has_taken(&self, rank: Rank, revision: u64) -> bool {
+        let status = self.statuses.get(&rank);
+
+        status.is_some_and(|(s, _)| s.promised == self.term && s.revision == revision)
+    }
+
     /// Gets how many nodes a rank's node knows.
     pub(super) fn known_to(&self, rank: Rank) -> Rank {
         self.statuses.get(&rank).map_or(0, |(status, _)| status.known)
@@ -243,9 +264,9 @@
         };
 
         if lead.told_at.is_none_or(|at| now >= at + period) {
-            let is_first = lead.told_at.replace(now).is_none();
+            lead.told_at = Some(now);
             let directive = lead.directive(own);
-            self.broadcast(directive, is_first, actions);
+            self.broadcast(directive, now, actions);
         }
     }
 
--- a/grebedeck-experts/src/rollout/message.rs
+++ b/grebedeck-experts/src/rollout/message.rs
@@ -125,6 +125,9 @@
     pub is_engaged: bool,
     /// Ranks whose nodes it knows, so that its leader tells it of the others only where some are missing.
     pub known: Rank,
+    /// The last word of the leadership it has promised to follow that it has taken, counted as the
+    /// leader does; 0 where it has taken none.
+    pub revision: u64,
 }
 
 /// Experts of one rank by set.
@@ -140,20 +143,15 @@
         /// Nodes by rank.
         roster: Vec<(Rank, A)>,
     },
-    /// From a leader to a node that is to pass its word on: with many ranks, what a plan changes is longer
-    /// than the leader's link takes for all of them in the time of a pass.
+    /// A leader's word, to be passed on: with many ranks, what a plan changes is longer than the leader's link
+    /// takes for all of them in the time of a pass.
     Relay {
-        /// What the leader wants.
-        directive: Directive,
-        /// The nodes that are to hear of it.
-        to: Vec<A>,
-    },
-    /// A leader's word, passed on.
-    Relayed {
         /// The leader.
         leader: A,
         /// What it wants.
         directive: Directive,
+        /// The nodes that are to hear of it.
+        to: Vec<A>,
     },
     /// From a node to its leader.
     Status(Status),
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -341,11 +341,8 @@
             Message::Lead { directive, roster } => {
                 self.take_directive(from, directive, roster, now, &mut actions);
             }
-            Message::Relay { directive, to } => {
-                self.pass_on(&from, &directive, to, &mut actions);
-                self.take_directive(from, directive, Vec::new(), now, &mut actions);
-            }
-            Message::Relayed { leader, directive } => {
+            Message::Relay { leader, directive, to } => {
+                self.pass_on(&leader, &directive, to, &mut actions);
                 self.take_directive(leader, directive, Vec::new(), now, &mut actions);
             }
             Message::Status(status) => self.take_status(from, status, now, &mut actions),
@@ -491,7 +488,7 @@
         let epoch = self.report.as_ref().map(|r| r.epoch);
         let is_newer = self.directive.as_ref().is_none_or(|d| d.revision < directive.revision);
 
-        if epoch == Some(directive.epoch) && is_newer {
+        if epoch == Some(directive.epoch) && is_newer && self.can_take(&directive) {
             if let Stage::Prepare { placement_no, base_no, shape, changes: Some(changes) } =
                 &directive.stage
             {
@@ -504,6 +501,17 @@
         }
     }
 
+    /// Tells whether a word says all that it is about. One without a plan's changes is no more than a sign of
+    /// life to a node that others are yet to pass them on to.
+    fn can_take(&self, directive: &Directive) -> bool {
+        match &directive.stage {
+            Stage::Prepare { placement_no, changes: None, .. } => {
+                self.placements.contains_key(placement_no)
+            }
+            _ => true,
+        }
+    }
+
     /// Follows a later leadership.
     pub(super) fn follow(&mut self, term: Term, actions: &mut Vec<Action<A>>) {
         self.promised = term;
@@ -629,16 +637,17 @@
             refused: self.refused,
             is_engaged: self.engaged.is_some() || self.holding.is_some(),
             known: self.roster.len() as Rank,
+            revision: self.directive.as_ref().map_or(0, |directive| directive.revision),
         }
     }
 }
 
-/// Tells whether a status says something that the leader waits for.
+/// Tells whether a status says something that the leader waits for. It does not wait for each rank to be
+/// engaged and armed, which the holder does: told at once by 650 nodes, that was a third of what the leader takes in.
 fn differs(told: &Status, now: &Status) -> bool {
     let key = |s: &Status| {
         let r = &s.report;
-        let bound = (r.placement, r.prepared, r.armed, r.held);
-        (s.promised, s.refused, s.is_engaged, r.epoch, r.is_open, bound)
+        (s.promised, s.refused, r.epoch, r.is_open, r.placement, r.prepared, r.held)
     };
 
     key(told) != key(now)
--- a/grebedeck-experts/src/rollout/tell.rs
+++ b/grebedeck-experts/src/rollout/tell.rs
@@ -5,7 +5,7 @@
 //! plan changes is passed on by some nodes, each to a part of the group. A node that such a word did not
 //! reach gets it from the leader itself, with the next repetition.
 
-use grebedeck_core::Rank;
+use grebedeck_core::{Moment, Rank};
 
 use super::message::{Directive, Message, Stage};
 use super::node::{Action, Node};
@@ -14,54 +14,53 @@
 /// names in each word to each of 192 ranks, words came later than others claim the lead, and it went from hand to
 /// hand 72 times in 31 calm seconds; no placement was ever changed.
 const NAMED_RANKS: Rank = 3;
-/// Nodes from which on a plan's changes are passed on. Below it, a leader that tells all of them itself is done within
-/// a tenth of a second, at 3 KB each.
-const RELAYED_FROM: usize = 24;
+/// Nodes that one node tells what a plan changes, before others pass it on: at 7 KB, as with 650 ranks, they take 75 ms
+/// of a link of 6 Mbit/s, and three steps reach 512.
+const FAN_OUT: usize = 8;
 
 impl<A: Clone + PartialEq> Node<A> {
-    /// Sends the leader's word to all nodes, and takes it itself; `is_first` is false where it was told before.
+    /// Sends the leader's word to all nodes, and takes it itself.
     pub(super) fn broadcast(
         &mut self,
         directive: Directive,
-        is_first: bool,
+        now: Moment,
         actions: &mut Vec<Action<A>>,
     ) {
         let others = self.roster.iter().filter(|(_, to)| **to != self.own_address);
         let known: Vec<(Rank, A)> = others.map(|(rank, to)| (*rank, to.clone())).collect();
-        let has_changes = matches!(directive.stage, Stage::Prepare { .. });
-
-        if is_first && has_changes && known.len() >= RELAYED_FROM {
-            self.relay(&directive, &known, actions);
+        let tells_changes = self.may_tell_changes(now);
+        let needs_changes =
+            |(rank, _): &(Rank, A)| tells_changes && self.needs_changes(*rank, &directive);
+        let (with_changes, without): (Vec<_>, Vec<_>) = known.into_iter().partition(needs_changes);
+
+        if with_changes.len() > FAN_OUT {
+            let to = with_changes.iter().map(|(_, to)| to.clone()).collect();
+            self.pass_on(&self.own_address, &directive, to, actions);
         } else {
-            for (rank, to) in known {
-                let message = self.word_for(rank, &directive);
-                actions.push(Action::Send { to, message });
+            for (_, to) in &with_changes {
+                let message = Message::Lead { directive: directive.clone(), roster: Vec::new() };
+                actions.push(Action::Send { to: to.clone(), message });
             }
         }
 
+        for (rank, to) in without {
+            let message = self.short_word(rank, &directive);
+            actions.push(Action::Send { to, message });
+        }
+
         for to in self.unknown_others() {
             let message = Message::Lead { directive: directive.clone(), roster: Vec::new() };
             actions.push(Action::Send { to: to.clone(), message });
         }
 
-        self.directive = Some(directive);
-    }
-
-    /// Has some nodes pass the word on, each to as many as there are of them.
-    fn relay(&self, directive: &Directive, known: &[(Rank, A)], actions: &mut Vec<Action<A>>) {
-        let part_size = (known.len() as f64).sqrt().ceil() as usize;
-
-        for part in known.chunks(part_size) {
-            let Some(((_, relay), others)) = part.split_first() else {
-                continue;
-            };
-            let to = others.iter().map(|(_, to)| to.clone()).collect();
-            let message = Message::Relay { directive: directive.clone(), to };
-            actions.push(Action::Send { to: relay.clone(), message });
+        if let Some(lead) = self.lead.as_mut().filter(|_| !with_changes.is_empty()) {
+            lead.note_changes_told(now);
         }
+
+        self.directive = Some(directive);
     }
 
-    /// Passes a leader's word on.
+    /// Passes a leader's word on: to a few nodes, or through some that pass it on in their turn.
     pub(super) fn pass_on(
         &self,
         leader: &A,
@@ -69,18 +68,41 @@
         to: Vec<A>,
         actions: &mut Vec<Action<A>>,
     ) {
-        for to in to {
-            let message = Message::Relayed { leader: leader.clone(), directive: directive.clone() };
-            actions.push(Action::Send { to, message });
+        let part_size = to.len().div_ceil(FAN_OUT).max(1);
+
+        for part in to.chunks(part_size) {
+            let Some((next, others)) = part.split_first() else {
+                continue;
+            };
+            let message = Message::Relay {
+                leader: leader.clone(),
+                directive: directive.clone(),
+                to: others.to_vec(),
+            };
+            actions.push(Action::Send { to: next.clone(), message });
         }
     }
 
-    /// Gets the leader's word for one node.
-    fn word_for(&self, rank: Rank, directive: &Directive) -> Message<A> {
+    /// Tells whether a plan's changes are to be told now, to those that need them: at once, and again when those
+    /// that pass them on have had their time.
+    fn may_tell_changes(&self, now: Moment) -> bool {
+        let size = self.report.as_ref().map_or(1, |r| r.size);
+        let pause = self.options.for_all(self.options.period, size);
+
+        self.lead.as_ref().is_none_or(|lead| lead.may_tell_changes(now, pause))
+    }
+
+    /// Gets the leader's word for one node, without what a plan changes.
+    fn short_word(&self, rank: Rank, directive: &Directive) -> Message<A> {
         let names = || self.roster.iter().map(|(rank, to)| (*rank, to.clone())).collect();
         let roster = if self.wants_names(rank, directive) { names() } else { Vec::new() };
+        let mut directive = directive.clone();
 
-        Message::Lead { directive: self.directive_for(rank, directive), roster }
+        if let Stage::Prepare { changes, .. } = &mut directive.stage {
+            *changes = None;
+        }
+
+        Message::Lead { directive, roster }
     }
 
     /// Tells whether a node may have to reach all others, and does not know them. The holder has to, and
@@ -96,19 +118,18 @@
         may_need && usize::from(known) < self.roster.len()
     }
 
-    /// Gets the directive for one node, without changes that it has taken: with many ranks they are longer
-    /// than all else that a leader sends.
-    fn directive_for(&self, rank: Rank, directive: &Directive) -> Directive {
-        let mut directive = directive.clone();
-
-        if let (Some(lead), Stage::Prepare { placement_no, changes, .. }) =
-            (&self.lead, &mut directive.stage)
-            && lead.has_prepared(rank, *placement_no)
-        {
-            *changes = None;
-        }
+    /// Tells whether a node is yet to learn what a plan changes: with many ranks that is longer than all else that a
+    /// leader sends. Told again to each of 650 nodes that were still copying, it filled the leader's link, and
+    /// others took the lead 67 times in 10 s.
+    fn needs_changes(&self, rank: Rank, directive: &Directive) -> bool {
+        let Stage::Prepare { placement_no, .. } = directive.stage else {
+            return false;
+        };
+        let Some(lead) = &self.lead else {
+            return true;
+        };
 
-        directive
+        !lead.has_taken(rank, directive.revision) && !lead.has_prepared(rank, placement_no)
     }
 
     /// Gets the nodes that may belong to the group. Once each rank's node is known, the others are those of
--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -8,7 +8,7 @@
 use grebedeck_core::random::SeededSource;
 use grebedeck_core::{Moment, RandomSource, Rank};
 use grebedeck_experts::engine::{PassNo, PlacementNo};
-use grebedeck_experts::rollout::{Action, Message, Node, NodeOptions, RankNote};
+use grebedeck_experts::rollout::{Action, Message, Node, NodeOptions, RankNote, Stage};
 use grebedeck_experts::{Armed, OrderEnd, Placement, RankAction, RankOrder, RankReport};
 
 /// What goes wrong in a run.
@@ -113,6 +113,8 @@
     /// Times from a proposal to the pass with the new placement.
     pub from_proposal: Vec<Duration>,
     proposed_at: Moment,
+    /// Bytes that each machine has sent and taken in, by kind of message.
+    pub traffic: BTreeMap<(usize, &'static str), u64>,
 }
 
 const PASS: Duration = Duration::from_millis(50);
@@ -156,6 +158,7 @@
             pauses: Vec::new(),
             from_proposal: Vec::new(),
             proposed_at: Duration::ZERO,
+            traffic: BTreeMap::new(),
         }
     }
 
@@ -386,6 +389,11 @@
         };
         let bytes =
             encoded.expect("a message always encodes").len() + HEADER_BYTES + names * ADDRESS_BYTES;
+
+        for at in [from, to] {
+            *self.traffic.entry((at, kind(message))).or_default() += bytes as u64;
+        }
+
         let takes = Duration::from_secs_f64(bytes as f64 / bytes_per_s);
         let now = self.now;
         let up = self.machines[from].link_free.up.max(now);
@@ -400,6 +408,11 @@
         Some(down + takes - now)
     }
 
+    /// Gets the node that leads.
+    pub fn leader(&self) -> Option<usize> {
+        self.machines.iter().position(|m| m.node.as_ref().is_some_and(Node::is_leading))
+    }
+
     /// Tells whether a machine's call reaches another's engine.
     fn reaches(&self, from: usize, to: usize) -> bool {
         from == to || self.now >= self.machines[to].frozen_until
@@ -469,6 +482,19 @@
     }
 }
 
+/// Gets what a page about links calls a message.
+fn kind(message: &Message<usize>) -> &'static str {
+    match message {
+        Message::Lead { roster, .. } if !roster.is_empty() => "names",
+        Message::Lead { directive, .. } if directive.stage == Stage::Idle => "idle word",
+        Message::Lead { .. } => "word on a plan",
+        Message::Relay { .. } => "plan, passed on",
+        Message::Status(_) => "status",
+        Message::Changeover(_) | Message::Answer(_) => "changeover",
+        _ => "placement asked for",
+    }
+}
+
 fn new_node(at: usize, size: usize, life: u64, now: Moment) -> Node<usize> {
     let mut node = Node::new(at, life, now, NodeOptions::default());
     node.set_others((0..size).filter(|other| *other != at).collect());
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -87,6 +87,32 @@
     }
 }
 
+/// Bytes a second at the leader's link, both ways, by kind of message and size of the group. The test's output is
+/// the table in docs/CAPACITY.md; what grows with the ranks has to stay within a third of the link.
+#[test]
+fn a_leaders_words_fit_its_link() {
+    const LINK_BYTES_PER_S: u64 = 750_000;
+    const RUN_S: u64 = 10;
+
+    for size in [12, 72, 192, 650] {
+        let mut group = Group::new(size, 3, NO_FAULTS, Broken::Nothing);
+        group.link_bytes_per_s = Some(LINK_BYTES_PER_S as f64);
+        group.pass_length = Duration::from_millis(100);
+        group.run_until(secs(RUN_S));
+        let leader = group.leader().expect("one leads");
+        let own = group.traffic.iter().filter(|((at, _), _)| *at == leader);
+        let by_kind: Vec<_> = own.map(|((_, kind), bytes)| (*kind, bytes / RUN_S)).collect();
+        println!("{size} ranks, {} claims, {} changes: {by_kind:?}", group.claims, group.changes);
+
+        let always = ["idle word", "names", "status"];
+        let steady = by_kind.iter().filter(|(kind, _)| always.contains(kind));
+        let steady: u64 = steady.map(|(_, bytes)| bytes).sum();
+        // Each way has the whole link.
+        assert!(steady <= 2 * LINK_BYTES_PER_S / 3, "{size} ranks: {steady} bytes a second");
+        assert_eq!(group.claims, 1, "{size} ranks: one leader");
+    }
+}
+
 #[test]
 fn lost_messages_and_late_orders_break_nothing() {
     for seed in 0..40 {
@@ -170,6 +196,7 @@
                 refused: None,
                 is_engaged: false,
                 known: 1,
+                revision: 0,
             };
             actions.extend(node.on_message(rank, Message::Status(status), secs(1)));
         }
@@ -237,6 +264,7 @@
             refused: None,
             is_engaged: false,
             known: 1,
+            revision: 0,
         };
         node.on_message(rank, Message::Status(status), secs(1));
     }
