Connections: a peer that is silent for a second is given up

Cause: open connections may go silent for good, without a reset, while new ones work; a request on such a one waited until its own time was over, and nothing in the program would have noticed (no limit on unacknowledged bytes, no probes). Change: connections that the program opens probe a peer that sends nothing after 1 s, and fail where bytes are not acknowledged for 1 s. Three losses of a packet in a row, some 1.4 s, end one too; streams go on elsewhere then.

--- a/grebedeck-http/src/connection.rs
+++ b/grebedeck-http/src/connection.rs
@@ -10,6 +10,7 @@
 use async_std::net::TcpStream;
 use bytes::BytesMut;
 use futures::{AsyncRead, AsyncWriteExt, FutureExt};
+use rustix::net::sockopt;
 
 use crate::body::{BodyDecoder, Decoded};
 use crate::error::{HttpError, Result};
@@ -19,6 +20,12 @@
 /// connections.
 const READ_BYTES: usize = 4096;
 
+/// How long bytes may stay without an acknowledgement, and a peer that sends nothing without a sign of life. A
+/// connection may go silent for good without a reset, or its peer's machine lose power; without this limit a
+/// request on it waits until its own time is over. Two lost packets in a row take some 0.6 s to be sent again, and
+/// callers leave a stream that is silent for two seconds.
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+
 /// A connection.
 pub struct Connection {
     stream: TcpStream,
@@ -34,12 +41,15 @@
         Connection { stream, buffer: BytesMut::new() }
     }
 
-    /// Connects to an address.
+    /// Connects to an address. The connection fails where the peer is silent for [`SILENCE_LIMIT`].
     pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self> {
-        match timeout(limit, TcpStream::connect(address)).await {
-            Ok(stream) => Ok(Connection::new(stream?)),
-            Err(_) => Err(HttpError::TimedOut),
-        }
+        let stream = match timeout(limit, TcpStream::connect(address)).await {
+            Ok(stream) => stream?,
+            Err(_) => return Err(HttpError::TimedOut),
+        };
+        limit_silence(&stream).map_err(std::io::Error::from)?;
+
+        Ok(Connection::new(stream))
     }
 
     /// Gets the bytes that were read and not yet taken.
@@ -164,3 +174,12 @@
         self.stream.clone()
     }
 }
+
+/// Has the system probe a peer that sends nothing, and give a connection up whose bytes are not acknowledged.
+fn limit_silence(stream: &TcpStream) -> rustix::io::Result<()> {
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, SILENCE_LIMIT)?;
+    sockopt::set_tcp_keepintvl(stream, SILENCE_LIMIT)?;
+
+    sockopt::set_tcp_user_timeout(stream, SILENCE_LIMIT.as_millis() as u32)
+}
--- a/grebedeck-http/tests/connection.rs
+++ b/grebedeck-http/tests/connection.rs
@@ -1,8 +1,12 @@
 //! Connections: what a wait that is given up must not change.
 
+use std::time::Duration;
+
 use async_std::net::{TcpListener, TcpStream};
 use futures::{AsyncWriteExt, FutureExt};
 use grebedeck_http::Connection;
+use grebedeck_http::connection::SILENCE_LIMIT;
+use rustix::net::sockopt;
 
 async fn pair() -> (Connection, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -48,3 +52,19 @@
         assert_eq!(connection.buffer().as_ref(), b"GET / HTTP/1.1\r\n");
     });
 }
+
+/// A connection that went silent without a reset held a request until its own time was over.
+#[test]
+fn a_silent_peer_is_given_up_after_a_limit() {
+    async_std::task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("its address");
+        let connection = Connection::connect(address, Duration::from_secs(1)).await;
+        let stream = connection.expect("a connection").writer();
+
+        let unacknowledged_ms = sockopt::tcp_user_timeout(&stream).expect("the limit");
+        assert_eq!(Duration::from_millis(unacknowledged_ms.into()), SILENCE_LIMIT);
+        assert_eq!(sockopt::socket_keepalive(&stream), Ok(true));
+        assert_eq!(sockopt::tcp_keepidle(&stream), Ok(SILENCE_LIMIT));
+    });
+}
