Rollout: holds by the newest changeovers, a plan's changes told again sooner

Arming all 192 took 0.16 s, but a hold allowed 0.35 to 0.6 s, as a first one of 0.24 s with its deviation was forgotten by an eighth at each change, of which there is one in four seconds. And 7 of 11 plans were ready after 0.26 s in place of 0.09: among 192 nodes one word is mostly lost, and was told again after 0.3 s.

--- a/grebedeck-experts/src/rollout/arming.rs
+++ b/grebedeck-experts/src/rollout/arming.rs
@@ -1,41 +1,38 @@
 //! How long it takes from ordering a hold until all ranks are armed.
 //!
-//! A pass that begins later than that can be held without anybody waiting for it. The time follows the
-//! group's size, its links and the load of the processes, so it is taken from the changeovers that were seen.
+//! A pass that begins later than that can be held without anybody waiting for it; one that begins much later
+//! keeps a worse placement in use. The time follows the group's size, its links and the load of the processes, so it
+//! is taken from the newest changeovers.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Weight of each new time in the mean and the deviation: as in the estimate of a round trip, RFC 6298.
-const GAIN: f64 = 0.125;
-/// Mean deviations above the mean that are allowed for: 19 in 20 changeovers end within them.
-const DEVIATIONS: f64 = 2.0;
-/// Deviation of the first time that is seen, as a part of it; also as in RFC 6298.
-const FIRST_DEVIATION: f64 = 0.5;
+/// Changeovers that are looked at: some come each few seconds, and a slow one is to be forgotten soon. A mean with two
+/// deviations over eight of them allowed 0.35 to 0.6 s after a first one of 0.24 s, where 0.16 s were needed.
+const NEWEST: usize = 4;
+/// Part that is allowed on top of the longest of them.
+const MARGIN: f64 = 0.1;
 
 /// The times that were seen.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct ArmingTime {
-    /// Mean and mean deviation, in seconds.
-    seen: Option<(f64, f64)>,
+    newest: VecDeque<Duration>,
 }
 
 impl ArmingTime {
     /// Takes in how long a changeover took.
     pub(super) fn note(&mut self, took: Duration) {
-        let took_s = took.as_secs_f64();
-        let Some((mean_s, deviation_s)) = &mut self.seen else {
-            self.seen = Some((took_s, took_s * FIRST_DEVIATION));
-            return;
-        };
-        let off_s = took_s - *mean_s;
-        *mean_s += GAIN * off_s;
-        *deviation_s += GAIN * (off_s.abs() - *deviation_s);
+        if self.newest.len() == NEWEST {
+            self.newest.pop_front();
+        }
+
+        self.newest.push_back(took);
     }
 
     /// Gets the time to allow for; `first` while none was seen.
     pub(super) fn expected(&self, first: Duration) -> Duration {
-        self.seen.map_or(first, |(mean_s, deviation_s)| {
-            Duration::from_secs_f64(mean_s + DEVIATIONS * deviation_s)
-        })
+        let longest = self.newest.iter().max();
+
+        longest.map_or(first, |longest| longest.mul_f64(1.0 + MARGIN))
     }
 }
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -267,6 +267,9 @@
             lead.told_at = Some(now);
             let directive = lead.directive(own);
             self.broadcast(directive, now, actions);
+        } else if matches!(lead.plan, Plan::Prepare { .. }) {
+            let directive = lead.directive(own);
+            self.tell_changes(&directive, now, actions);
         }
     }
 
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -494,10 +494,11 @@
             {
                 self.keep_first_placement(*shape);
                 self.take_changes(*placement_no, *base_no, changes);
+                // The leader tells changes again to those that do not say that they have them.
+                self.told_at = None;
             }
 
             self.directive = Some(directive);
-            self.told_at = None;
         }
     }
 
--- a/grebedeck-experts/src/rollout/tell.rs
+++ b/grebedeck-experts/src/rollout/tell.rs
@@ -5,6 +5,8 @@
 //! plan changes is passed on by some nodes, each to a part of the group. A node that such a word did not
 //! reach gets it from the leader itself, with the next repetition.
 
+use std::collections::BTreeSet;
+
 use grebedeck_core::{Moment, Rank};
 
 use super::message::{Directive, Message, Stage};
@@ -26,24 +28,9 @@
         now: Moment,
         actions: &mut Vec<Action<A>>,
     ) {
-        let others = self.roster.iter().filter(|(_, to)| **to != self.own_address);
-        let known: Vec<(Rank, A)> = others.map(|(rank, to)| (*rank, to.clone())).collect();
-        let tells_changes = self.may_tell_changes(now);
-        let needs_changes =
-            |(rank, _): &(Rank, A)| tells_changes && self.needs_changes(*rank, &directive);
-        let (with_changes, without): (Vec<_>, Vec<_>) = known.into_iter().partition(needs_changes);
-
-        if with_changes.len() > FAN_OUT {
-            let to = with_changes.iter().map(|(_, to)| to.clone()).collect();
-            self.pass_on(&self.own_address, &directive, to, actions);
-        } else {
-            for (_, to) in &with_changes {
-                let message = Message::Lead { directive: directive.clone(), roster: Vec::new() };
-                actions.push(Action::Send { to: to.clone(), message });
-            }
-        }
+        let told = self.tell_changes(&directive, now, actions);
 
-        for (rank, to) in without {
+        for (rank, to) in self.known_others().into_iter().filter(|(rank, _)| !told.contains(rank)) {
             let message = self.short_word(rank, &directive);
             actions.push(Action::Send { to, message });
         }
@@ -53,11 +40,39 @@
             actions.push(Action::Send { to: to.clone(), message });
         }
 
-        if let Some(lead) = self.lead.as_mut().filter(|_| !with_changes.is_empty()) {
+        self.directive = Some(directive);
+    }
+
+    /// Tells what a plan changes to the nodes that are yet to learn it, unless they were told a moment ago; gives
+    /// their ranks.
+    pub(super) fn tell_changes(
+        &mut self,
+        directive: &Directive,
+        now: Moment,
+        actions: &mut Vec<Action<A>>,
+    ) -> BTreeSet<Rank> {
+        if !self.may_tell_changes(now) {
+            return BTreeSet::new();
+        }
+
+        let mut wanting = self.known_others();
+        wanting.retain(|(rank, _)| self.needs_changes(*rank, directive));
+        let ranks: BTreeSet<Rank> = wanting.iter().map(|(rank, _)| *rank).collect();
+        let to: Vec<A> = wanting.into_iter().map(|(_, to)| to).collect();
+
+        if let Some(lead) = self.lead.as_mut().filter(|_| !to.is_empty()) {
             lead.note_changes_told(now);
         }
 
-        self.directive = Some(directive);
+        self.pass_on(&self.own_address, directive, to, actions);
+        ranks
+    }
+
+    /// Gets the other nodes of the group that are known.
+    fn known_others(&self) -> Vec<(Rank, A)> {
+        let others = self.roster.iter().filter(|(_, to)| **to != self.own_address);
+
+        others.map(|(rank, to)| (*rank, to.clone())).collect()
     }
 
     /// Passes a leader's word on: to a few nodes, or through some that pass it on in their turn.
@@ -74,20 +89,22 @@
             let Some((next, others)) = part.split_first() else {
                 continue;
             };
-            let message = Message::Relay {
-                leader: leader.clone(),
-                directive: directive.clone(),
-                to: others.to_vec(),
+            let directive = directive.clone();
+            let message = if others.is_empty() && *leader == self.own_address {
+                Message::Lead { directive, roster: Vec::new() }
+            } else {
+                Message::Relay { leader: leader.clone(), directive, to: others.to_vec() }
             };
             actions.push(Action::Send { to: next.clone(), message });
         }
     }
 
-    /// Tells whether a plan's changes are to be told now, to those that need them: at once, and again when those
-    /// that pass them on have had their time.
+    /// Tells whether a plan's changes may be told now: at once, and again when those that pass them on and those
+    /// that say that they have taken them have had their time. Among 192 nodes one word is mostly lost; told
+    /// again after 0.3 s it made a plan ready after 0.26 s in place of 0.09.
     fn may_tell_changes(&self, now: Moment) -> bool {
         let size = self.report.as_ref().map_or(1, |r| r.size);
-        let pause = self.options.for_all(self.options.period, size);
+        let pause = self.options.for_all(self.options.insist, size);
 
         self.lead.as_ref().is_none_or(|lead| lead.may_tell_changes(now, pause))
     }
