--- a/grebedeck-experts/src/rollout.rs
+++ b/grebedeck-experts/src/rollout.rs
@@ -17,10 +17,14 @@
 //!   are ready, has all of them arm, and lets go. A node that is silent when it is asked costs no more
 //!   than this plan, and the group does not stand still for it.
 //! - Each *node* takes part in one changeover at a time, and keeps its own rank's engine in step.
+//!   Some pass on what a plan changes, since a leader's link does not take it for all of them.
+//!
+//! A hold is ordered as far ahead as the newest changeovers took, so that nobody waits for it as a rule.
 //!
 //! A hold does not lapse. A holder that was killed finds it in its engine when it is back, asks all
 //! nodes, or the engines of those that do not answer, whether anybody is armed, and goes on from there.
 
+pub mod action;
 mod arming;
 mod changeover;
 mod engaged;
@@ -28,11 +32,14 @@
 mod lead;
 pub mod message;
 pub mod node;
+pub mod options;
 mod parts;
 mod passes;
 mod tell;
 
+pub use action::{Action, RankNote};
 pub use message::{
     Changeover, ChangeoverAnswer, ChangeoverStep, Directive, Message, RankPart, Stage, Status, Term,
 };
-pub use node::{Action, Node, NodeOptions, RankNote};
+pub use node::Node;
+pub use options::NodeOptions;
--- /dev/null
+++ b/grebedeck-experts/src/rollout/action.rs
@@ -0,0 +1,84 @@
+//! What a node wants done, and what it has found.
+
+use std::time::Duration;
+
+use grebedeck_core::Rank;
+
+use super::message::{Message, Term};
+use crate::engine::{PassNo, PlacementNo, RankOrder};
+
+/// What a node wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action<A> {
+    /// Send a message.
+    Send {
+        /// The node that gets it.
+        to: A,
+        /// The message.
+        message: Message<A>,
+    },
+    /// Give an order to a rank's engine, the node's own or another's.
+    Order {
+        /// The rank.
+        rank: Rank,
+        /// The order.
+        order: RankOrder,
+    },
+    /// Read what another rank's engine says.
+    Ask {
+        /// The rank.
+        rank: Rank,
+    },
+    /// Read which experts the own engine holds.
+    ReadPart,
+    /// Something that operators may want to know.
+    Note(RankNote),
+}
+
+/// What a node has decided or found, for logs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RankNote {
+    /// It takes the lead.
+    Leads(Term),
+    /// It follows a leader.
+    Follows(Term),
+    /// The group has formed anew; all plans are void.
+    NewEpoch(u64),
+    /// All ranks have copied a placement's weights; a pass is to be held.
+    Holding {
+        /// The placement.
+        placement_no: PlacementNo,
+        /// The pass.
+        pass: PassNo,
+        /// The rank whose engine holds it.
+        holder: Rank,
+    },
+    /// The placement is in use.
+    InUse {
+        /// The placement.
+        placement_no: PlacementNo,
+        /// The first pass with it.
+        pass: PassNo,
+    },
+    /// A plan was given up before any rank was armed.
+    GivenUp {
+        /// The placement.
+        placement_no: PlacementNo,
+        /// Why.
+        reason: &'static str,
+    },
+    /// The own engine holds a pass that the node has no memory of.
+    Recovers {
+        /// The pass.
+        pass: PassNo,
+    },
+    /// A held pass was let go.
+    Released {
+        /// The pass.
+        pass: PassNo,
+        /// The placement that every rank was armed for, if any.
+        placement_no: Option<PlacementNo>,
+        /// Time since all were asked.
+        held_for: Duration,
+    },
+}
--- a/grebedeck-experts/src/rollout/changeover.rs
+++ b/grebedeck-experts/src/rollout/changeover.rs
@@ -10,7 +10,7 @@
 use grebedeck_core::{Moment, Rank};
 
 use super::message::{Changeover, ChangeoverStep, Term};
-use super::node::NodeOptions;
+use super::options::NodeOptions;
 use crate::engine::{Armed, GroupEpoch, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
 
 /// What a holder has got to know and to do.
--- a/grebedeck-experts/src/rollout/engaged.rs
+++ b/grebedeck-experts/src/rollout/engaged.rs
@@ -2,8 +2,9 @@
 
 use grebedeck_core::{Moment, Rank};
 
+use super::action::Action;
 use super::message::{Changeover, ChangeoverAnswer, ChangeoverStep, Message};
-use super::node::{Action, Node};
+use super::node::Node;
 use crate::engine::{Armed, PassNo, PlacementNo, RankAction, RankReport};
 
 /// A changeover that a node takes part in.
--- a/grebedeck-experts/src/rollout/holder.rs
+++ b/grebedeck-experts/src/rollout/holder.rs
@@ -4,9 +4,10 @@
 
 use grebedeck_core::{Moment, Rank};
 
+use super::action::{Action, RankNote};
 use super::changeover::{Holding, HoldingAction};
 use super::message::{Changeover, ChangeoverAnswer, ChangeoverStep, Message, Stage};
-use super::node::{Action, Node, RankNote};
+use super::node::Node;
 use crate::engine::{PassNo, PlacementNo, RankReport};
 
 impl<A: Clone + PartialEq> Node<A> {
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -6,8 +6,10 @@
 
 use grebedeck_core::{Expert, Moment, Rank};
 
+use super::action::{Action, RankNote};
 use super::message::{Directive, Stage, Status, Term};
-use super::node::{Action, Node, NodeOptions, RankNote};
+use super::node::Node;
+use super::options::NodeOptions;
 use crate::engine::{PassNo, PlacementNo, RankAction, RankOrder, RankReport};
 use crate::placement::{Placement, RankChange};
 
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -2,164 +2,20 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use grebedeck_core::{Moment, Rank};
 
+use super::action::{Action, RankNote};
 use super::arming::ArmingTime;
 use super::changeover::Holding;
 use super::engaged::Engaged;
 use super::lead::Lead;
 use super::message::{Directive, Message, RankPart, Stage, Status, Term};
+use super::options::NodeOptions;
 use super::passes::PassClock;
 use crate::engine::{OrderEnd, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
 use crate::placement::Placement;
 
-/// Settings of a node.
-#[derive(Clone, Copy, Debug)]
-pub struct NodeOptions {
-    /// Silence of the leader after which rank 0 takes the lead: more than two periods of its messages, so
-    /// that a lost one is no reason. With 700 ms, and others asked for only then, the first plan came 1.57 s
-    /// after all processes had been killed; it comes after 0.85 s, by the logs of such a day.
-    pub claim_after: Duration,
-    /// What each doubling of the rank's number adds to that, so that rarely two of the first ones claim at
-    /// once, and the last of 192 waits for 0.9 s and not for 23 s.
-    pub claim_per_doubling: Duration,
-    /// How long before it would take the lead a node asks for the other nodes: a call to the store.
-    pub ask_ahead: Duration,
-    /// How often a leader tells what it wants, and a node its status, where nothing changes.
-    pub period: Duration,
-    /// Age at which a status is no longer believed.
-    pub status_lifetime: Duration,
-    /// Pause before an order is given again: several times what an engine takes to answer.
-    pub order_pause: Duration,
-    /// How long copying may take before a plan is given up: many times what the links need.
-    pub prepare_limit: Duration,
-    /// How long nodes have to say that they are ready for a changeover: some round trips, and less than
-    /// the passes ahead take.
-    pub ready_limit: Duration,
-    /// How often a holder tells what it wants while answers are missing.
-    pub insist: Duration,
-    /// How long a node has to arm its own rank before the holder does it.
-    pub help_after: Duration,
-    /// How long a holder waits for its leader's word on a hold that it sees.
-    pub hold_grace: Duration,
-    /// How long it takes from ordering a hold until all ranks are armed, beside what each rank adds, until
-    /// it was seen: some round trips and readings of the engines. The next pass is held that begins later
-    /// than this: with passes of 0.9 s, as beside a slow rank, 9 in 10 changeovers take 0.73 s at the
-    /// most, and 1.63 s with a hold always two passes ahead, in virtual time.
-    pub arm_time: Duration,
-    /// What each rank of the group adds to a word to all of them and their answers: some 150 bytes each way,
-    /// 0.4 ms over the smallest link, 6 Mbit/s, and a little for taking them in.
-    pub per_rank: Duration,
-    /// Holds that are tried for one placement before it is given up.
-    pub max_holds: u32,
-}
-
-impl Default for NodeOptions {
-    fn default() -> Self {
-        NodeOptions {
-            claim_after: Duration::from_millis(450),
-            claim_per_doubling: Duration::from_millis(120),
-            ask_ahead: Duration::from_millis(200),
-            period: Duration::from_millis(200),
-            status_lifetime: Duration::from_millis(700),
-            order_pause: Duration::from_millis(100),
-            prepare_limit: Duration::from_secs(4),
-            ready_limit: Duration::from_millis(80),
-            insist: Duration::from_millis(25),
-            help_after: Duration::from_millis(80),
-            hold_grace: Duration::from_millis(100),
-            arm_time: Duration::from_millis(60),
-            per_rank: Duration::from_micros(500),
-            max_holds: 3,
-        }
-    }
-}
-
-impl NodeOptions {
-    /// Gets a time that a word to all ranks and their answers are allowed, for a group of this size.
-    pub(super) fn for_all(&self, time: Duration, size: Rank) -> Duration {
-        time + self.per_rank * u32::from(size)
-    }
-}
-
-/// What a node wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action<A> {
-    /// Send a message.
-    Send {
-        /// The node that gets it.
-        to: A,
-        /// The message.
-        message: Message<A>,
-    },
-    /// Give an order to a rank's engine, the node's own or another's.
-    Order {
-        /// The rank.
-        rank: Rank,
-        /// The order.
-        order: RankOrder,
-    },
-    /// Read what another rank's engine says.
-    Ask {
-        /// The rank.
-        rank: Rank,
-    },
-    /// Read which experts the own engine holds.
-    ReadPart,
-    /// Something that operators may want to know.
-    Note(RankNote),
-}
-
-/// What a node has decided or found, for logs.
-#[derive(Clone, Debug, PartialEq)]
-pub enum RankNote {
-    /// It takes the lead.
-    Leads(Term),
-    /// It follows a leader.
-    Follows(Term),
-    /// The group has formed anew; all plans are void.
-    NewEpoch(u64),
-    /// All ranks have copied a placement's weights; a pass is to be held.
-    Holding {
-        /// The placement.
-        placement_no: PlacementNo,
-        /// The pass.
-        pass: PassNo,
-        /// The rank whose engine holds it.
-        holder: Rank,
-    },
-    /// The placement is in use.
-    InUse {
-        /// The placement.
-        placement_no: PlacementNo,
-        /// The first pass with it.
-        pass: PassNo,
-    },
-    /// A plan was given up before any rank was armed.
-    GivenUp {
-        /// The placement.
-        placement_no: PlacementNo,
-        /// Why.
-        reason: &'static str,
-    },
-    /// The own engine holds a pass that the node has no memory of.
-    Recovers {
-        /// The pass.
-        pass: PassNo,
-    },
-    /// A held pass was let go.
-    Released {
-        /// The pass.
-        pass: PassNo,
-        /// The placement that every rank was armed for, if any.
-        placement_no: Option<PlacementNo>,
-        /// Time since all were asked.
-        held_for: Duration,
-    },
-}
-
 /// One node.
 #[derive(Clone, Debug)]
 pub struct Node<A> {
--- a/grebedeck-experts/src/rollout/parts.rs
+++ b/grebedeck-experts/src/rollout/parts.rs
@@ -5,8 +5,9 @@
 
 use grebedeck_core::{Expert, Moment, Rank};
 
+use super::action::Action;
 use super::message::{Message, RankPart};
-use super::node::{Action, Node};
+use super::node::Node;
 use crate::engine::{PlacementNo, RankReport};
 use crate::placement::{Placement, RankChange};
 
--- a/grebedeck-experts/src/rollout/tell.rs
+++ b/grebedeck-experts/src/rollout/tell.rs
@@ -9,8 +9,9 @@
 
 use grebedeck_core::{Moment, Rank};
 
+use super::action::Action;
 use super::message::{Directive, Message, Stage};
-use super::node::{Action, Node};
+use super::node::Node;
 
 /// Ranks that are told of all nodes beforehand: the first ones take the lead when the leader is gone, and one of
 /// eight is there also while a sixth of all processes is away and the store cannot be asked. With names in each word
--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -9,7 +9,9 @@
 use grebedeck_core::{Moment, RandomSource, Rank};
 use grebedeck_experts::engine::{PassNo, PlacementNo};
 use grebedeck_experts::rollout::{Action, Message, Node, NodeOptions, RankNote, Stage};
-use grebedeck_experts::{Armed, OrderEnd, Placement, RankAction, RankOrder, RankReport};
+use grebedeck_experts::{OrderEnd, Placement, RankOrder, RankReport};
+
+use crate::engine::Engine;
 
 /// What goes wrong in a run.
 #[derive(Clone, Copy, Debug)]
@@ -39,17 +41,6 @@
     ForgetsArmed,
 }
 
-struct Engine {
-    epoch: u64,
-    placement: PlacementNo,
-    newest: PlacementNo,
-    prepared: Option<PlacementNo>,
-    copying: Option<(PlacementNo, Moment)>,
-    armed: Option<Armed>,
-    held: Option<PassNo>,
-    content: BTreeMap<PlacementNo, Arc<Placement>>,
-}
-
 struct Machine {
     node: Option<Node<usize>>,
     starts_at: Moment,
@@ -119,7 +110,6 @@
 
 const PASS: Duration = Duration::from_millis(50);
 const TICK: Duration = Duration::from_millis(1);
-const COPY: Duration = Duration::from_millis(60);
 /// Bytes of a datagram beside its message: the headers of the network, the sender and the group.
 const HEADER_BYTES: usize = 50;
 /// Bytes of a node's address, which stands as a number here.
@@ -531,87 +521,3 @@
         }
     }
 }
-
-impl Engine {
-    fn holds(&self, pass: PassNo, broken: Broken) -> bool {
-        let ends_early = broken == Broken::HoldsEndEarly && self.armed.is_some();
-
-        self.held == Some(pass) && !ends_early
-    }
-
-    fn begin(&mut self, pass: PassNo) {
-        if let Some(armed) = self.armed.filter(|a| a.pass == pass) {
-            self.placement = armed.placement_no;
-            self.armed = None;
-        }
-    }
-
-    fn report(&self, at: usize, size: usize, pass: PassNo) -> RankReport {
-        RankReport {
-            group: 1,
-            epoch: self.epoch,
-            rank: at as Rank,
-            size: size as Rank,
-            is_open: true,
-            pass,
-            placement: self.placement,
-            prepared: self.prepared,
-            armed: self.armed,
-            held: self.held.filter(|held| *held > pass),
-            running: 1,
-            waiting: 0,
-            pace: 1.0,
-        }
-    }
-
-    fn take(&mut self, action: &RankAction, pass: PassNo, now: Moment) -> bool {
-        match action {
-            RankAction::Prepare { placement_no, placement } => {
-                if self.armed.is_some() || *placement_no <= self.newest {
-                    return false;
-                }
-
-                self.newest = *placement_no;
-                self.content.insert(*placement_no, placement.clone());
-                self.copying = Some((*placement_no, now + COPY));
-                // The copy takes a while; what was prepared before it is given up.
-                self.prepared = None;
-                true
-            }
-            RankAction::Arm { placement_no, pass: first } => {
-                if *first <= pass || self.prepared != Some(*placement_no) {
-                    return false;
-                }
-
-                self.armed = Some(Armed { placement_no: *placement_no, pass: *first });
-                true
-            }
-            RankAction::Hold { pass: held } => {
-                let is_other = self.held.is_some_and(|h| h > pass && h != *held);
-
-                if *held <= pass || is_other {
-                    return false;
-                }
-
-                self.held = Some(*held);
-                true
-            }
-            RankAction::Release { pass } => {
-                if self.held == Some(*pass) {
-                    self.held = None;
-                }
-
-                true
-            }
-        }
-    }
-
-    fn finish_copy(&mut self, now: Moment) {
-        if let Some((placement_no, at)) = self.copying
-            && now >= at
-        {
-            self.prepared = Some(placement_no);
-            self.copying = None;
-        }
-    }
-}
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -1,6 +1,7 @@
 //! Rolling placements out: whatever is lost, late, killed or frozen, all ranks have one placement in
 //! each pass, and the group goes on.
 
+mod engine;
 mod group;
 
 use std::sync::Arc;
@@ -150,8 +151,6 @@
     all_faults(570);
 }
 
-/// A leader that came back gave a number that it had given before to another placement; nodes that did not
-/// know the base of the new one took what they had kept under the number.
 /// Ranks of the group of a single node that the test talks to.
 const RANKS: u16 = 3;
 
@@ -277,6 +276,8 @@
     assert_eq!(told(&node.tick(secs(4))), 9);
 }
 
+/// A leader that came back gave a number that it had given before to another placement; nodes that did not
+/// know the base of the new one took what they had kept under the number.
 #[test]
 fn no_two_placements_have_one_number() {
     for seed in 0..40 {
