--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -20,6 +20,16 @@
     until: Duration::ZERO,
 };
 
+/// All kinds of faults together.
+const ALL_FAULTS: Faults = Faults {
+    lost: 0.1,
+    late_orders: 0.2,
+    kills: 0.06,
+    kills_all: 0.03,
+    freezes: 0.06,
+    ..NO_FAULTS
+};
+
 fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
 }
@@ -292,15 +302,7 @@
 
 fn all_faults(seed: u64) {
     let size = 2 + (seed % 5) as usize;
-    let faults = Faults {
-        lost: 0.1,
-        late_orders: 0.2,
-        kills: 0.06,
-        kills_all: 0.03,
-        freezes: 0.06,
-        ..NO_FAULTS
-    };
-    run(size, seed, faults);
+    run(size, seed, ALL_FAULTS);
 }
 
 #[test]
@@ -308,6 +310,14 @@
     (0..seeds()).for_each(all_faults);
 }
 
+/// Groups of up to nine nodes need nobody to pass a plan on.
+#[test]
+fn plans_that_are_passed_on_bear_all_faults() {
+    for seed in 0..12 {
+        run(20 + 7 * seed as usize, seed, ALL_FAULTS);
+    }
+}
+
 #[test]
 fn a_group_of_one_changes_its_placement() {
     let mut group = Group::new(1, 7, NO_FAULTS, Broken::Nothing);
