--- a/grebedeck-experts/tests/assign.rs
+++ b/grebedeck-experts/tests/assign.rs
@@ -167,8 +167,8 @@
         target_skew: 1.4,
         min_gain_per_copy: 0.05,
     };
-    let after = improve(&before, &[weights.clone()], &costs, &options);
-    let skew = |placement: &Placement| placement.skew(&[weights.clone()], &costs);
+    let after = improve(&before, std::slice::from_ref(&weights), &costs, &options);
+    let skew = |placement: &Placement| placement.skew(std::slice::from_ref(&weights), &costs);
 
     assert!(skew(&before) > 2.5, "{}", skew(&before));
     assert!(skew(&after) < 1.5, "{}", skew(&after));
