--- a/grebedeck-experts/src/rollout/holder.rs
+++ b/grebedeck-experts/src/rollout/holder.rs
@@ -143,9 +143,8 @@
         actions: &mut Vec<Action<A>>,
     ) {
         let is_meant = |rank: &Rank| ranks.is_none_or(|ranks| ranks.contains(rank));
-        let others = self.roster.iter().filter(|(_, a)| **a != self.own_address);
 
-        for (_, to) in others.filter(|(rank, _)| is_meant(rank)) {
+        for (_, to) in self.known_others().filter(|(rank, _)| is_meant(rank)) {
             let message = Message::Changeover(changeover.clone());
             actions.push(Action::Send { to: to.clone(), message });
         }
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -23,6 +23,7 @@
     term: Term,
     revision: u64,
     plan: Plan,
+    /// When the plan came to its present stage.
     since: Moment,
     told_at: Option<Moment>,
     /// When some nodes were told last what the plan changes.
@@ -49,7 +50,6 @@
     holder: Rank,
     /// Holds that were tried for this placement.
     holds: u32,
-    began_at: Moment,
     ordered_at: Moment,
     /// Whether the engine is known to have taken the order; given again, it would hold a pass that
     /// was let go.
@@ -340,7 +340,6 @@
             pass,
             holder,
             holds,
-            began_at: now,
             ordered_at: now,
             is_taken: false,
             released_at: None,
@@ -364,8 +363,9 @@
         };
 
         if own.placement == placement_no {
+            let took = plan.released_at.unwrap_or(now) - lead.since;
             lead.set_plan(Plan::Idle, now);
-            self.arming.note(plan.released_at.unwrap_or(now) - plan.began_at);
+            self.arming.note(took);
             actions.push(Action::Note(RankNote::InUse { placement_no, pass }));
         } else if own.pass >= pass && holds < options.max_holds {
             // The pass has begun without it, so it is tried once more; no two holds are ever under way.
--- a/grebedeck-experts/src/rollout/parts.rs
+++ b/grebedeck-experts/src/rollout/parts.rs
@@ -82,7 +82,7 @@
             return;
         }
 
-        for to in self.roster.values().filter(|a| **a != self.own_address) {
+        for (_, to) in self.known_others() {
             let message = Message::AskPart { placement_no: report.placement };
             actions.push(Action::Send { to: to.clone(), message });
         }
--- a/grebedeck-experts/src/rollout/tell.rs
+++ b/grebedeck-experts/src/rollout/tell.rs
@@ -32,9 +32,9 @@
     ) {
         let told = self.tell_changes(&directive, now, actions);
 
-        for (rank, to) in self.known_others().into_iter().filter(|(rank, _)| !told.contains(rank)) {
+        for (rank, to) in self.known_others().filter(|(rank, _)| !told.contains(rank)) {
             let message = self.short_word(rank, &directive);
-            actions.push(Action::Send { to, message });
+            actions.push(Action::Send { to: to.clone(), message });
         }
 
         for to in self.unknown_others() {
@@ -57,10 +57,9 @@
             return BTreeSet::new();
         }
 
-        let mut wanting = self.known_others();
-        wanting.retain(|(rank, _)| self.needs_changes(*rank, directive));
-        let ranks: BTreeSet<Rank> = wanting.iter().map(|(rank, _)| *rank).collect();
-        let to: Vec<A> = wanting.into_iter().map(|(_, to)| to).collect();
+        let wanting = self.known_others().filter(|(rank, _)| self.needs_changes(*rank, directive));
+        let (ranks, to): (BTreeSet<Rank>, Vec<A>) =
+            wanting.map(|(rank, to)| (rank, to.clone())).unzip();
 
         if let Some(lead) = self.lead.as_mut().filter(|_| !to.is_empty()) {
             lead.note_changes_told(now);
@@ -71,10 +70,10 @@
     }
 
     /// Gets the other nodes of the group that are known.
-    fn known_others(&self) -> Vec<(Rank, A)> {
+    pub(super) fn known_others(&self) -> impl Iterator<Item = (Rank, &A)> {
         let others = self.roster.iter().filter(|(_, to)| **to != self.own_address);
 
-        others.map(|(rank, to)| (*rank, to.clone())).collect()
+        others.map(|(rank, to)| (*rank, to))
     }
 
     /// Passes a leader's word on: to a few nodes, or through some that pass it on in their turn.
--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -375,6 +375,7 @@
         let encoded = bincode::serde::encode_to_vec(message, bincode::config::standard());
         let names = match message {
             Message::Lead { roster, .. } => roster.len(),
+            Message::Relay { to, .. } => to.len() + 1,
             _ => 0,
         };
         let bytes =
