Rank processes: failed reads and leaders without a plan are told, once each

Change: one line when a dependency is lost and one when it is back, for engine, counts, list of targets and configuration; a leader without the possibility of a plan for a second tells why and which rank, when that changes, and when plans are possible again; the same in the dump and as a counter.

--- a/grebedeck-experts/src/rollout.rs
+++ b/grebedeck-experts/src/rollout.rs
@@ -38,6 +38,7 @@
 mod tell;
 
 pub use action::{Action, RankNote};
+pub use lead::PlanBlock;
 pub use message::{
     Changeover, ChangeoverAnswer, ChangeoverStep, Directive, Message, RankPart, Stage, Status, Term,
 };
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -17,6 +17,23 @@
 const LIFE_BITS: u32 = 20;
 const LIFE_MASK: u64 = (1 << LIFE_BITS) - 1;
 
+/// What keeps a leader from a new plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlanBlock {
+    /// A plan is under way.
+    UnderWay,
+    /// A rank's node does not follow, or was not heard of lately.
+    NotFollowing {
+        /// The rank.
+        rank: Rank,
+    },
+    /// A rank is still bound to an earlier plan.
+    Bound {
+        /// The rank.
+        rank: Rank,
+    },
+}
+
 /// A leadership.
 #[derive(Clone, Debug)]
 pub(super) struct Lead {
@@ -112,6 +129,16 @@
 
     /// Tells whether every rank's node has promised to follow and was heard of lately.
     fn follows_all(&self, own: &RankReport, now: Moment, options: &NodeOptions) -> bool {
+        self.first_not_following(own, now, options).is_none()
+    }
+
+    /// Gets the first rank whose node has not promised to follow, or was not heard of lately.
+    fn first_not_following(
+        &self,
+        own: &RankReport,
+        now: Moment,
+        options: &NodeOptions,
+    ) -> Option<Rank> {
         let follows = |(status, at): &(Status, Moment)| {
             status.promised == self.term
                 && status.report.epoch == own.epoch
@@ -119,7 +146,7 @@
                 && now < *at + options.status_lifetime
         };
 
-        (0..own.size).all(|rank| self.statuses.get(&rank).is_some_and(follows))
+        (0..own.size).find(|rank| !self.statuses.get(rank).is_some_and(follows))
     }
 
     fn all(&self, size: Rank, holds: impl Fn(&Status) -> bool) -> bool {
@@ -192,15 +219,28 @@
 impl<A: Clone + PartialEq> Node<A> {
     /// Tells whether the node leads, and nothing keeps it from a new plan.
     pub fn can_plan(&self, now: Moment) -> bool {
-        let (Some(lead), Some(own)) = (&self.lead, &self.report) else {
-            return false;
+        self.is_leading() && self.plan_block(now).is_none()
+    }
+
+    /// Gets what keeps a leader from a new plan, or `None` where nothing does.
+    pub fn plan_block(&self, now: Moment) -> Option<PlanBlock> {
+        let (lead, own) = (self.lead.as_ref()?, self.report.as_ref()?);
+        let is_free = |s: &Status| {
+            let is_bound = s.is_engaged || s.report.armed.is_some() || s.report.held.is_some();
+            !is_bound && s.report.placement == own.placement
         };
-        let is_free =
-            |s: &Status| !s.is_engaged && s.report.armed.is_none() && s.report.held.is_none();
 
-        matches!(lead.plan, Plan::Idle)
-            && lead.follows_all(own, now, &self.options)
-            && lead.all(own.size, |s| is_free(s) && s.report.placement == own.placement)
+        if !matches!(lead.plan, Plan::Idle) {
+            return Some(PlanBlock::UnderWay);
+        }
+
+        if let Some(rank) = lead.first_not_following(own, now, &self.options) {
+            return Some(PlanBlock::NotFollowing { rank });
+        }
+
+        let is_bound = |rank: &Rank| !lead.statuses.get(rank).is_some_and(|(s, _)| is_free(s));
+
+        (0..own.size).find(is_bound).map(|rank| PlanBlock::Bound { rank })
     }
 
     /// Gets what all ranks said last, in order, where the node leads and all are known.
--- a/grebedeck/src/rank.rs
+++ b/grebedeck/src/rank.rs
@@ -7,8 +7,10 @@
 
 pub mod balance;
 pub mod counters;
+pub mod dependency;
 pub mod driver;
 pub mod message;
+pub mod obstacle;
 pub mod options;
 pub mod show;
 
--- a/grebedeck/src/rank/counters.rs
+++ b/grebedeck/src/rank/counters.rs
@@ -14,6 +14,8 @@
     pub datagrams: Counter,
     /// Experts that ranks were told to copy.
     pub copies: Counter,
+    /// Times that a leader was without the possibility of a plan for long, by what was in the way.
+    pub obstacles: Counter,
     /// Time for which held passes were decided on.
     pub holds: Histogram,
 }
@@ -42,6 +44,11 @@
                 "kind",
                 "Experts that ranks were told to copy",
             ),
+            obstacles: metrics.counter(
+                "grebedeck_rank_obstacles",
+                "reason",
+                "Times that a leader could make no plan for long, by what was in the way",
+            ),
             holds: metrics.histogram(
                 "grebedeck_rank_hold_seconds",
                 "end",
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -23,7 +23,9 @@
 
 use super::balance::Balance;
 use super::counters::Counters;
+use super::dependency::Dependency;
 use super::message::{Body, Datagram, DatagramReader, MAX_DATAGRAM_BYTES, RankLoad};
+use super::obstacle::{Obstacle, ObstacleNews, ObstacleWatch};
 use super::options::{
     BUSY_POLL, IDLE_POLL, LIST_PAUSE, RankSettings, STOP_LIMIT, WATCH_LIFETIME, load_period,
 };
@@ -60,6 +62,25 @@
     }
 }
 
+/// What the process calls.
+struct Dependencies {
+    engine: Dependency,
+    counts: Dependency,
+    targets: Dependency,
+    site: Dependency,
+}
+
+impl Default for Dependencies {
+    fn default() -> Self {
+        Dependencies {
+            engine: Dependency::new("engine"),
+            counts: Dependency::new("counts of chosen experts"),
+            targets: Dependency::new("list of targets"),
+            site: Dependency::new("configuration"),
+        }
+    }
+}
+
 /// A rank process.
 pub struct Driver<S, E> {
     tasks: Rc<LocalExecutor<'static>>,
@@ -80,7 +101,8 @@
     plan_at: Moment,
     load_at: Moment,
     watchers: BTreeMap<SocketAddr, Moment>,
-    is_engine_lost: bool,
+    obstacles: ObstacleWatch,
+    lost: Dependencies,
     counters: Counters,
     state: Rc<RefCell<Value>>,
 }
@@ -124,7 +146,8 @@
             plan_at: now,
             load_at: now,
             watchers: BTreeMap::new(),
-            is_engine_lost: false,
+            obstacles: ObstacleWatch::default(),
+            lost: Dependencies::default(),
             counters,
             state,
         })
@@ -219,7 +242,8 @@
 
         *self.state.borrow_mut() = json!({
             "name": self.settings.name,
-            "engine_lost": self.is_engine_lost,
+            "engine_lost": self.lost.engine.is_lost(),
+            "no_plan": self.obstacles.told(),
             "leading": self.node.is_leading(),
             "leader": self.node.leader(),
             "busy": self.node.is_busy(),
@@ -232,9 +256,45 @@
         });
     }
 
+    /// Gets why a leader may make no plan now.
+    fn obstacle(&self, now: Moment) -> Option<Obstacle> {
+        if let Some(block) = self.node.plan_block(now) {
+            return Some(Obstacle::Rollout(block));
+        }
+
+        if !self.balance.knows_engine() {
+            return Some(Obstacle::EngineUnknown);
+        }
+
+        self.node.placement_in_use().is_none().then_some(Obstacle::PlacementUnknown)
+    }
+
+    /// Logs when plans have become impossible for some time, and when they are possible again.
+    fn note_obstacle(&mut self, obstacle: Option<Obstacle>, now: Moment) {
+        match self.obstacles.note(obstacle, now) {
+            Some(ObstacleNews::Blocked(obstacle)) => {
+                let rank = obstacle.rank().map_or(-1, i64::from);
+                self.counters.obstacles.add(obstacle.word());
+                log::warn!("no plan possible", kv: { reason = obstacle.word(), rank });
+            }
+            Some(ObstacleNews::Cleared(lasted)) => {
+                log::info!("plans possible", kv: { after_ms = lasted.as_millis() as u64 });
+            }
+            None => {}
+        }
+    }
+
     /// Has the leader look for a better placement.
     async fn plan(&mut self, now: Moment) {
-        if !self.node.can_plan(now) {
+        if !self.node.is_leading() {
+            self.obstacles.forget();
+            return;
+        }
+
+        let obstacle = self.obstacle(now);
+        self.note_obstacle(obstacle, now);
+
+        if obstacle.is_some() {
             return;
         }
 
@@ -307,7 +367,7 @@
             Outcome::Report(report) => {
                 let period = if self.node.is_busy() { BUSY_POLL } else { IDLE_POLL };
                 self.report_due = Due::At(now + period);
-                self.note_engine(&report);
+                self.lost.engine.note(&report);
 
                 if let Ok(report) = report {
                     self.keep_first_placement(report.size);
@@ -325,6 +385,8 @@
             Outcome::Counts(counts) => {
                 self.counts_due = Due::At(now + millis(self.settings.balance.count_ms));
 
+                self.lost.counts.note(&counts);
+
                 if let Ok(counts) = counts {
                     self.report_counts(counts).await;
                 }
@@ -351,6 +413,8 @@
             Outcome::Site(site) => {
                 self.site_due = Due::At(now + LIST_PAUSE);
 
+                self.lost.site.note(&site);
+
                 if let Ok(Some(site)) = site {
                     self.balance.take_site(&site);
                 }
@@ -381,27 +445,10 @@
         }
     }
 
-    fn note_engine(&mut self, report: &Result<RankReport>) {
-        match report {
-            Ok(_) if self.is_engine_lost => {
-                self.is_engine_lost = false;
-                log::info!("engine back");
-            }
-            Err(error) if !self.is_engine_lost => {
-                self.is_engine_lost = true;
-                log::warn!("engine lost", kv: { error = error.to_string() });
-            }
-            _ => {}
-        }
-    }
-
     fn note_list(&mut self, targets: Result<Vec<ListedTarget>>) {
-        let targets = match targets {
-            Ok(targets) => targets,
-            Err(error) => {
-                log::warn!("list of targets not read", kv: { error = error.to_string() });
-                return;
-            }
+        self.lost.targets.note(&targets);
+        let Ok(targets) = targets else {
+            return;
         };
         let own = self.settings.target_address;
         let is_other = |t: &TargetEntry| t.service == self.settings.service && t.address != own;
