Prompts: a gateway's share of a group's reading follows requests in flight slowly

Cause: the share was own requests over those known. Ruled out: targets of before the restart (the newest at an address serves, one sample is two lines), loads that are unknown for long (none after 0.3 s). Change: the share starts as an equal part and follows what is in flight within a second; in a module of its own. Half of the requests still bring half of the rate.

--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outage;
 pub mod pacing;
 pub mod patience;
+pub mod prompts;
 pub mod retry;
 pub mod routes;
 pub mod site;
@@ -24,8 +25,9 @@
 pub use choice::chooser_options;
 pub use events::{Event, EventBuffer};
 pub use outage::{Availability, Outage, OutageOptions};
-pub use pacing::{Pacing, PacingOptions, PromptRate};
+pub use pacing::{Pacing, PacingOptions};
 pub use patience::{Patience, PatienceOptions};
+pub use prompts::{InFlightCounts, PromptRate};
 pub use retry::{WindowBudget, WindowOptions};
 pub use routes::{Admitted, Denied, RouteTable};
 pub use site::{
--- a/grebedeck-gateway/src/pacing.rs
+++ b/grebedeck-gateway/src/pacing.rs
@@ -71,41 +71,6 @@
 /// nothing.
 const LONG_STREAM: f64 = 2.0;
 
-/// Rate at which a gateway gives prompts to a group.
-///
-/// All ranks wait in each pass for the one that reads most, so prompts that begin together make every
-/// stream pause. After an outage hundreds of them come at once.
-#[derive(Clone, Copy, Debug)]
-pub struct PromptRate {
-    tokens_per_s: f64,
-    burst: Duration,
-    free_at: Moment,
-}
-
-impl PromptRate {
-    /// Makes a rate; prompts worth `burst` of it may begin at once after a pause.
-    pub fn new(tokens_per_s: f64, burst: Duration) -> Self {
-        PromptRate { tokens_per_s, burst, free_at: Moment::ZERO }
-    }
-
-    /// Sets the rate, as targets and gateways come and go.
-    pub fn set_rate(&mut self, tokens_per_s: f64) {
-        self.tokens_per_s = tokens_per_s;
-    }
-
-    /// Gets the time until the next prompt may begin.
-    pub fn wait(&self, now: Moment) -> Duration {
-        self.free_at.saturating_sub(now)
-    }
-
-    /// Notes that a prompt begins.
-    pub fn take(&mut self, tokens: u64, now: Moment) {
-        let earliest = now.saturating_sub(self.burst);
-        let takes = Duration::from_secs_f64(tokens as f64 / self.tokens_per_s.max(1.0));
-        self.free_at = self.free_at.max(earliest) + takes;
-    }
-}
-
 /// The pace of one service's group.
 #[derive(Clone, Copy, Debug)]
 pub struct Pacing {
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -7,8 +7,8 @@
 
 use grebedeck_core::Moment;
 use grebedeck_gateway::{
-    Availability, EngineSpec, Outage, OutageOptions, Pacing, PacingOptions, PromptRate, RouteRule,
-    TargetEntry,
+    Availability, EngineSpec, InFlightCounts, Outage, OutageOptions, Pacing, PacingOptions,
+    PromptRate, RouteRule, TargetEntry,
 };
 use grebedeck_kernel::log;
 use grebedeck_routing::LoadReport;
@@ -53,15 +53,14 @@
         self.prompts.borrow().get(service).map_or(Duration::ZERO, |rate| rate.wait(now))
     }
 
-    /// Gets this gateway's share of the requests for some targets: what it has in flight itself, and at
-    /// least an equal part.
-    fn share(&self, targets: &[Arc<TargetEntry>], now: Moment) -> f64 {
+    /// Gets the requests in flight on some targets.
+    fn in_flight_counts(&self, targets: &[Arc<TargetEntry>], now: Moment) -> InFlightCounts {
         let chooser = self.chooser.borrow();
-        let own: f64 = targets.iter().map(|t| f64::from(chooser.own_in_flight(&t.id))).sum();
-        let all: f64 = targets.iter().map(|t| chooser.load_view(&t.id, now).in_flight).sum();
-        let equal = 1.0 / self.gateways() as f64;
 
-        (own / all.max(1.0)).clamp(equal, 1.0)
+        InFlightCounts {
+            own: targets.iter().map(|t| f64::from(chooser.own_in_flight(&t.id))).sum(),
+            all: targets.iter().map(|t| chooser.load_view(&t.id, now).in_flight).sum(),
+        }
     }
 
     /// Notes that a request's prompt goes to its service's group.
@@ -73,12 +72,11 @@
         };
         let serving = self.serving(service).unwrap_or_default();
         let group_tokens_per_s = serving.len() as f64 * engine.read_tokens_per_s * PROMPT_PART;
-        let tokens_per_s = group_tokens_per_s * self.share(&serving, now);
         let tokens = request.request.prompt_tokens(&self.names).unwrap_or(engine.usual_prompt);
+        let counts = self.in_flight_counts(&serving, now);
         let mut prompts = self.prompts.borrow_mut();
-        let first = PromptRate::new(tokens_per_s, PROMPT_BURST);
-        let rate = prompts.entry(service.clone()).or_insert(first);
-        rate.set_rate(tokens_per_s);
+        let rate = prompts.entry(service.clone()).or_insert(PromptRate::new(PROMPT_BURST));
+        rate.observe(group_tokens_per_s, counts, self.gateways(), now);
         rate.take(tokens, now);
     }
 
