After an outage: few prompts until the first placement, pauses paired with their loads, requests in time first

Change, three steps: a gateway gives 0.03 in place of 0.15 of a group's time to prompts until the first placement of a group that was seen to open is in use, 0.8 s at the most; a pause counts with the load of the moment it began; requests that can still be in time go first, late ones take 0.7 of the allowed load and begin 20 ms after the reading is free, and who has come back once is held where others are refused, as long as a first event still reaches him.

--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod answer;
 pub mod choice;
 pub mod events;
+pub mod opening;
 pub mod outage;
 pub mod pacing;
 pub mod patience;
@@ -19,11 +20,13 @@
 pub mod site;
 pub mod source;
 pub mod targets;
+pub mod urgency;
 pub mod wire;
 
 pub use answer::{RunState, Verdict, judge};
 pub use choice::chooser_options;
 pub use events::{Event, EventBuffer};
+pub use opening::{GroupWord, Openings, PROMPT_PART};
 pub use outage::{Availability, Outage, OutageOptions};
 pub use pacing::{Pacing, PacingOptions};
 pub use patience::{Patience, PatienceOptions};
@@ -37,4 +40,5 @@
     GatewayEntry, GatewayInfo, SiteStore, Snapshot, StoreVersion, TargetChange, Watched,
 };
 pub use targets::{ListedTarget, TargetEntry, TargetId, TargetList, TargetState};
+pub use urgency::{CallerWaits, Urgency};
 pub use wire::HeaderNames;
--- a/grebedeck-gateway/src/prompts.rs
+++ b/grebedeck-gateway/src/prompts.rs
@@ -72,9 +72,9 @@
         self.share.get_or_insert(first).follow(counts, equal, now);
     }
 
-    /// Gets the time until the next prompt may begin.
-    pub fn wait(&self, now: Moment) -> Duration {
-        self.free_at.saturating_sub(now)
+    /// Gets the time until the next prompt may begin that wants the reading to rest for `pause` before it.
+    pub fn wait(&self, pause: Duration, now: Moment) -> Duration {
+        (self.free_at + pause).saturating_sub(now)
     }
 
     /// Notes that a prompt begins.
--- a/grebedeck-gateway/tests/prompts.rs
+++ b/grebedeck-gateway/tests/prompts.rs
@@ -19,7 +19,7 @@
     let mut own = 0;
 
     while now < end {
-        if rate.wait(now).is_zero() {
+        if rate.wait(Duration::ZERO, now).is_zero() {
             let counts = InFlightCounts { own: own as f64, all: own as f64 + others };
             rate.observe(GROUP_TOKENS_PER_S, counts, GATEWAYS, now);
             rate.take(PROMPT_TOKENS, now);
@@ -57,7 +57,7 @@
 
     rate.take(PROMPT_TOKENS * 100, now);
     let wanted_s = (PROMPT_TOKENS * 100) as f64 / (GROUP_TOKENS_PER_S / 2.0) - BURST.as_secs_f64();
-    let wait_s = rate.wait(now).as_secs_f64();
+    let wait_s = rate.wait(Duration::ZERO, now).as_secs_f64();
     assert!((wait_s / wanted_s - 1.0).abs() < 0.05, "{wait_s} s, {wanted_s} s wanted");
 }
 
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -7,8 +7,8 @@
 
 use grebedeck_core::Moment;
 use grebedeck_gateway::{
-    Availability, EngineSpec, InFlightCounts, Outage, OutageOptions, Pacing, PacingOptions,
-    PromptRate, RouteRule, TargetEntry,
+    Availability, EngineSpec, GroupWord, InFlightCounts, Outage, OutageOptions, PROMPT_PART,
+    Pacing, PacingOptions, PromptRate, RouteRule, TargetEntry, Urgency,
 };
 use grebedeck_kernel::log;
 use grebedeck_routing::LoadReport;
@@ -17,7 +17,7 @@
 use super::mechanism::Mechanism;
 use super::options::{
     FIRST_LOAD_WAIT, FIRST_WATCH_PERIOD, GROUP_WORD_LIFETIME, OUTAGE_FAILURES, OVERDUE,
-    PROMPT_BURST, PROMPT_PART, START_LAG, TRIAL_PAUSE, UNKNOWN_ANSWER_TIME,
+    PROMPT_BURST, START_LAG, TRIAL_PAUSE, UNKNOWN_ANSWER_TIME, UNKNOWN_FIRST_EVENT, max_hold,
 };
 use super::pool::MAX_KEPT;
 use super::request::RoutedRequest;
@@ -40,8 +40,33 @@
         self.paces.borrow().get(service)?.pause(self.now())
     }
 
-    /// Gets the time until the next prompt may go to a service's group.
-    pub fn prompt_wait(&self, service: &str, now: Moment) -> Duration {
+    /// Judges whether a request for a model can still be answered in time. Requests for plain services are not told
+    /// apart: their answers take as long as they take, and nothing is read before them.
+    pub fn urgency(&self, request: &RoutedRequest, now: Moment) -> Urgency {
+        if !self.is_model(&request.service) || !self.uses(Mechanism::Urgency) {
+            return Urgency::InTime;
+        }
+
+        request.urgency(self.usual_answer_time(&request.service).unwrap_or_default(), now)
+    }
+
+    /// Gets the longest time that a request of a service is held while there is no place for it.
+    pub fn max_hold(&self, service: &str) -> Duration {
+        max_hold(self.usual_answer_time(service).unwrap_or(UNKNOWN_FIRST_EVENT))
+    }
+
+    /// Tells whether a request for a model is held where others are refused, as its caller has come back once already.
+    pub fn holds_returned(&self, request: &RoutedRequest) -> bool {
+        let is_model = self.is_model(&request.service);
+
+        is_model && self.uses(Mechanism::Urgency) && request.has_come_back(&self.names)
+    }
+
+    /// Gets the time until a request's prompt may go to its service's group.
+    pub fn prompt_wait(&self, request: &RoutedRequest, now: Moment) -> Duration {
+        let service = &request.service;
+        let pause = self.urgency(request, now).prompt_pause();
+
         if self.waits_for_ranks(service, now) {
             return FIRST_WATCH_PERIOD;
         }
@@ -50,7 +75,14 @@
             return Duration::ZERO;
         }
 
-        self.prompts.borrow().get(service).map_or(Duration::ZERO, |rate| rate.wait(now))
+        self.prompts.borrow().get(service).map_or(Duration::ZERO, |rate| rate.wait(pause, now))
+    }
+
+    /// Gets the part of the time of a service's groups that may go into reading prompts.
+    fn prompt_part(&self, service: &str, now: Moment) -> f64 {
+        let openings = self.openings.borrow();
+
+        openings.get(service).map_or(PROMPT_PART, |openings| openings.prompt_part(now))
     }
 
     /// Gets the requests in flight on some targets.
@@ -71,7 +103,8 @@
             return;
         };
         let serving = self.serving(service).unwrap_or_default();
-        let group_tokens_per_s = serving.len() as f64 * engine.read_tokens_per_s * PROMPT_PART;
+        let part = self.prompt_part(service, now);
+        let group_tokens_per_s = serving.len() as f64 * engine.read_tokens_per_s * part;
         let tokens = request.request.prompt_tokens(&self.names).unwrap_or(engine.usual_prompt);
         let counts = self.in_flight_counts(&serving, now);
         let mut prompts = self.prompts.borrow_mut();
@@ -112,6 +145,7 @@
         self.note_slowdown(&target.id, load.slowdown);
 
         self.groups.borrow_mut().insert(target.id.clone(), load.group);
+        self.note_group_word(&target.service, load);
 
         if load.is_open {
             self.note_open(&target, load);
@@ -120,6 +154,23 @@
         }
     }
 
+    /// Takes in what a rank says of its group's opening.
+    fn note_group_word(&self, service: &str, load: &RankLoad) {
+        let now = self.now();
+        let word = GroupWord {
+            group: load.group,
+            formation: load.formation,
+            is_open: load.is_open,
+            has_placement: load.has_placement,
+        };
+        let mut openings = self.openings.borrow_mut();
+
+        match openings.get_mut(service) {
+            Some(openings) => openings.note(word, now),
+            None => openings.entry(service.to_string()).or_default().note(word, now),
+        }
+    }
+
     /// Tells whether a stream should go on at another rank: pauses are too long for it, and its own rank is
     /// slow while others are well. All ranks wait in each pass for a slow one that has streams of its own: with
     /// a rank twelve times slower passes took 0.3 s until its eight streams had ended, eight seconds later.
@@ -253,7 +304,7 @@
             return full;
         }
 
-        let paces = self.paces.borrow();
+        let mut paces = self.paces.borrow_mut();
         let chooser = self.chooser.borrow();
         let load = chooser.mean_load(targets, now);
         // A rank without requests of its own keeps nobody waiting, but for its experts.
@@ -261,7 +312,10 @@
         let used: Vec<_> = targets.iter().filter(is_used).cloned().collect();
         let slowdown = f64::from(chooser.worst_slowdown(&used, now));
 
-        paces.get(service).map_or(full, |pace| pace.allowed_load(load, slowdown, full, now))
+        paces.get_mut(service).map_or(full, |pace| {
+            pace.note_load(load, now);
+            pace.allowed_load(load, slowdown, full, now)
+        })
     }
 
     /// Gets the time after which so many of the requests that run will have ended that the service's
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -455,6 +455,7 @@
             waiting: report.waiting,
             formation: report.epoch,
             is_open: report.is_open,
+            has_placement: report.placement != DEALT_PLACEMENT,
             slowdown: report.pace,
         };
         let watchers: Vec<SocketAddr> = self.watchers.keys().copied().collect();
