Pacing: a first spread of 0.35 until pauses were seen

Cause: a gateway that starts takes pauses to vary by 0.2 and so fills a group that opens to 0.85 of its places; the next shift of popularity then makes all streams late (passes of 0.12 to 0.13 s where 0.12 are wanted).

--- a/grebedeck-gateway/src/pacing.rs
+++ b/grebedeck-gateway/src/pacing.rs
@@ -90,8 +90,10 @@
     seen_at: Option<Moment>,
 }
 
-/// Spread that is taken for granted until another was seen.
-const FIRST_SPREAD: f64 = 0.2;
+/// Spread that is taken for granted until another was seen. What was popular before may be so no more when a group opens
+/// and hundreds of callers come back at once: with 0.2 the group filled to 0.85 of its places, and passes of the next
+/// shift took 0.12 to 0.13 s.
+const FIRST_SPREAD: f64 = 0.35;
 /// Greatest spread that is believed, so that some outage does not keep requests out for long.
 const MAX_SPREAD: f64 = 0.5;
 
