Places: who would wait for a service that is back too late is refused at once

Cause: a request for a service that was out waited for its patience, 0.4 s where nothing was seen yet, before it was told what was known when it came: that the service is expected back later than it could be held. Test: expected back later than one would wait, just in time, and places that may become free at any time.

--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// Tells whether there is no use in waiting until `give_up`: the service is expected back later than that. Callers of
+    /// a group that never forms were held for their whole objective before they were refused.
+    pub fn is_hopeless(self, give_up: Moment, now: Moment) -> bool {
+        matches!(self, NoPlace::Out(left) if now + left > give_up)
+    }
+
     /// Gets a short word for logs and counters.
     pub fn word(self) -> &'static str {
         match self {
@@ -101,7 +107,7 @@
                     give_up = (request.request.arrived + max_hold).min(request.deadline);
                 }
 
-                if now >= give_up {
+                if now >= give_up || reason.is_hopeless(give_up, now) {
                     gateway.counters.waits.note(now - began, reason.word());
                     gateway.counters.refusals.add(reason.word());
                     request.story.add(now, no_place(gateway, request, reason, now));
