--- a/grebedeck/src/rank.rs
+++ b/grebedeck/src/rank.rs
@@ -6,12 +6,14 @@
 //! Messages are datagrams: each tells a state, so that a lost one is made good by the next.
 
 pub mod balance;
+pub mod calls;
 pub mod counters;
 pub mod dependency;
 pub mod driver;
 pub mod message;
 pub mod obstacle;
 pub mod options;
+pub mod planning;
 pub mod show;
 
 use std::rc::Rc;
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -12,20 +11,21 @@
 use async_signal::{Signal, Signals};
 use async_std::net::UdpSocket;
 use futures::{FutureExt, StreamExt};
-use grebedeck_core::{Error, GroupId, Moment, Rank, Result};
-use grebedeck_experts::balancer::{CountDelta, is_counted};
-use grebedeck_experts::engine::{DEALT_PLACEMENT, PlacementNo};
-use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote, RankPart};
-use grebedeck_experts::{OrderEnd, RankCounts, RankEngine, RankOrder, RankReport};
+use grebedeck_core::{Moment, Result};
+use grebedeck_experts::balancer::CountDelta;
+use grebedeck_experts::engine::DEALT_PLACEMENT;
+use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote};
+use grebedeck_experts::{RankEngine, RankReport};
 use grebedeck_gateway::{ListedTarget, SiteStore, TargetEntry};
 use grebedeck_kernel::{Clock, Metrics, log};
 use serde_json::{Value, json};
 
 use super::balance::Balance;
+use super::calls::Outcome;
 use super::counters::Counters;
 use super::dependency::Dependency;
-use super::message::{Body, Datagram, DatagramReader, MAX_DATAGRAM_BYTES, RankLoad};
-use super::obstacle::{Obstacle, ObstacleNews, ObstacleWatch};
+use super::message::{Body, DatagramReader, MAX_DATAGRAM_BYTES, RankLoad};
+use super::obstacle::ObstacleWatch;
 use super::options::{
     BUSY_POLL, IDLE_POLL, LIST_PAUSE, OPENING_POLL, RankSettings, STOP_LIMIT, WATCH_LIFETIME,
     load_period,
@@ -39,20 +39,9 @@
 /// Outcomes of calls that may wait to be taken in.
 const OUTCOMES_WAITING: usize = 256;
 
-/// What became of a call.
-enum Outcome {
-    Report(Result<RankReport>),
-    Asked(Result<RankReport>),
-    Counts(Result<RankCounts>),
-    Ordered { rank: Rank, order: RankOrder, end: OrderEnd },
-    Part(Result<(PlacementNo, RankPart)>),
-    Listed(Result<Vec<ListedTarget>>),
-    Site(Result<Option<grebedeck_gateway::Site>>),
-}
-
 /// When something is to be done next, so that at most one call of a kind is under way.
 #[derive(Clone, Copy, Debug)]
-enum Due {
+pub(super) enum Due {
     At(Moment),
     UnderWay,
 }
@@ -64,11 +53,11 @@
 }
 
 /// What the process calls.
-struct Dependencies {
-    engine: Dependency,
-    counts: Dependency,
-    targets: Dependency,
-    site: Dependency,
+pub(super) struct Dependencies {
+    pub(super) engine: Dependency,
+    pub(super) counts: Dependency,
+    pub(super) targets: Dependency,
+    pub(super) site: Dependency,
 }
 
 impl Default for Dependencies {
@@ -84,28 +73,28 @@
 
 /// A rank process.
 pub struct Driver<S, E> {
-    tasks: Rc<LocalExecutor<'static>>,
-    settings: RankSettings,
-    store: S,
-    engine: E,
-    clock: Clock,
-    socket: UdpSocket,
-    node: Node<SocketAddr>,
-    balance: Balance,
-    delta: CountDelta,
-    reader: DatagramReader,
-    outcomes: (Sender<Outcome>, Receiver<Outcome>),
-    report_due: Due,
-    counts_due: Due,
-    list_due: Due,
-    site_due: Due,
-    plan_at: Moment,
-    load_at: Moment,
-    watchers: BTreeMap<SocketAddr, Moment>,
-    obstacles: ObstacleWatch,
-    lost: Dependencies,
-    counters: Counters,
-    state: Rc<RefCell<Value>>,
+    pub(super) tasks: Rc<LocalExecutor<'static>>,
+    pub(super) settings: RankSettings,
+    pub(super) store: S,
+    pub(super) engine: E,
+    pub(super) clock: Clock,
+    pub(super) socket: UdpSocket,
+    pub(super) node: Node<SocketAddr>,
+    pub(super) balance: Balance,
+    pub(super) delta: CountDelta,
+    pub(super) reader: DatagramReader,
+    pub(super) outcomes: (Sender<Outcome>, Receiver<Outcome>),
+    pub(super) report_due: Due,
+    pub(super) counts_due: Due,
+    pub(super) list_due: Due,
+    pub(super) site_due: Due,
+    pub(super) plan_at: Moment,
+    pub(super) load_at: Moment,
+    pub(super) watchers: BTreeMap<SocketAddr, Moment>,
+    pub(super) obstacles: ObstacleWatch,
+    pub(super) lost: Dependencies,
+    pub(super) counters: Counters,
+    pub(super) state: Rc<RefCell<Value>>,
 }
 
 impl<S: SiteStore, E: RankEngine> Driver<S, E> {
@@ -205,14 +194,6 @@
         }
     }
 
-    /// Gets how soon the engine's counts are read again.
-    fn count_period(&self) -> Duration {
-        let usual = millis(self.settings.balance.count_ms);
-        let is_dealt = self.node.report().is_some_and(|r| r.placement == DEALT_PLACEMENT);
-
-        if is_dealt { usual.min(OPENING_POLL) } else { usual }
-    }
-
     fn wait(&self) -> Duration {
         if self.node.is_busy() { BUSY_POLL } else { BUSY_POLL * 2 }
     }
@@ -276,68 +257,6 @@
         });
     }
 
-    /// Gets why a leader may make no plan now.
-    fn obstacle(&self, now: Moment) -> Option<Obstacle> {
-        if let Some(block) = self.node.plan_block(now) {
-            return Some(Obstacle::Rollout(block));
-        }
-
-        if !self.balance.knows_engine() {
-            return Some(Obstacle::EngineUnknown);
-        }
-
-        self.node.placement_in_use().is_none().then_some(Obstacle::PlacementUnknown)
-    }
-
-    /// Logs when plans have become impossible for some time, and when they are possible again.
-    fn note_obstacle(&mut self, obstacle: Option<Obstacle>, now: Moment) {
-        match self.obstacles.note(obstacle, now) {
-            Some(ObstacleNews::Blocked(obstacle)) => {
-                let rank = obstacle.rank().map_or(-1, i64::from);
-                self.counters.obstacles.add(obstacle.word());
-                log::warn!("no plan possible", kv: { reason = obstacle.word(), rank });
-            }
-            Some(ObstacleNews::Cleared(lasted)) => {
-                log::info!("plans possible", kv: { after_ms = lasted.as_millis() as u64 });
-            }
-            None => {}
-        }
-    }
-
-    /// Has the leader look for a better placement.
-    async fn plan(&mut self, now: Moment) {
-        if !self.node.is_leading() {
-            self.obstacles.forget();
-            return;
-        }
-
-        let obstacle = self.obstacle(now);
-        self.note_obstacle(obstacle, now);
-
-        if obstacle.is_some() {
-            return;
-        }
-
-        let (Some(reports), Some(in_use)) =
-            (self.node.group_reports(), self.node.placement_in_use().cloned())
-        else {
-            return;
-        };
-
-        let Some(change) = self.balance.plan(&in_use, &reports, now) else {
-            return;
-        };
-
-        self.counters.copies.add_many(change.copies as u64, "planned");
-        log::info!("placement proposed", kv: {
-            skew_before = f64::from(change.skew_before),
-            skew_after = f64::from(change.skew_after),
-            copies = change.copies,
-        });
-        let actions = self.node.propose(change.placement, now);
-        self.carry_out(actions).await;
-    }
-
     /// Takes in the datagrams that have come already: what is due after each of them is done once for all. A leader
     /// of 192 ranks gets a thousand in a second, on 0.15 of a core.
     async fn take_waiting(&mut self, buffer: &mut [u8]) {
@@ -478,34 +397,7 @@
         self.node.set_others(others.into_iter().collect());
     }
 
-    fn keep_first_placement(&mut self, ranks: u16) {
-        if let Some(first) = self.balance.first_placement(ranks) {
-            self.node.keep_placement(DEALT_PLACEMENT, Arc::new(first));
-        }
-    }
-
-    async fn report_counts(&mut self, counts: RankCounts) {
-        let Some(rank) = self.node.report().map(|r| r.rank) else {
-            return;
-        };
-        let Some(report) = self.delta.next(rank, counts) else {
-            return;
-        };
-        let size = self.node.report().map_or(1, |r| r.size);
-        let period = millis(self.settings.balance.count_ms);
-
-        if !is_counted(rank, size, report.codes.len(), period) {
-            return;
-        }
-
-        if self.node.is_leading() {
-            self.balance.count(&report);
-        } else if let Some(leader) = self.node.leader().copied() {
-            self.send(leader, Body::Counts(report)).await;
-        }
-    }
-
-    async fn carry_out(&mut self, actions: Vec<Action<SocketAddr>>) {
+    pub(super) async fn carry_out(&mut self, actions: Vec<Action<SocketAddr>>) {
         for action in actions {
             match action {
                 Action::Send { to, message } => self.send(to, Body::Rollout(message)).await,
@@ -525,82 +417,4 @@
             }
         }
     }
-
-    async fn send(&self, to: SocketAddr, body: Body) {
-        let datagram = Datagram { from: self.settings.target_address, group: self.group(), body };
-        let address = SocketAddr::new(to.ip(), self.settings.group_port);
-
-        let sent = match datagram.to_bytes() {
-            Ok(bytes) => self.socket.send_to(&bytes, address).await.map_err(Error::from),
-            Err(error) => Err(error),
-        };
-
-        // A lost datagram is made good by the next one, but one that never can be sent is a fault.
-        match sent {
-            Ok(_) => self.counters.datagrams.add("sent"),
-            Err(error) => {
-                self.counters.datagrams.add("failed");
-                log::warn!("datagram not sent", kv: { to = to.to_string(), error = error.to_string() });
-            }
-        }
-    }
-
-    /// Gets the own engine's group, once it is known.
-    fn group(&self) -> Option<GroupId> {
-        self.node.report().map(|report| report.group)
-    }
-
-    fn order(&self, rank: Rank, order: RankOrder) {
-        let Some(engine) = self.engine_of(rank) else {
-            return;
-        };
-        let outcomes = self.outcomes.0.clone();
-
-        self.tasks
-            .spawn(async move {
-                let end = engine.order(&order).await;
-                let _ = outcomes.send(Outcome::Ordered { rank, order, end }).await;
-            })
-            .detach();
-    }
-
-    fn ask(&self, rank: Rank) {
-        let Some(engine) = self.engine_of(rank) else {
-            return;
-        };
-        let outcomes = self.outcomes.0.clone();
-
-        self.tasks
-            .spawn(async move {
-                let report = engine.report().await;
-                let _ = outcomes.send(Outcome::Asked(report)).await;
-            })
-            .detach();
-    }
-
-    fn engine_of(&self, rank: Rank) -> Option<E> {
-        match self.node.address_of(rank) {
-            Some(address) if *address == self.settings.target_address => Some(self.engine.clone()),
-            Some(address) => Some(self.engine.at(*address)),
-            None => None,
-        }
-    }
-
-    fn call<F: Future<Output = Outcome> + 'static>(&self, call: impl FnOnce(E) -> F) {
-        self.spawn(call(self.engine.clone()));
-    }
-
-    fn ask_store<F: Future<Output = Outcome> + 'static>(&self, call: impl FnOnce(S) -> F) {
-        self.spawn(call(self.store.clone()));
-    }
-
-    fn spawn(&self, call: impl Future<Output = Outcome> + 'static) {
-        let outcomes = self.outcomes.0.clone();
-
-        self.tasks
-            .spawn(async move {
-                let _ = outcomes.send(call.await).await;
-            })
-            .detach();
-    }
 }
