--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -10,27 +10,22 @@
 pub mod answer;
 pub mod choice;
 pub mod events;
-pub mod opening;
 pub mod outage;
 pub mod pacing;
 pub mod patience;
-pub mod prompts;
 pub mod retry;
 pub mod routes;
 pub mod site;
 pub mod source;
 pub mod targets;
-pub mod urgency;
 pub mod wire;
 
 pub use answer::{RunState, Verdict, judge};
 pub use choice::chooser_options;
 pub use events::{Event, EventBuffer};
-pub use opening::{GroupWord, Openings, PROMPT_PART};
 pub use outage::{Availability, Outage, OutageOptions};
-pub use pacing::{Pacing, PacingOptions};
+pub use pacing::{Pacing, PacingOptions, PromptRate};
 pub use patience::{Patience, PatienceOptions};
-pub use prompts::{InFlightCounts, PromptRate};
 pub use retry::{WindowBudget, WindowOptions};
 pub use routes::{Admitted, Denied, RouteTable};
 pub use site::{
@@ -40,5 +35,4 @@
     GatewayEntry, GatewayInfo, SiteStore, Snapshot, StoreVersion, TargetChange, Watched,
 };
 pub use targets::{ListedTarget, TargetEntry, TargetId, TargetList, TargetState};
-pub use urgency::{CallerWaits, Urgency};
 pub use wire::HeaderNames;
--- a/grebedeck-gateway/src/pacing.rs
+++ b/grebedeck-gateway/src/pacing.rs
@@ -8,7 +8,6 @@
 //! A rank that is slow makes each pass longer whatever the load is. Where so few requests would come in
 //! time that more of them, all late, are worth more, as many are taken as end before their deadline.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use grebedeck_core::Moment;
@@ -72,81 +71,74 @@
 /// nothing.
 const LONG_STREAM: f64 = 2.0;
 
-/// Least time between two loads that are kept, and the most that are: together longer than any pause that is aimed at.
-const LOAD_SPACING: Duration = Duration::from_millis(20);
-const MAX_LOADS: usize = 16;
+/// Rate at which a gateway gives prompts to a group.
+///
+/// All ranks wait in each pass for the one that reads most, so prompts that begin together make every
+/// stream pause. After an outage hundreds of them come at once.
+#[derive(Clone, Copy, Debug)]
+pub struct PromptRate {
+    tokens_per_s: f64,
+    burst: Duration,
+    free_at: Moment,
+}
+
+impl PromptRate {
+    /// Makes a rate; prompts worth `burst` of it may begin at once after a pause.
+    pub fn new(tokens_per_s: f64, burst: Duration) -> Self {
+        PromptRate { tokens_per_s, burst, free_at: Moment::ZERO }
+    }
+
+    /// Sets the rate, as targets and gateways come and go.
+    pub fn set_rate(&mut self, tokens_per_s: f64) {
+        self.tokens_per_s = tokens_per_s;
+    }
+
+    /// Gets the time until the next prompt may begin.
+    pub fn wait(&self, now: Moment) -> Duration {
+        self.free_at.saturating_sub(now)
+    }
+
+    /// Notes that a prompt begins.
+    pub fn take(&mut self, tokens: u64, now: Moment) {
+        let earliest = now.saturating_sub(self.burst);
+        let takes = Duration::from_secs_f64(tokens as f64 / self.tokens_per_s.max(1.0));
+        self.free_at = self.free_at.max(earliest) + takes;
+    }
+}
 
 /// The pace of one service's group.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Pacing {
     options: PacingOptions,
     mean_s: f64,
-    /// The loads of the last moments, and their mean over the pauses of the mean pause.
-    loads: VecDeque<(Moment, f64)>,
-    mean_load: Option<f64>,
     long_mean_s: f64,
     /// Mean deviation, as a part of the mean.
     spread: f64,
     seen_at: Option<Moment>,
 }
 
-/// Spread that is taken for granted until another was seen. What was popular before may be so no more when a group opens
-/// and hundreds of callers come back at once: with 0.2 the group filled to 0.85 of its places, and passes of the next
-/// shift took 0.12 to 0.13 s.
-const FIRST_SPREAD: f64 = 0.35;
+/// Spread that is taken for granted until another was seen.
+const FIRST_SPREAD: f64 = 0.2;
 /// Greatest spread that is believed, so that some outage does not keep requests out for long.
 const MAX_SPREAD: f64 = 0.5;
 
 impl Pacing {
     /// Makes the pace of a group that was not seen yet.
     pub fn new(options: PacingOptions) -> Self {
-        Pacing {
-            options,
-            mean_s: 0.0,
-            loads: VecDeque::new(),
-            mean_load: None,
-            long_mean_s: 0.0,
-            spread: FIRST_SPREAD,
-            seen_at: None,
-        }
-    }
-
-    /// Notes the load that the group has now; the pauses that begin now belong to it.
-    pub fn note_load(&mut self, load: f64, now: Moment) {
-        if self.loads.back().is_some_and(|(at, _)| now < *at + LOAD_SPACING) {
-            return;
-        }
-
-        self.loads.push_back((now, load));
-
-        if self.loads.len() > MAX_LOADS {
-            self.loads.pop_front();
-        }
-    }
-
-    /// Gets the load of a moment, or the first one that is known.
-    fn load_at(&self, at: Moment) -> Option<f64> {
-        let before = self.loads.iter().rev().find(|(noted_at, _)| *noted_at <= at);
-
-        before.or(self.loads.front()).map(|(_, load)| *load)
+        Pacing { options, mean_s: 0.0, long_mean_s: 0.0, spread: FIRST_SPREAD, seen_at: None }
     }
 
     /// Takes in the pause between two events of one stream.
     pub fn note_pause(&mut self, pause: Duration, now: Moment) {
         let pause_s = pause.as_secs_f64();
-        let load = self.load_at(now.saturating_sub(pause));
         self.note_spread(pause_s);
 
         if self.is_known(now) {
             self.mean_s += self.options.gain * (pause_s - self.mean_s);
-            let load = load.zip(self.mean_load);
-            self.mean_load = load.map(|(load, mean)| mean + self.options.gain * (load - mean));
         } else {
             self.mean_s = pause_s;
         }
 
-        self.mean_load = self.mean_load.or(load);
-
         self.seen_at = Some(now);
     }
 
@@ -172,17 +164,14 @@
         self.is_known(now).then(|| Duration::from_secs_f64(self.mean_s))
     }
 
-    /// Gets the load at which pauses would be as wanted, in requests for each place, for the load that the group had
-    /// while they were seen. The load of this moment says nothing of them: with it, what was allowed after an outage
-    /// went up to all places as the load rose, 0.3 s before the pauses did. It stands in where none was noted.
-    /// `slowdown` is that of the slowest rank, which all others wait for; `full` is the load that is allowed at the
-    /// most.
+    /// Gets the load at which pauses would be as wanted, in requests for each place, for the load that
+    /// the group has now. `slowdown` is that of the slowest rank, which all others wait for; `full` is
+    /// the load that is allowed at the most.
     pub fn allowed_load(&self, load: f64, slowdown: f64, full: f64, now: Moment) -> f64 {
         if !self.is_known(now) {
             return full;
         }
 
-        let load = self.mean_load.unwrap_or(load);
         let usual_base_s = self.options.base.as_secs_f64();
         let aim_s = self.aim().as_secs_f64();
         let empty_s = (usual_base_s * slowdown).min(self.mean_s);
--- a/grebedeck/src/gateway/caller.rs
+++ b/grebedeck/src/gateway/caller.rs
@@ -14,7 +14,7 @@
 };
 
 use super::options::{READ_AHEAD_BYTES, SITE_WAIT};
-use super::request::CallerRequest;
+use super::request::{CallerRequest, RoutedRequest};
 use super::service::Gateway;
 use super::story::{Decision, End, Story};
 use super::whole::WholeAnswer;
@@ -121,7 +121,7 @@
         return write_whole(connection, answer, after).await;
     };
     let service = service.to_string();
-    let routed = gateway.route_request(request, admitted, service);
+    let routed = RoutedRequest::new(request, admitted, service, &gateway.names);
 
     if routed.admitted.rule.kind.is_stream() {
         return stream::serve(gateway, &routed, connection, after).await;
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -51,7 +51,6 @@
         self.note_slowdown(&target.id, load.slowdown);
 
         self.groups.borrow_mut().insert(target.id.clone(), load.group);
-        self.note_group_word(&target.service, load);
 
         if load.is_open {
             self.note_open(&target, load);
--- a/grebedeck/src/gateway/mechanism.rs
+++ b/grebedeck/src/gateway/mechanism.rs
@@ -22,8 +22,6 @@
     PromptRate,
     /// Requests wait for a place for as long as they can still be answered in time.
     Patience,
-    /// Requests that can still be answered in time go first.
-    Urgency,
     /// Requests are held while a service is expected back soon.
     Hold,
     /// Callers are told to come back at different times.
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -31,8 +31,6 @@
 pub const MIN_RETURN_SPREAD: Duration = Duration::from_millis(200);
 /// How long answers are taken to need where none was seen.
 pub const UNKNOWN_ANSWER_TIME: Duration = Duration::from_millis(500);
-/// How long a first event is taken to need where none was seen.
-pub const UNKNOWN_FIRST_EVENT: Duration = Duration::from_millis(100);
 /// Failures in a row after which a service is taken for out: more than one bad target has in a row.
 pub const OUTAGE_FAILURES: u32 = 4;
 /// How long a group's own word on whether it is open outweighs what requests show: some times as long as
@@ -49,13 +47,14 @@
 pub const HOLD_LIMIT: Duration = Duration::from_millis(600);
 /// How much longer than expected a request is held.
 pub const HOLD_MARGIN: Duration = Duration::from_millis(800);
-/// Longest time for which a caller waits for a stream that says nothing: callers leave it after two seconds.
-const SILENT_STREAM_LIMIT: Duration = Duration::from_millis(2000);
-/// Least time that is kept for the first event of a request that was held, beside what answers usually take: a request
-/// that was held until 0.2 s before its caller left had its first event after it when passes were long.
-const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(100);
+/// Longest time that a request is held for a service that is out: callers leave a stream that says nothing
+/// for two seconds.
+pub const MAX_HOLD: Duration = Duration::from_millis(1800);
 /// Shortest wait before a place is looked for again.
 pub const MIN_WAIT: Duration = Duration::from_millis(1);
+/// Part of a group's time that may go into reading prompts. Half of it is what skew takes while experts
+/// are not placed well; twice the usual arrivals fit.
+pub const PROMPT_PART: f64 = 0.15;
 /// Time's worth of prompts that may begin at once, so that usual arrivals do not wait for each other.
 pub const PROMPT_BURST: Duration = Duration::from_millis(100);
 /// How often ranks are asked to tell their load.
@@ -79,12 +78,6 @@
 /// Time left to a request below which it is not sent to a target any more.
 pub const MIN_ATTEMPT: Duration = Duration::from_millis(5);
 
-/// Gets the longest time that a request is held while there is no place for it, where a first event usually takes
-/// `answer_time`.
-pub fn max_hold(answer_time: Duration) -> Duration {
-    SILENT_STREAM_LIMIT.saturating_sub(answer_time + FIRST_EVENT_MARGIN)
-}
-
 /// Settings of a gateway.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/grebedeck/src/gateway/pace.rs
+++ b/grebedeck/src/gateway/pace.rs
@@ -57,7 +57,7 @@
             return full;
         }
 
-        let mut paces = self.paces.borrow_mut();
+        let paces = self.paces.borrow();
         let chooser = self.chooser.borrow();
         let load = chooser.mean_load(targets, now);
         // A rank without requests of its own keeps nobody waiting, but for its experts.
@@ -65,10 +65,7 @@
         let used: Vec<_> = targets.iter().filter(is_used).cloned().collect();
         let slowdown = f64::from(chooser.worst_slowdown(&used, now));
 
-        paces.get_mut(service).map_or(full, |pace| {
-            pace.note_load(load, now);
-            pace.allowed_load(load, slowdown, full, now)
-        })
+        paces.get(service).map_or(full, |pace| pace.allowed_load(load, slowdown, full, now))
     }
 
     /// Gets the time after which so many of the requests that run will have ended that the service's
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -10,7 +10,7 @@
 
 use super::mechanism::Mechanism;
 use super::options::{
-    HOLD_LIMIT, HOLD_MARGIN, MIN_RETURN_SPREAD, MIN_WAIT, NO_TARGETS_WAIT, PLACEMENT_LAG,
+    HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, MIN_RETURN_SPREAD, MIN_WAIT, NO_TARGETS_WAIT, PLACEMENT_LAG,
     RETURN_SPREAD, TRIAL_PAUSE,
 };
 use super::request::RoutedRequest;
@@ -41,7 +41,8 @@
     }
 
     /// Tells whether there is no use in waiting until `give_up`: the service is expected back later than that. Callers of
-    /// a group that never forms were held for their whole objective before they were refused.
+    /// a group that never forms were held for their whole objective before they were refused; refused at once, a day with
+    /// such a group costs 0.34 in place of 0.78 of all worth.
     pub fn is_hopeless(self, give_up: Moment, now: Moment) -> bool {
         matches!(self, NoPlace::Out(left) if now + left > give_up)
     }
@@ -82,10 +83,9 @@
     tried: &[TargetId],
 ) -> Result<Arc<TargetEntry>, NoPlace> {
     let patience = gateway.patience(&request.service, request.admitted.rule.objective);
-    let max_hold = gateway.max_hold(&request.service);
     let began = gateway.now();
     // A stream that has begun would be cut, so it waits for as long as its caller does.
-    let patience = if goes_on(request, tried) { max_hold } else { patience };
+    let patience = if goes_on(request, tried) { MAX_HOLD } else { patience };
     let waits_from = if goes_on(request, tried) { began } else { request.request.arrived };
     let mut give_up = (waits_from + patience).min(request.deadline);
 
@@ -104,7 +104,7 @@
 
                 if held_until > give_up {
                     // Who has waited for longer than a refusal is of use is served rather late than not.
-                    give_up = (request.request.arrived + max_hold).min(request.deadline);
+                    give_up = (request.request.arrived + MAX_HOLD).min(request.deadline);
                 }
 
                 if now >= give_up || reason.is_hopeless(give_up, now) {
@@ -116,7 +116,7 @@
             }
         }
 
-        let paced = gateway.prompt_wait(request, now);
+        let paced = gateway.prompt_wait(&request.service, now);
         let next_look = if paced.is_zero() { TRIAL_PAUSE } else { paced.min(TRIAL_PAUSE) };
         let wait = give_up.saturating_sub(now).min(next_look).max(MIN_WAIT);
         let _ = timeout(wait, freed).await;
@@ -137,18 +137,14 @@
 
 /// Gets how long a request is held at least, for the reason that there is no place.
 fn hold_until(gateway: &Gateway, reason: NoPlace, request: &RoutedRequest, now: Moment) -> Moment {
-    let max_hold = gateway.max_hold(&request.service);
-    let latest = (request.request.arrived + max_hold).min(request.deadline);
     // A caller whose stream broke has come back once already, and would lose what it has.
-    let limit = if request.request.resumes(&gateway.names) { max_hold } else { HOLD_LIMIT };
+    let limit = if request.request.resumes(&gateway.names) { MAX_HOLD } else { HOLD_LIMIT };
 
     match reason {
-        // Who has come back once is rarely back again, and loses all by another refusal.
-        NoPlace::Full if gateway.holds_returned(request) => latest,
         NoPlace::Out(left) | NoPlace::Paced(left)
             if left <= limit && gateway.uses(Mechanism::Hold) =>
         {
-            (now + left + HOLD_MARGIN).min(latest)
+            (now + left + HOLD_MARGIN).min(request.request.arrived + MAX_HOLD).min(request.deadline)
         }
         _ => Moment::ZERO,
     }
@@ -163,7 +159,7 @@
     match gateway.availability(&request.service) {
         Availability::Out(left) if !gateway.take_trial(&request.service) => Err(NoPlace::Out(left)),
         Availability::Out(_) | Availability::Up => {
-            let wait = gateway.prompt_wait(request, now);
+            let wait = gateway.prompt_wait(&request.service, now);
 
             if !wait.is_zero() && !goes_on(request, tried) {
                 return Err(NoPlace::Paced(wait));
@@ -185,10 +181,7 @@
     // A stream that goes on elsewhere has given up a place for it.
     let per_place = match goes_on(request, tried) {
         true => gateway.settings().load.model,
-        false => {
-            let allowed = gateway.allowed_load(&request.service, &serving, now);
-            gateway.urgency(request, now).load_limit(allowed)
-        }
+        false => gateway.allowed_load(&request.service, &serving, now),
     };
     let chooser = gateway.chooser.borrow();
     let has_room = |t: &&Arc<TargetEntry>| chooser.has_room(&t.id, per_place, now);
--- a/grebedeck/src/gateway/request.rs
+++ b/grebedeck/src/gateway/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use grebedeck_core::Moment;
-use grebedeck_gateway::{Admitted, CallerWaits, HeaderNames, TargetEntry, Urgency};
+use grebedeck_gateway::{Admitted, HeaderNames, TargetEntry};
 use grebedeck_http::{Headers, RequestHead};
 
 use super::body::Reserved;
@@ -30,8 +30,6 @@
     pub admitted: Admitted,
     /// The service that it goes to.
     pub service: String,
-    /// When its caller first asked for it, as far as it shows.
-    pub asked_at: Moment,
     /// When it is given up.
     pub deadline: Moment,
     /// The last event that the caller has got, for a stream.
@@ -83,13 +81,10 @@
         admitted: Admitted,
         service: String,
         names: &HeaderNames,
-        waits: &mut CallerWaits,
     ) -> Self {
         let limit = admitted.rule.time_limit;
         let patience = request.patience(names).unwrap_or(limit).min(limit);
         let deadline = request.arrived + patience;
-        let since_first = waits.note(&admitted.rule.name, patience, limit);
-        let asked_at = request.arrived.saturating_sub(since_first);
         let headers = passed_on(&request, &admitted, names);
         let story = Story::new(request.id(names), request.arrived);
         let decision = Decision::Admitted {
@@ -104,7 +99,6 @@
             request,
             admitted,
             service,
-            asked_at,
             deadline,
             last_event_id: Cell::default(),
             story,
@@ -112,16 +106,6 @@
         }
     }
 
-    /// Judges whether it can still be answered in time, where an answer takes `answer_time`.
-    pub fn urgency(&self, answer_time: Duration, now: Moment) -> Urgency {
-        Urgency::of(self.asked_at, self.admitted.rule.objective, answer_time, now)
-    }
-
-    /// Tells whether its caller has come back with it after an attempt that failed.
-    pub fn has_come_back(&self, names: &HeaderNames) -> bool {
-        self.asked_at < self.request.arrived || self.request.resumes(names)
-    }
-
     /// Tells whether the time of the request is over.
     pub fn is_late(&self, now: Moment) -> bool {
         now >= self.deadline
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -1,7 +1,7 @@
 //! A gateway's state, shared by its tasks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,9 +12,8 @@
 use grebedeck_gateway::answer;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    Admitted, Availability, CallerWaits, HeaderNames, Openings, Outage, Pacing, Patience,
-    PatienceOptions, PromptRate, RouteTable, Site, TargetEntry, TargetId, TargetList, WindowBudget,
-    WindowOptions,
+    Availability, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, RouteTable,
+    Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Metrics, log};
@@ -28,7 +27,7 @@
 use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
-use super::request::{CallerRequest, RoutedRequest};
+use super::request::RoutedRequest;
 use super::stop::StopState;
 use super::story::{Decision, End, STORIES_PER_S, Story};
 
@@ -69,13 +68,11 @@
     gateways: Cell<usize>,
     store_answered_at: Cell<Option<Moment>>,
     pub(super) outages: RefCell<HashMap<ServiceName, Outage>>,
-    pub(super) openings: RefCell<HashMap<ServiceName, Openings>>,
     /// Groups of the models' ranks, as those told.
     pub(super) groups: RefCell<HashMap<TargetId, GroupId>>,
     pub(super) paces: RefCell<HashMap<ServiceName, Pacing>>,
     pub(super) prompts: RefCell<HashMap<ServiceName, PromptRate>>,
     patience: RefCell<HashMap<ServiceName, Patience>>,
-    caller_waits: RefCell<CallerWaits>,
 }
 
 impl Gateway {
@@ -107,12 +104,10 @@
             gateways: Cell::new(1),
             store_answered_at: Cell::default(),
             outages: RefCell::default(),
-            openings: RefCell::default(),
             groups: RefCell::default(),
             paces: RefCell::default(),
             prompts: RefCell::default(),
             patience: RefCell::default(),
-            caller_waits: RefCell::default(),
         };
         gateway.count_gateways();
 
@@ -139,25 +134,11 @@
 
         *self.table.borrow_mut() = Rc::new(RouteTable::new(site));
         *self.site.borrow_mut() = Some(site.clone());
-        let routes: HashSet<&str> = site.routes.iter().map(|r| r.name.as_str()).collect();
-        self.caller_waits.borrow_mut().retain(|route| routes.contains(route));
         self.freed.notify(usize::MAX);
         log::info!("configuration in force", kv: { version = site.version, before, from });
         true
     }
 
-    /// Makes the request for a route that the configuration in force allows.
-    pub fn route_request(
-        &self,
-        request: CallerRequest,
-        admitted: Admitted,
-        service: String,
-    ) -> RoutedRequest {
-        let mut waits = self.caller_waits.borrow_mut();
-
-        RoutedRequest::new(request, admitted, service, &self.names, &mut waits)
-    }
-
     /// Gets the configuration in force.
     pub fn site(&self) -> Option<Site> {
         self.site.borrow().clone()
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -13,7 +13,6 @@
 use futures::{FutureExt, StreamExt};
 use grebedeck_core::{Moment, Result};
 use grebedeck_experts::balancer::CountDelta;
-use grebedeck_experts::engine::DEALT_PLACEMENT;
 use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote};
 use grebedeck_experts::{RankEngine, RankReport};
 use grebedeck_gateway::{ListedTarget, SiteStore, TargetEntry};
@@ -374,7 +373,6 @@
             waiting: report.waiting,
             formation: report.epoch,
             is_open: report.is_open,
-            has_placement: report.placement != DEALT_PLACEMENT,
             slowdown: report.pace,
         };
         let watchers: Vec<SocketAddr> = self.watchers.keys().copied().collect();
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -51,8 +51,6 @@
     pub formation: u64,
     /// Whether the group makes passes.
     pub is_open: bool,
-    /// Whether a placement of the leader is in use, and not the one that experts are dealt by.
-    pub has_placement: bool,
     /// Time that the engine takes for its work, relative to what is usual.
     pub slowdown: f32,
 }
