--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -42,9 +42,9 @@
 
     /// Tells whether there is no use in waiting until `give_up`: the service is expected back later than that, and has
     /// been out for longer than outages last. Callers of a group that never forms were held for their whole objective
-    /// before they were refused; refused at once whenever a service was out, a day with such a group cost 0.34 in place of 0.78 of all worth. Before
-    /// that a service may be back sooner than expected: refusing at once then cost 0.046 on a day with outages of two
-    /// seconds, over four seeds.
+    /// before they were refused, which cost 0.78 of all worth on a day with such a group, and 0.34 with refusals at once.
+    /// Before that a service may be back sooner than expected: with refusals at once in every outage a day with outages
+    /// of two seconds lost 0.046, over four seeds.
     pub fn is_hopeless(self, is_overdue: bool, give_up: Moment, now: Moment) -> bool {
         is_overdue && matches!(self, NoPlace::Out(left) if now + left > give_up)
     }
