--- a/grebedeck-gateway/src/source.rs
+++ b/grebedeck-gateway/src/source.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use grebedeck_core::Result;
+use grebedeck_core::error::platform_error;
+use grebedeck_core::{HallName, Result};
 use serde::{Deserialize, Serialize};
 
 use crate::site::Site;
@@ -52,6 +53,61 @@
     },
 }
 
+/// What operators have written.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OperatorState {
+    /// The newest configuration, where there is one that can be read.
+    pub site: Option<Site>,
+    /// Halls to which nothing new may go.
+    pub evacuated: Vec<HallName>,
+    /// What cannot be read. It hides nothing of the rest.
+    pub unreadable: Vec<Unreadable>,
+}
+
+/// A change of what operators have written.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorChange {
+    /// A newer configuration.
+    Site(Site),
+    /// Nothing new may go to a hall.
+    Evacuated {
+        /// The store's version of the request.
+        version: StoreVersion,
+        /// The hall.
+        hall: HallName,
+    },
+    /// A hall may get requests again.
+    TakenBack {
+        /// The store's version of that.
+        version: StoreVersion,
+        /// The hall.
+        hall: HallName,
+    },
+    /// Something that cannot be read.
+    Unreadable(Unreadable),
+}
+
+/// A key of the operators' that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    /// The store's version of it.
+    pub version: StoreVersion,
+    /// The key.
+    pub key: String,
+    /// What is wrong with it.
+    pub error: String,
+}
+
+impl OperatorState {
+    /// Gets the configuration; fails where there is one that cannot be read.
+    pub fn into_site(self) -> Result<Option<Site>> {
+        match (self.site, self.unreadable.first()) {
+            (None, Some(first)) => platform_error(format!("{}: {}", first.key, first.error)),
+            (site, _) => Ok(site),
+        }
+    }
+}
+
 /// A gateway as others find it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayEntry {
@@ -73,15 +129,15 @@
 /// The platform's store. Every answer holds all that was acknowledged before; after an error it is not
 /// known whether a write took effect.
 pub trait SiteStore: Clone + 'static {
-    /// Reads the newest configuration.
-    fn read_site(&self) -> impl Future<Output = Result<Snapshot<Option<Site>>>>;
+    /// Reads what operators have written.
+    fn read_operator(&self) -> impl Future<Output = Result<Snapshot<OperatorState>>>;
 
-    /// Waits for a newer configuration.
-    fn watch_site(
+    /// Waits for changes of it.
+    fn watch_operator(
         &self,
         after: StoreVersion,
         wait: Duration,
-    ) -> impl Future<Output = Result<Watched<Site>>>;
+    ) -> impl Future<Output = Result<Watched<OperatorChange>>>;
 
     /// Reads the list of targets.
     fn read_targets(&self) -> impl Future<Output = Result<Snapshot<Vec<ListedTarget>>>>;
--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -13,6 +13,7 @@
 use grebedeck_routing::Candidate;
 use serde::{Deserialize, Serialize};
 
+use crate::evacuation::Evacuations;
 use crate::source::{StoreVersion, TargetChange};
 
 /// Id of one start of a target.
@@ -98,6 +99,11 @@
     is_store_failing: bool,
     /// When the store first answered again.
     returned_at: Option<Moment>,
+    evacuations: Evacuations,
+    /// Services all of whose targets stand in evacuated halls.
+    evacuated: HashSet<ServiceName>,
+    /// The moment that the lists of targets that take work stand for.
+    indexed_at: Moment,
 }
 
 impl TargetList {
@@ -161,19 +167,46 @@
         self.is_store_failing = true;
     }
 
+    /// Changes what is known of evacuated halls.
+    pub fn change_evacuations<T>(
+        &mut self,
+        change: impl FnOnce(&mut Evacuations) -> T,
+        now: Moment,
+    ) -> T {
+        let changed = change(&mut self.evacuations);
+        self.indexed_at = now;
+        self.index();
+
+        changed
+    }
+
+    /// Gets what is known of evacuated halls.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Tells whether targets of a service would take work, and all of them stand in evacuated halls.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        self.evacuated.contains(service)
+    }
+
     fn note_return(&mut self, now: Moment) {
+        self.indexed_at = now;
+
         if std::mem::take(&mut self.is_store_failing) {
             self.returned_at = Some(now);
         }
     }
 
-    /// Drops lapsed targets whose time is over; gives what changed.
+    /// Drops lapsed targets whose time is over, and lets those of evacuated halls leave and return; gives what changed.
     pub fn tick(&mut self, now: Moment) -> Vec<ListEvent> {
         let is_over = |known: &Known| known.lapses_at.is_some_and(|at| at <= now);
         let over: Vec<TargetId> =
             self.known.iter().filter(|(_, k)| is_over(k)).map(|(id, _)| id.clone()).collect();
 
-        if over.is_empty() {
+        let since = std::mem::replace(&mut self.indexed_at, now);
+
+        if over.is_empty() && !self.evacuations.moves_between(since, now) {
             return Vec::new();
         }
 
@@ -283,11 +316,20 @@
             *version = known.version.max(*version);
         }
 
+        let mut stopped: HashSet<&ServiceName> = HashSet::new();
+
         for known in self.known.values() {
             // Of two targets at one address, the one that was heard of last has replaced the other.
             let is_newest = newest.get(&known.entry.address) == Some(&known.version);
 
-            if known.entry.state == TargetState::Serving && is_newest {
+            if known.entry.state != TargetState::Serving || !is_newest {
+                continue;
+            }
+
+            // Every way to a target passes this list, so that none can be forgotten.
+            if self.evacuations.stops(&known.entry, self.indexed_at) {
+                stopped.insert(&known.entry.service);
+            } else {
                 by_service
                     .entry(known.entry.service.clone())
                     .or_default()
@@ -295,6 +337,8 @@
             }
         }
 
+        let is_left = |service: &&&ServiceName| !by_service.contains_key(**service);
+        self.evacuated = stopped.iter().filter(is_left).map(|s| (*s).clone()).collect();
         self.serving = by_service.into_iter().map(|(name, list)| (name, list.into())).collect();
     }
 }
