--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -180,6 +180,17 @@
         changed
     }
 
+    /// Tells whether the lists of targets that take work stand for a moment that is longer ago than that, and evacuated
+    /// halls have changed them since.
+    pub fn is_index_older(&self, age: Duration, now: Moment) -> bool {
+        now > self.indexed_at + age && self.evacuations.moves_between(self.indexed_at, now)
+    }
+
+    /// Notes that all words on halls up to a version are known.
+    pub fn know_halls_up_to(&mut self, version: StoreVersion) {
+        self.evacuations.known_up_to(version);
+    }
+
     /// Gets what is known of evacuated halls.
     pub fn evacuations(&self) -> &Evacuations {
         &self.evacuations
--- a/grebedeck-lab/src/losses.rs
+++ b/grebedeck-lab/src/losses.rs
@@ -48,6 +48,8 @@
     RefusedPaced,
     /// Refused, as the service was out.
     RefusedOut,
+    /// Refused, as all targets stood in evacuated halls.
+    RefusedEvacuated,
     /// Refused for another reason.
     RefusedOther,
     /// The time was over.
@@ -226,6 +228,7 @@
         ("refused", Some("full")) => Some(Cause::RefusedFull),
         ("refused", Some("paced")) => Some(Cause::RefusedPaced),
         ("refused", Some("out")) => Some(Cause::RefusedOut),
+        ("refused", Some("evacuated")) => Some(Cause::RefusedEvacuated),
         ("refused", _) => Some(Cause::RefusedOther),
         ("timed_out", _) => Some(Cause::TimedOut),
         ("cut", _) => Some(Cause::Cut),
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod body;
 pub mod caller;
 pub mod counters;
+pub mod halls;
 pub mod health;
 pub mod loads;
 pub mod mechanism;
@@ -77,7 +78,7 @@
         hall = gateway.settings().hall.as_str(),
         caller_address = gateway.settings().caller_address.to_string(),
     });
-    tasks.spawn(watch::follow_site(gateway.clone(), store.clone())).detach();
+    tasks.spawn(watch::follow_operator(gateway.clone(), store.clone())).detach();
     tasks.spawn(watch::follow_targets(gateway.clone(), store.clone())).detach();
     tasks.spawn(peers::follow_list(gateway.clone(), store)).detach();
     tasks.spawn(loads::follow(gateway.clone(), socket)).detach();
--- a/grebedeck/src/gateway/counters.rs
+++ b/grebedeck/src/gateway/counters.rs
@@ -16,6 +16,10 @@
     pub repeats: Counter,
     /// Calls to the store by what they were for and how they ended.
     pub store_calls: Counter,
+    /// What other gateways answered while the store was away.
+    pub peer_answers: Counter,
+    /// News on evacuated halls, by what they say.
+    pub hall_news: Counter,
     /// Log lines that were left out, by kind.
     pub left_out: Counter,
     /// Time until an answer was whole, by the route's kind.
@@ -61,6 +65,16 @@
                 "end",
                 "Calls to the platform's store",
             ),
+            peer_answers: counter(
+                "grebedeck_gateway_peer_answers",
+                "end",
+                "Answers of other gateways while the store was away",
+            ),
+            hall_news: counter(
+                "grebedeck_gateway_hall_news",
+                "word",
+                "Halls that were evacuated or taken back",
+            ),
             left_out: counter(
                 "grebedeck_gateway_stories_left_out",
                 "kind",
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -70,6 +70,9 @@
 /// How much later than a model's group is expected back callers are told to come: its experts lie as they
 /// were dealt, and it takes half of the usual requests until its first placement is in use.
 pub const PLACEMENT_LAG: Duration = Duration::from_millis(600);
+/// How long a caller is told to wait while all targets of a service stand in evacuated halls: operators take a hall
+/// back after seconds at the soonest.
+pub const EVACUATED_WAIT: Duration = Duration::from_millis(1000);
 /// How long a request is held at the start of the process, until the configuration is known.
 pub const SITE_WAIT: Duration = Duration::from_millis(300);
 /// How much later than asked the store may answer before it is taken for away: more than an answer takes
@@ -112,6 +115,9 @@
     /// How soon after trouble with the store the process has to know again what the store has.
     #[serde(default = "defaults::catch_up_ms")]
     pub catch_up_ms: u64,
+    /// How long after the operators' request nothing new may reach a hall that they evacuate.
+    #[serde(default = "defaults::evacuate_ms")]
+    pub evacuate_ms: u64,
     /// How long the process goes on after a signal to stop.
     pub stop_limit_ms: u64,
     /// How long the platform's balancer may go on to send connections to a process that is not ready.
@@ -246,6 +252,7 @@
         positive("store_limit_ms", self.store_limit_ms as f64);
         positive("leaving_ms", self.leaving_ms as f64);
         positive("catch_up_ms", self.catch_up_ms as f64);
+        positive("evacuate_ms", self.evacuate_ms as f64);
         positive("stop_limit_ms", self.stop_limit_ms as f64);
         positive("memory_mb", self.memory_mb as f64);
         positive("max_callers", self.max_callers as f64);
@@ -285,6 +292,10 @@
         3000
     }
 
+    pub fn evacuate_ms() -> u64 {
+        grebedeck_gateway::evacuation::DEFAULT_BOUND.as_millis() as u64
+    }
+
     pub fn leave_ms() -> u64 {
         // The balancer asks each second and gives up after two misses.
         2300
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -11,7 +11,9 @@
 
 use async_std::task::sleep;
 use grebedeck_core::{Error, RandomSource, Result};
-use grebedeck_gateway::{GatewayEntry, GatewayInfo, ListedTarget, Site, SiteStore, StoreVersion};
+use grebedeck_gateway::{
+    GatewayEntry, GatewayInfo, HallWords, ListedTarget, Site, SiteStore, StoreVersion,
+};
 use grebedeck_http::{Client, RequestHead};
 use grebedeck_kernel::log;
 use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
@@ -38,6 +40,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct PeerState {
     site: Option<Site>,
+    halls: HallWords,
     targets_version: StoreVersion,
     targets: Vec<ListedTarget>,
 }
@@ -48,8 +51,9 @@
         return Page::empty(404);
     }
 
+    let halls = gateway.hall_words();
     let (targets_version, targets) = gateway.with_targets(|t| (t.version(), t.listed()));
-    let state = PeerState { site: gateway.site(), targets_version, targets };
+    let state = PeerState { site: gateway.site(), halls, targets_version, targets };
 
     match encode(&state) {
         Ok(bytes) => Page {
@@ -131,13 +135,22 @@
 
 /// Asks one peer and takes what is newer.
 async fn ask(gateway: Rc<Gateway>, client: Rc<Client>) {
-    // Seeds and published gateways may be gone, so a failure is nothing to tell of.
-    let Ok(state) = fetch(&client).await else {
-        return;
+    let state = match fetch(&client).await {
+        Ok(state) => state,
+        // Seeds and published gateways may be gone, so a failure is only counted.
+        Err(error) => {
+            let is_of_peer = matches!(error, Error::Protocol(_));
+            gateway.counters.peer_answers.add(if is_of_peer { "not_understood" } else { "none" });
+            return;
+        }
     };
+    gateway.counters.peer_answers.add("taken");
+
+    // Halls go first: no request is routed by a new configuration before they are known.
+    gateway.take_hall_words(&state.halls);
 
-    if let Some(site) = &state.site {
-        gateway.take_site(site, "peer");
+    if let Some(site) = state.site.filter(|_| gateway.operator.knows_halls()) {
+        gateway.take_site(&site, "peer");
     }
 
     gateway.change_targets(|targets, now| {
@@ -153,7 +166,7 @@
     let answer = client
         .get(STATE_PATH, ASK_LIMIT)
         .await
-        .map_err(|e| Error::Protocol(format!("peer {}: {e}", client.address())))?;
+        .map_err(|e| Error::Platform(format!("peer {}: {e}", client.address())))?;
 
     decode(&answer.body)
 }
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -10,8 +10,8 @@
 
 use super::mechanism::Mechanism;
 use super::options::{
-    HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, MIN_RETURN_SPREAD, MIN_WAIT, NO_TARGETS_WAIT, PLACEMENT_LAG,
-    RETURN_SPREAD, TRIAL_PAUSE,
+    EVACUATED_WAIT, HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, MIN_RETURN_SPREAD, MIN_WAIT,
+    NO_TARGETS_WAIT, PLACEMENT_LAG, RETURN_SPREAD, TRIAL_PAUSE,
 };
 use super::request::RoutedRequest;
 use super::service::Gateway;
@@ -23,6 +23,8 @@
 pub enum NoPlace {
     /// No target of the service is known that takes work.
     NoTargets,
+    /// All targets of the service stand in halls that operators evacuate.
+    Evacuated,
     /// All targets have as many requests as they should.
     Full,
     /// The service is out, and expected back after this time.
@@ -34,6 +36,10 @@
 impl NoPlace {
     /// Gets why a request that is given up after its attempts has no place now.
     pub fn after_attempts(gateway: &Gateway, service: &str) -> Self {
+        if gateway.is_evacuated(service) {
+            return NoPlace::Evacuated;
+        }
+
         match gateway.availability(service) {
             Availability::Out(left) => NoPlace::Out(left),
             Availability::Up => NoPlace::Full,
@@ -44,15 +50,20 @@
     /// been out for longer than outages last. Callers of a group that never forms were held for their whole objective
     /// before they were refused, which cost 0.78 of all worth on a day with such a group, and 0.34 with refusals at once.
     /// Before that a service may be back sooner than expected: with refusals at once in every outage a day with outages
-    /// of two seconds lost 0.046, over four seeds.
+    /// of two seconds lost 0.046, over four seeds. When operators take a hall back nobody knows.
     pub fn is_hopeless(self, is_overdue: bool, give_up: Moment, now: Moment) -> bool {
-        is_overdue && matches!(self, NoPlace::Out(left) if now + left > give_up)
+        match self {
+            NoPlace::Out(left) => is_overdue && now + left > give_up,
+            NoPlace::Evacuated => true,
+            NoPlace::NoTargets | NoPlace::Full | NoPlace::Paced(_) => false,
+        }
     }
 
     /// Gets a short word for logs and counters.
     pub fn word(self) -> &'static str {
         match self {
             NoPlace::NoTargets => "no_targets",
+            NoPlace::Evacuated => "evacuated",
             NoPlace::Full => "full",
             NoPlace::Out(_) => "out",
             NoPlace::Paced(_) => "paced",
@@ -67,6 +78,7 @@
 
         match self {
             NoPlace::NoTargets => NO_TARGETS_WAIT.mul_f64(1.0 + spread),
+            NoPlace::Evacuated => EVACUATED_WAIT.mul_f64(1.0 + spread),
             NoPlace::Full => {
                 let left = gateway.time_to_place(service);
                 left + left.max(MIN_RETURN_SPREAD).mul_f64(spread)
@@ -160,6 +172,10 @@
     tried: &[TargetId],
     now: Moment,
 ) -> Result<Arc<TargetEntry>, NoPlace> {
+    if gateway.is_evacuated(&request.service) {
+        return Err(NoPlace::Evacuated);
+    }
+
     match gateway.availability(&request.service) {
         Availability::Out(left) if !gateway.take_trial(&request.service) => Err(NoPlace::Out(left)),
         Availability::Out(_) | Availability::Up => {
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -24,6 +24,7 @@
 use super::attempt::Tried;
 use super::body::BodyBudget;
 use super::counters::Counters;
+use super::halls::{OperatorView, evacuated_view};
 use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
@@ -60,6 +61,8 @@
     table: RefCell<Rc<RouteTable>>,
     pub(super) targets: RefCell<TargetList>,
     pub(super) targets_known_at: Cell<Option<Moment>>,
+    /// What is known of what operators have written.
+    pub(super) operator: OperatorView,
     pub(super) hears_ranks: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     site: RefCell<Option<Site>>,
@@ -97,6 +100,7 @@
             table: RefCell::default(),
             targets: RefCell::default(),
             targets_known_at: Cell::default(),
+            operator: OperatorView::default(),
             hears_ranks: Cell::new(false),
             budgets: RefCell::default(),
             site: RefCell::default(),
@@ -110,6 +114,7 @@
             patience: RefCell::default(),
         };
         gateway.count_gateways();
+        gateway.set_evacuation_bound();
 
         gateway
     }
@@ -217,6 +222,7 @@
 
     /// Gets the targets of a service that take work.
     pub fn serving(&self, service: &str) -> Option<Arc<[Arc<TargetEntry>]>> {
+        self.refresh_halls();
         self.targets.borrow().serving(service).cloned()
     }
 
@@ -224,6 +230,7 @@
     pub fn is_ready(&self) -> bool {
         self.table.borrow().version() > 0
             && self.targets_known_at.get().is_some()
+            && self.operator.knows_halls()
             && !self.stop.is_stopping()
     }
 
@@ -360,6 +367,8 @@
             "in_flight": self.stop.in_flight(),
             "config_version": table.version(),
             "targets_version": targets.version(),
+            "evacuated": evacuated_view(targets.evacuations()),
+            "halls_version": targets.evacuations().version(),
             "buffered_bytes": self.bodies.used_bytes(),
             "targets": targets.all().map(target).collect::<Vec<_>>(),
             "services": services,
@@ -385,6 +394,7 @@
 
         *self.settings.borrow_mut() = Rc::new(settings);
         self.count_gateways();
+        self.set_evacuation_bound();
     }
 
     /// Notes a target's load.
--- a/grebedeck/src/gateway/watch.rs
+++ b/grebedeck/src/gateway/watch.rs
@@ -48,13 +48,13 @@
     }
 }
 
-/// Follows the configuration until the task is dropped.
-pub async fn follow_site<S: SiteStore>(gateway: Rc<Gateway>, store: S) {
+/// Follows what operators write until the task is dropped.
+pub async fn follow_operator<S: SiteStore>(gateway: Rc<Gateway>, store: S) {
     let mut backoff = Backoff::new("configuration");
     let mut after = None;
 
     loop {
-        match next_site(&gateway, &store, after).await {
+        match next_operator(&gateway, &store, after).await {
             Ok(next) => {
                 backoff.succeeded();
                 gateway.counters.store_calls.add("answered");
@@ -72,32 +72,34 @@
     }
 }
 
-/// Takes one step: reads the configuration whole, or waits for a change after a version. Gives the
+/// Takes one step: reads what operators have written whole, or waits for a change after a version. Gives the
 /// version to go on from, or `None` to read whole.
-async fn next_site<S: SiteStore>(
+async fn next_operator<S: SiteStore>(
     gateway: &Gateway,
     store: &S,
     after: Option<StoreVersion>,
 ) -> Result<Option<StoreVersion>> {
-    let Some(after) = after else {
-        let snapshot = store.read_site().await?;
+    let asked_at = gateway.now();
 
-        if let Some(site) = snapshot.value {
-            gateway.take_site(&site, "store");
-        }
+    let Some(after) = after else {
+        let snapshot = store.read_operator().await?;
+        let version = snapshot.version;
+        gateway.take_operator_state(snapshot, asked_at)?;
 
-        return Ok(Some(snapshot.version));
+        return Ok(Some(version));
     };
 
-    match store.watch_site(after, gateway.settings().store_wait()).await? {
+    match store.watch_operator(after, gateway.settings().store_wait()).await? {
         Watched::Changed { version, changes } => {
-            for site in &changes {
-                gateway.take_site(site, "store");
-            }
+            gateway.take_operator_changes(version, changes);
 
             Ok(Some(version))
         }
-        Watched::Quiet => Ok(Some(after)),
+        Watched::Quiet => {
+            gateway.note_operator_quiet();
+
+            Ok(Some(after))
+        }
         Watched::HistoryGone => Ok(None),
     }
 }
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -223,7 +223,8 @@
         {
             self.site_due = Due::UnderWay;
             self.ask_store(|store| async move {
-                Outcome::Site(store.read_site().await.map(|snapshot| snapshot.value))
+                let read = store.read_operator().await;
+                Outcome::Site(read.and_then(|snapshot| snapshot.value.into_site()))
             });
         }
 
