--- a/grebedeck-gateway/src/evacuation.rs
+++ b/grebedeck-gateway/src/evacuation.rs
@@ -180,7 +180,9 @@
     /// Takes in what another gateway knows; gives what changed.
     pub fn take_words(&mut self, told: &HallWords, now: Moment) -> Vec<HallEvent> {
         let mut events = Vec::new();
-        let named: HashSet<&HallName> = told.words.iter().map(|word| &word.hall).collect();
+        // A word that a hall was taken back may be older than what is known here, and the hall free all the same.
+        let evacuated = told.words.iter().filter(|word| word.is_evacuated);
+        let named: HashSet<&HallName> = evacuated.map(|word| &word.hall).collect();
 
         for word in told.words.iter().take(MAX_HALLS) {
             let age = word.age_ms.map(Duration::from_millis);
