--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -241,6 +241,11 @@
         self.serving.get(service)
     }
 
+    /// Tells whether new work may go to a target.
+    pub fn takes_work(&self, target: &TargetEntry) -> bool {
+        self.serving(&target.service).is_some_and(|all| all.iter().any(|t| t.id == target.id))
+    }
+
     /// Gets the target that has an address now.
     pub fn newest_at(&self, address: SocketAddr) -> Option<Arc<TargetEntry>> {
         let there = self.known.values().filter(|k| k.entry.address == address);
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -343,7 +343,7 @@
             json!({
                 "id": entry.id, "service": entry.service, "hall": entry.hall,
                 "address": entry.address, "state": entry.state, "in_flight": load.in_flight,
-                "places": load.places,
+                "places": load.places, "takes_work": targets.takes_work(entry),
             })
         };
         let services: Vec<serde_json::Value> = table
--- a/grebedeck/tests/place.rs
+++ b/grebedeck/tests/place.rs
@@ -17,3 +17,10 @@
     assert!(!NoPlace::NoTargets.is_hopeless(true, give_up, now));
     assert!(!NoPlace::Out(MS(900)).is_hopeless(false, give_up, now), "it may be back sooner");
 }
+
+/// Operators take a hall back when they wish, which no caller can wait for.
+#[test]
+fn nobody_waits_for_a_service_whose_halls_are_evacuated() {
+    assert!(NoPlace::Evacuated.is_hopeless(false, MS(9000), MS(0)));
+    assert_eq!(NoPlace::Evacuated.word(), "evacuated");
+}
