--- a/grebedeck-lab/tests/losses.rs
+++ b/grebedeck-lab/tests/losses.rs
@@ -63,6 +63,16 @@
     );
 }
 
+#[test]
+fn refusals_because_of_an_evacuation_have_their_own_cause() {
+    let lines = [
+        line(2, "no place", json!({ "request": "a", "at_ms": 0, "reason": "evacuated" })),
+        line(3, "request ended", json!({ "request": "a", "at_ms": 0, "end": "refused" })),
+    ];
+
+    assert_eq!(causes(&lines), [Cause::RefusedEvacuated]);
+}
+
 #[test]
 fn requests_that_were_not_served_are_put_down_to_why() {
     let ended = |at_ms, id: &str, end: &str| {
