Merge evacuations: halls to which nothing new goes

Now one list of targets that take work leaves them out, by the newest word of the store or of a peer, one target after another within a third of the bound. Ruled out: weights of targets (a trial or a repeat slips through), lists for each service.

--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -13,6 +13,7 @@
 use grebedeck_routing::Candidate;
 use serde::{Deserialize, Serialize};
 
+use crate::evacuation::Evacuations;
 use crate::source::{StoreVersion, TargetChange};
 
 /// Id of one start of a target.
@@ -98,6 +99,11 @@
     is_store_failing: bool,
     /// When the store first answered again.
     returned_at: Option<Moment>,
+    evacuations: Evacuations,
+    /// Services all of whose targets stand in evacuated halls.
+    evacuated: HashSet<ServiceName>,
+    /// The moment that the lists of targets that take work stand for.
+    indexed_at: Moment,
 }
 
 impl TargetList {
@@ -161,19 +167,57 @@
         self.is_store_failing = true;
     }
 
+    /// Changes what is known of evacuated halls.
+    pub fn change_evacuations<T>(
+        &mut self,
+        change: impl FnOnce(&mut Evacuations) -> T,
+        now: Moment,
+    ) -> T {
+        let changed = change(&mut self.evacuations);
+        self.indexed_at = now;
+        self.index();
+
+        changed
+    }
+
+    /// Tells whether the lists of targets that take work stand for a moment that is longer ago than that, and evacuated
+    /// halls have changed them since.
+    pub fn is_index_older(&self, age: Duration, now: Moment) -> bool {
+        now > self.indexed_at + age && self.evacuations.moves_between(self.indexed_at, now)
+    }
+
+    /// Notes that all words on halls up to a version are known.
+    pub fn know_halls_up_to(&mut self, version: StoreVersion) {
+        self.evacuations.known_up_to(version);
+    }
+
+    /// Gets what is known of evacuated halls.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Tells whether targets of a service would take work, and all of them stand in evacuated halls.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        self.evacuated.contains(service)
+    }
+
     fn note_return(&mut self, now: Moment) {
+        self.indexed_at = now;
+
         if std::mem::take(&mut self.is_store_failing) {
             self.returned_at = Some(now);
         }
     }
 
-    /// Drops lapsed targets whose time is over; gives what changed.
+    /// Drops lapsed targets whose time is over, and lets those of evacuated halls leave and return; gives what changed.
     pub fn tick(&mut self, now: Moment) -> Vec<ListEvent> {
         let is_over = |known: &Known| known.lapses_at.is_some_and(|at| at <= now);
         let over: Vec<TargetId> =
             self.known.iter().filter(|(_, k)| is_over(k)).map(|(id, _)| id.clone()).collect();
 
-        if over.is_empty() {
+        let since = std::mem::replace(&mut self.indexed_at, now);
+
+        if over.is_empty() && !self.evacuations.moves_between(since, now) {
             return Vec::new();
         }
 
@@ -197,6 +241,11 @@
         self.serving.get(service)
     }
 
+    /// Tells whether new work may go to a target.
+    pub fn takes_work(&self, target: &TargetEntry) -> bool {
+        self.serving(&target.service).is_some_and(|all| all.iter().any(|t| t.id == target.id))
+    }
+
     /// Gets the target that has an address now.
     pub fn newest_at(&self, address: SocketAddr) -> Option<Arc<TargetEntry>> {
         let there = self.known.values().filter(|k| k.entry.address == address);
@@ -283,11 +332,20 @@
             *version = known.version.max(*version);
         }
 
+        let mut stopped: HashSet<&ServiceName> = HashSet::new();
+
         for known in self.known.values() {
             // Of two targets at one address, the one that was heard of last has replaced the other.
             let is_newest = newest.get(&known.entry.address) == Some(&known.version);
 
-            if known.entry.state == TargetState::Serving && is_newest {
+            if known.entry.state != TargetState::Serving || !is_newest {
+                continue;
+            }
+
+            // Every way to a target passes this list, so that none can be forgotten.
+            if self.evacuations.stops(&known.entry, self.indexed_at) {
+                stopped.insert(&known.entry.service);
+            } else {
                 by_service
                     .entry(known.entry.service.clone())
                     .or_default()
@@ -295,6 +353,8 @@
             }
         }
 
+        let is_left = |service: &&&ServiceName| !by_service.contains_key(**service);
+        self.evacuated = stopped.iter().filter(is_left).map(|s| (*s).clone()).collect();
         self.serving = by_service.into_iter().map(|(name, list)| (name, list.into())).collect();
     }
 }
