--- a/grebedeck-experts/src/balancer.rs
+++ b/grebedeck-experts/src/balancer.rs
@@ -37,6 +37,8 @@
     pub pass: PassNo,
     /// Counts, set by set, as [`encode_count`] writes them.
     pub codes: Vec<u8>,
+    /// Unix milliseconds of the engine's start, where it tells them.
+    pub born_ms: Option<u64>,
 }
 
 /// Takes the difference of an engine's counts from one reading to the next.
@@ -49,7 +51,9 @@
     /// Takes the next reading; gives what was counted since the one before it.
     pub fn next(&mut self, rank: Rank, counts: RankCounts) -> Option<CountReport> {
         let before = self.last.replace(counts.clone())?;
-        let is_same = before.epoch == counts.epoch && before.chosen.len() == counts.chosen.len();
+        let is_same = before.epoch == counts.epoch
+            && before.born_ms == counts.born_ms
+            && before.chosen.len() == counts.chosen.len();
         let pairs = || before.chosen.iter().zip(&counts.chosen);
 
         // An engine that started anew counts from zero.
@@ -60,7 +64,13 @@
         let codes: Vec<u8> = pairs().map(|(before, now)| encode_count(now - before)).collect();
         let has_some = codes.iter().any(|code| *code > 0);
 
-        has_some.then_some(CountReport { epoch: counts.epoch, rank, pass: counts.pass, codes })
+        has_some.then_some(CountReport {
+            epoch: counts.epoch,
+            rank,
+            pass: counts.pass,
+            codes,
+            born_ms: counts.born_ms,
+        })
     }
 }
 
--- a/grebedeck-experts/src/engine.rs
+++ b/grebedeck-experts/src/engine.rs
@@ -61,6 +61,8 @@
     pub waiting: u32,
     /// Time that it takes, relative to a normal rank.
     pub pace: f32,
+    /// Unix milliseconds of its start by its own clock, where it tells them.
+    pub born_ms: Option<u64>,
 }
 
 /// An order to a rank's engine.
@@ -121,6 +123,8 @@
     pub pass: PassNo,
     /// Counts, set by set.
     pub chosen: Vec<u64>,
+    /// Unix milliseconds of the engine's start by its own clock, where it tells them.
+    pub born_ms: Option<u64>,
 }
 
 /// A rank's engine.
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -17,6 +17,10 @@
 const LIFE_BITS: u32 = 20;
 const LIFE_MASK: u64 = (1 << LIFE_BITS) - 1;
 
+/// How long an earlier start's word is dropped after one of a later start: datagrams come later than that only when
+/// they are of no use any more.
+const LATE_WORDS: Duration = Duration::from_secs(1);
+
 /// What keeps a leader from a new plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlanBlock {
@@ -109,7 +113,27 @@
         self.told_at = None;
     }
 
+    /// Tells whether a word is of an earlier start of a rank's engine than another one that was heard a moment ago.
+    /// Starts are told apart by the engine's clock, which may go back: what is told again and again is believed.
+    fn is_of_earlier_start(&self, status: &Status, now: Moment) -> bool {
+        let Some((known, at)) = self.statuses.get(&status.report.rank) else {
+            return false;
+        };
+        let starts = known.report.born_ms.zip(status.report.born_ms);
+
+        starts.is_some_and(|(known, told)| told < known) && now < *at + LATE_WORDS
+    }
+
+    /// Gets the start that a rank's engine has told of last.
+    pub(super) fn born_ms(&self, rank: Rank) -> Option<u64> {
+        self.statuses.get(&rank).and_then(|(status, _)| status.report.born_ms)
+    }
+
     pub(super) fn note_status(&mut self, status: Status, now: Moment) {
+        if self.is_of_earlier_start(&status, now) {
+            return;
+        }
+
         if let Plan::Hold(plan) = &mut self.plan
             && status.report.rank == plan.holder
         {
@@ -222,6 +246,13 @@
         self.is_leading() && self.plan_block(now).is_none()
     }
 
+    /// Tells whether a word is of another start of a rank's engine than the one that its node has told of last.
+    pub fn is_of_other_start(&self, rank: Rank, born_ms: Option<u64>) -> bool {
+        let told = self.lead.as_ref().and_then(|lead| lead.born_ms(rank));
+
+        told.zip(born_ms).is_some_and(|(told, born_ms)| told != born_ms)
+    }
+
     /// Gets what keeps a leader from a new plan, or `None` where nothing does.
     pub fn plan_block(&self, now: Moment) -> Option<PlanBlock> {
         let (lead, own) = (self.lead.as_ref()?, self.report.as_ref()?);
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -227,7 +227,9 @@
 
     /// Takes in what became of an order.
     pub fn on_order(&mut self, rank: Rank, order: &RankOrder, end: OrderEnd) {
-        let is_own = self.report.as_ref().is_some_and(|r| r.rank == rank);
+        // What an engine refused before the group formed anew says nothing of the plans since.
+        let is_own =
+            self.report.as_ref().is_some_and(|r| r.rank == rank && r.epoch == order.epoch);
 
         if let (true, RankAction::Prepare { placement_no, .. }, OrderEnd::Refused) =
             (is_own, &order.action, end)
@@ -276,7 +278,9 @@
     ) {
         self.passes.note(&report, now);
         let before = self.report.replace(report.clone());
-        let is_same = |b: &RankReport| b.group == report.group && b.epoch == report.epoch;
+        let is_same = |b: &RankReport| {
+            b.group == report.group && b.epoch == report.epoch && b.born_ms == report.born_ms
+        };
         let is_new_epoch = !before.as_ref().is_some_and(is_same);
 
         if before.is_none() {
--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod answer;
 pub mod choice;
+pub mod cold;
 pub mod events;
 pub mod outage;
 pub mod pacing;
@@ -22,6 +23,7 @@
 
 pub use answer::{RunState, Verdict, judge};
 pub use choice::chooser_options;
+pub use cold::{ColdGate, ColdPart};
 pub use events::{Event, EventBuffer};
 pub use outage::{Availability, Outage, OutageOptions};
 pub use pacing::{Pacing, PacingOptions, PromptRate};
@@ -32,7 +34,7 @@
     CallerLimits, EngineSpec, Kind, Organisation, RouteRule, ServiceSpec, Site, Weighted,
 };
 pub use source::{
-    GatewayEntry, GatewayInfo, SiteStore, Snapshot, StoreVersion, TargetChange, Watched,
+    GatewayEntry, GatewayInfo, GatewayListing, SiteStore, Snapshot, StoreVersion, TargetChange, Watched,
 };
-pub use targets::{ListedTarget, TargetEntry, TargetId, TargetList, TargetState};
+pub use targets::{ListedTarget, TargetEntry, TargetId, TargetList, TargetListing, TargetState};
 pub use wire::HeaderNames;
--- a/grebedeck-gateway/src/site.rs
+++ b/grebedeck-gateway/src/site.rs
@@ -96,6 +96,12 @@
     pub max_connections: usize,
     /// What is known of its engine, for a model.
     pub engine: Option<EngineSpec>,
+    /// How long a target is cold after a start.
+    #[serde(default)]
+    pub cold_time: Duration,
+    /// Requests a second that a cold target bears; 0 where there is no bound.
+    #[serde(default)]
+    pub cold_per_s: f64,
 }
 
 /// What is known of a model's engine.
--- a/grebedeck-gateway/src/source.rs
+++ b/grebedeck-gateway/src/source.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::site::Site;
-use crate::targets::{ListedTarget, TargetId};
+use crate::targets::{ListedTarget, TargetId, TargetListing};
 
 /// Count of the store's changes; it only grows.
 pub type StoreVersion = u64;
@@ -50,6 +50,24 @@
         /// The target.
         id: TargetId,
     },
+    /// A target's entry cannot be read, so it names no target to use.
+    Unreadable {
+        /// The store's version of the entry.
+        version: StoreVersion,
+        /// The target that it would be about.
+        id: TargetId,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+/// The gateways that were published.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatewayListing {
+    /// Those whose rows can be read.
+    pub gateways: Vec<GatewayEntry>,
+    /// Names of the others, with what is wrong with their rows.
+    pub unreadable: Vec<(String, String)>,
 }
 
 /// A gateway as others find it.
@@ -83,8 +101,8 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Watched<Site>>>;
 
-    /// Reads the list of targets.
-    fn read_targets(&self) -> impl Future<Output = Result<Snapshot<Vec<ListedTarget>>>>;
+    /// Reads the list of targets. One entry that cannot be read hides no other.
+    fn read_targets(&self) -> impl Future<Output = Result<Snapshot<TargetListing>>>;
 
     /// Waits for changes of the list of targets.
     fn watch_targets(
@@ -97,5 +115,5 @@
     fn publish(&self, gateway: &GatewayEntry) -> impl Future<Output = Result<()>>;
 
     /// Reads all gateways that were published.
-    fn read_gateways(&self) -> impl Future<Output = Result<Vec<GatewayEntry>>>;
+    fn read_gateways(&self) -> impl Future<Output = Result<GatewayListing>>;
 }
--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -1,21 +1,24 @@
 //! The targets that the platform lists, as one process knows them.
 //!
-//! A target is known by its id, which each of its starts has anew; addresses are used again by
+//! A target is known by its id and, where it tells it, by the time of its start; addresses are used again by
 //! others. The list lags, and while the store is away entries lapse although their targets live. Such
 //! a target is kept until the store has been back for long enough that it would be listed again.
+//!
+//! Others may write entries as well. One that cannot be read names no target to use: a target that was known
+//! under its id gets no new work until a good entry comes, and all other entries hold.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use grebedeck_core::{HallName, Moment, ServiceName};
-use grebedeck_routing::Candidate;
+use grebedeck_routing::{Birth, Candidate};
 use serde::{Deserialize, Serialize};
 
 use crate::source::{StoreVersion, TargetChange};
 
-/// Id of one start of a target.
+/// Id of a target; where targets tell the time of their start, the next start may have it again.
 pub type TargetId = String;
 
 /// How long after the store's return a missing target may still be listed again. The operators
@@ -34,7 +37,7 @@
 /// A target as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
-    /// Id of this start of the target.
+    /// Its id.
     pub id: TargetId,
     /// The service that it offers.
     pub service: ServiceName,
@@ -46,6 +49,18 @@
     pub slots: u32,
     /// Whether it takes work.
     pub state: TargetState,
+    /// Unix milliseconds of its start by its own clock, where it tells them. They are compared for one target
+    /// only, as clocks differ, and only for being the same: of two, the one that was written later counts.
+    pub born_ms: Birth,
+    /// How much longer it is cold, as of when the entry was written.
+    pub cold: Duration,
+}
+
+impl TargetEntry {
+    /// Tells whether another entry is of the same start of the target.
+    pub fn is_same_start(&self, other: &TargetEntry) -> bool {
+        self.id == other.id && self.born_ms == other.born_ms
+    }
 }
 
 /// A target's entry with the store's version of it.
@@ -57,6 +72,21 @@
     pub entry: TargetEntry,
 }
 
+/// The whole list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetListing {
+    /// The targets.
+    pub targets: Vec<ListedTarget>,
+    /// Ids whose entries cannot be read, with the store's version of each and what is wrong.
+    pub unreadable: Vec<(TargetId, StoreVersion, String)>,
+}
+
+impl From<Vec<ListedTarget>> for TargetListing {
+    fn from(targets: Vec<ListedTarget>) -> Self {
+        TargetListing { targets, unreadable: Vec::new() }
+    }
+}
+
 impl Candidate for TargetEntry {
     fn name(&self) -> &str {
         &self.id
@@ -80,12 +110,21 @@
 pub enum ListEvent {
     /// It was listed for the first time, or again.
     Listed(Arc<TargetEntry>),
+    /// It has started again under its id; nothing that was known of the earlier start holds.
+    Restarted(Arc<TargetEntry>),
     /// It takes no new work from now on.
     Leaving(TargetId),
     /// It is gone.
     Gone(TargetId),
     /// The list has lost it while the store was not itself; it is kept for a while.
     Lapsed(TargetId),
+    /// Its entry cannot be read, so it gets no new work; told once until a good one comes.
+    Unreadable {
+        /// The target.
+        id: TargetId,
+        /// What is wrong.
+        reason: String,
+    },
 }
 
 /// All targets that are known.
@@ -94,6 +133,12 @@
     known: BTreeMap<TargetId, Known>,
     serving: HashMap<ServiceName, Arc<[Arc<TargetEntry>]>>,
     version: StoreVersion,
+    /// Ids whose newest entries cannot be read, with the store's version of it and what is wrong.
+    unreadable: BTreeMap<TargetId, (StoreVersion, String)>,
+    /// Targets whose entries were written anew, until they are taken.
+    heard: Vec<Arc<TargetEntry>>,
+    /// Services that the configuration names, once it is known.
+    services: Option<BTreeSet<ServiceName>>,
     /// Whether the store's last answer is missing.
     is_store_failing: bool,
     /// When the store first answered again.
@@ -105,7 +150,7 @@
     pub fn take_snapshot(
         &mut self,
         version: StoreVersion,
-        entries: Vec<ListedTarget>,
+        listing: impl Into<TargetListing>,
         now: Moment,
     ) -> Vec<ListEvent> {
         if version < self.version {
@@ -114,15 +159,22 @@
 
         self.note_return(now);
 
-        let listed: HashSet<&TargetId> = entries.iter().map(|listed| &listed.entry.id).collect();
-        let missing: Vec<TargetId> =
-            self.known.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        let TargetListing { targets, unreadable } = listing.into();
+        let readable = targets.iter().map(|listed| &listed.entry.id);
+        let listed: HashSet<&TargetId> =
+            readable.chain(unreadable.iter().map(|(id, ..)| id)).collect();
+        let here = self.known.keys().chain(self.unreadable.keys());
+        let missing: BTreeSet<TargetId> = here.filter(|id| !listed.contains(id)).cloned().collect();
         let mut events = Vec::new();
 
-        for ListedTarget { version, entry } in entries {
+        for ListedTarget { version, entry } in targets {
             events.extend(self.set(version, entry));
         }
 
+        for (id, version, reason) in unreadable {
+            events.extend(self.set_unreadable(version, id, reason));
+        }
+
         for id in missing {
             events.extend(self.lose(&id, version, now));
         }
@@ -149,6 +201,9 @@
                 TargetChange::Removed { version, id } => {
                     events.extend(self.lose(&id, version, now));
                 }
+                TargetChange::Unreadable { version, id, reason } => {
+                    events.extend(self.set_unreadable(version, id, reason));
+                }
             }
         }
 
@@ -185,13 +240,34 @@
         over.into_iter().map(ListEvent::Gone).collect()
     }
 
-    /// Takes a target for gone, as another one has answered at its address.
-    pub fn remove(&mut self, id: &str) {
-        if self.known.remove(id).is_some() {
+    /// Takes a start of a target for gone, as another one has answered at its address. Of the next start, which
+    /// may be elsewhere, that says nothing.
+    pub fn remove(&mut self, gone: &TargetEntry) {
+        let known = self.known.get(&gone.id).map(|k| &k.entry);
+
+        if known.is_some_and(|e| e.is_same_start(gone) && e.address == gone.address) {
+            self.known.remove(&gone.id);
             self.index();
         }
     }
 
+    /// Tells whether an entry is of an earlier start of its target than the one that is listed.
+    pub fn is_earlier_start(&self, entry: &TargetEntry) -> bool {
+        self.get(&entry.id).is_some_and(|listed| !listed.is_same_start(entry))
+    }
+
+    /// Takes the targets whose entries were written anew since this was done last.
+    pub fn take_heard(&mut self) -> Vec<Arc<TargetEntry>> {
+        std::mem::take(&mut self.heard)
+    }
+
+    /// Sets the services that the configuration names. An entry of another one names no target to use, and hides
+    /// none at its address.
+    pub fn set_services(&mut self, services: BTreeSet<ServiceName>) {
+        self.services = Some(services);
+        self.index();
+    }
+
     /// Gets the targets of a service that take work.
     pub fn serving(&self, service: &str) -> Option<&Arc<[Arc<TargetEntry>]>> {
         self.serving.get(service)
@@ -215,11 +291,20 @@
     }
 
     /// Gets all targets that the list holds, with the store's versions of them.
-    pub fn listed(&self) -> Vec<ListedTarget> {
+    pub fn listed(&self) -> TargetListing {
         let listed = |k: &Known| ListedTarget { version: k.version, entry: (*k.entry).clone() };
-        let held = self.known.values().filter(|k| k.lapses_at.is_none());
+        let is_held = |k: &&Known| k.lapses_at.is_none() && self.is_readable(&k.entry.id);
+        let unreadable = self.unreadable.iter();
 
-        held.map(listed).collect()
+        TargetListing {
+            targets: self.known.values().filter(is_held).map(listed).collect(),
+            unreadable: unreadable.map(|(id, (v, reason))| (id.clone(), *v, reason.clone())).collect(),
+        }
+    }
+
+    /// Tells whether the newest entry for an id can be read, or there is none.
+    pub fn is_readable(&self, id: &str) -> bool {
+        !self.unreadable.contains_key(id)
     }
 
     /// Gets the version of the store up to which the list is known.
@@ -227,35 +312,90 @@
         self.version
     }
 
-    fn set(&mut self, version: StoreVersion, entry: TargetEntry) -> Option<ListEvent> {
+    fn set(&mut self, version: StoreVersion, entry: TargetEntry) -> Vec<ListEvent> {
         let before = self.known.get(&entry.id);
 
-        if before.is_some_and(|k| k.version > version) {
-            return None;
+        if self.newest_of(&entry.id).is_some_and(|newest| newest > version) {
+            return Vec::new();
+        }
+
+        if before.is_some_and(|k| k.entry.born_ms.is_some()) && entry.born_ms.is_none() {
+            // A target that tells its start always does.
+            let reason = "without the time of its start".to_string();
+            return self.set_unreadable(version, entry.id, reason).into_iter().collect();
         }
 
-        let was_leaving = before.is_some_and(|k| k.entry.state == TargetState::Leaving);
-        let is_new = before.is_none_or(|k| k.lapses_at.is_some());
+        let is_heard = before.is_none_or(|k| k.version < version);
+        let is_restart = before.is_some_and(|k| !k.entry.is_same_start(&entry));
+        let was_leaving =
+            !is_restart && before.is_some_and(|k| k.entry.state == TargetState::Leaving);
+        let was_unreadable = self.unreadable.remove(&entry.id).is_some();
+        let is_new = before.is_none_or(|k| k.lapses_at.is_some()) || was_unreadable;
         let (id, state) = (entry.id.clone(), entry.state);
         let entry = Arc::new(entry);
         self.known.insert(id.clone(), Known { entry: entry.clone(), version, lapses_at: None });
 
+        if is_heard {
+            self.heard.push(entry.clone());
+        }
+
+        let mut events = Vec::new();
+
+        if is_restart {
+            events.push(ListEvent::Restarted(entry.clone()));
+        }
+
         match state {
-            TargetState::Leaving if !was_leaving => Some(ListEvent::Leaving(id)),
-            _ if is_new => Some(ListEvent::Listed(entry)),
-            _ => None,
+            TargetState::Leaving if !was_leaving => events.push(ListEvent::Leaving(id)),
+            _ if is_new && !is_restart => events.push(ListEvent::Listed(entry)),
+            _ => {}
         }
+
+        events
+    }
+
+    /// Notes that the newest entry for an id cannot be read; gives an event where that is news.
+    fn set_unreadable(
+        &mut self,
+        version: StoreVersion,
+        id: TargetId,
+        reason: String,
+    ) -> Option<ListEvent> {
+        if self.newest_of(&id).is_some_and(|newest| newest > version) {
+            return None;
+        }
+
+        if let Some(known) = self.known.get_mut(&id) {
+            // It is in the list, although nobody can say how.
+            known.lapses_at = None;
+        }
+
+        let before = self.unreadable.insert(id.clone(), (version, reason.clone()));
+
+        before.is_none().then_some(ListEvent::Unreadable { id, reason })
+    }
+
+    /// Gets the store's version of the newest entry for an id.
+    fn newest_of(&self, id: &str) -> Option<StoreVersion> {
+        let readable = self.known.get(id).map(|k| k.version);
+
+        readable.max(self.unreadable.get(id).map(|(version, _)| *version))
     }
 
     fn lose(&mut self, id: &str, version: StoreVersion, now: Moment) -> Option<ListEvent> {
+        if self.newest_of(id).is_some_and(|newest| newest > version) {
+            return None;
+        }
+
+        let was_unreadable = self.unreadable.remove(id).is_some();
         let known = self.known.get_mut(id)?;
 
-        if known.version > version || known.lapses_at.is_some() {
+        if known.lapses_at.is_some() {
             return None;
         }
 
         let relisted_by = self.returned_at.map(|at| at + RELIST_LIMIT);
-        let is_serving = known.entry.state == TargetState::Serving;
+        let is_serving = known.entry.state == TargetState::Serving && !was_unreadable;
 
         match relisted_by {
             Some(at) if at > now && is_serving => {
@@ -274,16 +414,23 @@
         self.index();
     }
 
+    /// Tells whether an entry names a target that may be used, but for its state.
+    fn names_target(&self, entry: &TargetEntry) -> bool {
+        let is_named = |services: &BTreeSet<ServiceName>| services.contains(&entry.service);
+
+        self.is_readable(&entry.id) && self.services.as_ref().is_none_or(is_named)
+    }
+
     fn index(&mut self) {
         let mut by_service: HashMap<ServiceName, Vec<Arc<TargetEntry>>> = HashMap::new();
         let mut newest: HashMap<SocketAddr, StoreVersion> = HashMap::new();
 
-        for known in self.known.values() {
+        for known in self.known.values().filter(|k| self.names_target(&k.entry)) {
             let version = newest.entry(known.entry.address).or_default();
             *version = known.version.max(*version);
         }
 
-        for known in self.known.values() {
+        for known in self.known.values().filter(|k| self.names_target(&k.entry)) {
             // Of two targets at one address, the one that was heard of last has replaced the other.
             let is_newest = newest.get(&known.entry.address) == Some(&known.version);
 
--- a/grebedeck-gateway/src/wire.rs
+++ b/grebedeck-gateway/src/wire.rs
@@ -17,6 +17,8 @@
     pub target_id: &'static str,
     /// A target's load: requests running, requests waiting, slots.
     pub load: &'static str,
+    /// Milliseconds for which the target is still cold.
+    pub cold_ms: &'static str,
     /// Says that the target has not run the request.
     pub not_run: &'static str,
     /// Id of the last event that the caller of a stream has.
--- a/grebedeck-gateway/tests/choice.rs
+++ b/grebedeck-gateway/tests/choice.rs
@@ -19,6 +19,8 @@
         hall: "hall".to_string(),
         slots: 10,
         state: TargetState::Serving,
+        born_ms: None,
+        cold: Duration::ZERO,
     };
 
     (0..count).map(|number| Arc::new(target(number))).collect()
--- a/grebedeck-gateway/tests/targets.rs
+++ b/grebedeck-gateway/tests/targets.rs
@@ -15,6 +15,8 @@
         hall: "north".into(),
         slots: 4,
         state,
+        born_ms: None,
+        cold: MS(0),
     }
 }
 
--- a/grebedeck-routing/src/choice.rs
+++ b/grebedeck-routing/src/choice.rs
@@ -85,6 +85,10 @@
     pub places: u32,
 }
 
+/// Which start of a target something is about, as the target tells it; `None` where it does not. Two of them are
+/// compared only for being the same.
+pub type Birth = Option<u64>;
+
 /// What is known of a target's load.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadView {
@@ -98,6 +102,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct View {
+    /// The start that all else here is about.
+    birth: Birth,
     own_in_flight: u32,
     /// Places that the target has by the platform's list, for as long as it has not reported.
     listed_places: Option<u32>,
@@ -300,9 +306,21 @@
         targets.iter().map(load).sum::<f64>() / targets.len().max(1) as f64
     }
 
-    /// Notes how many places a target has by the platform's list.
-    pub fn listed(&mut self, target: &str, places: u32) {
-        self.views.entry(target.to_string()).or_default().listed_places = Some(places);
+    /// Notes how many places a start of a target has by the platform's list. What was known of an earlier start is
+    /// forgotten: that it was full, slow or failing says nothing of the next one, and its requests have ended.
+    pub fn listed(&mut self, target: &str, birth: Birth, places: u32) {
+        let view = self.views.entry(target.to_string()).or_default();
+
+        if view.birth != birth {
+            *view = View { birth, ..View::default() };
+        }
+
+        view.listed_places = Some(places);
+    }
+
+    /// Gets the start that a target's view is about.
+    pub fn birth(&self, target: &str) -> Birth {
+        self.view(target).and_then(|view| view.birth)
     }
 
     fn view(&self, target: &str) -> Option<&View> {
@@ -329,6 +347,27 @@
         view.health.sent();
     }
 
+    /// Notes that a request ended that was sent to a start of the target, as [`Chooser::ended`] does. What it showed
+    /// of an earlier start is dropped.
+    pub fn ended_at(
+        &mut self,
+        target: &str,
+        birth: Birth,
+        success: Option<bool>,
+        now: Moment,
+    ) -> bool {
+        self.birth(target) == birth && self.ended(target, success, now)
+    }
+
+    /// Notes that a request was sent to a start of the target; one to an earlier start is no load of the next.
+    pub fn sent_at(&mut self, target: &str, birth: Birth) {
+        let view = self.views.entry(target.to_string());
+
+        if view.or_insert_with(|| View { birth, ..View::default() }).birth == birth {
+            self.sent(target);
+        }
+    }
+
     /// Notes that a request ended. `success` is `None` where it says nothing of the target's
     /// health, such as a refusal for lack of room. Tells whether the target was put aside.
     pub fn ended(&mut self, target: &str, success: Option<bool>, now: Moment) -> bool {
--- a/grebedeck-routing/src/lib.rs
+++ b/grebedeck-routing/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use admission::{Admission, AdmissionOptions};
 pub use attempt::{AttemptEnd, AttemptTracker, Next, RequestTraits};
-pub use choice::{Candidate, Chooser, ChooserOptions, LoadReport, LoadView};
+pub use choice::{Birth, Candidate, Chooser, ChooserOptions, LoadReport, LoadView};
 pub use gate::{Gate, GateOptions, Start, StrikeAnswer, Verdict};
 pub use health::{Health, HealthOptions};
 pub use home::{AllowedSince, find_home};
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod body;
 pub mod caller;
+pub mod cold;
 pub mod counters;
 pub mod health;
 pub mod loads;
@@ -20,6 +21,7 @@
 pub mod reload;
 pub mod request;
 pub mod service;
+pub mod starts;
 pub mod stop;
 pub mod story;
 pub mod stream;
@@ -137,6 +139,7 @@
         async_std::task::sleep(options::HOUSEKEEPING_PERIOD).await;
         gateway.drop_lapsed();
         gateway.log_left_out();
+        gateway.forget_warm();
         gateway.pool.drop_rested(gateway.now());
     }
 }
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use super::request::RoutedRequest;
 use super::service::Gateway;
 use super::story::Decision;
+use crate::settings::millis;
 
 /// Answers of earlier requests that are read away before a connection is given up.
 const MAX_SURPLUS_ANSWERS: u32 = 2;
@@ -115,7 +116,7 @@
 impl InFlight {
     /// Notes that a request is sent to a target.
     pub fn new(gateway: &Rc<Gateway>, target: &Arc<TargetEntry>) -> Self {
-        gateway.chooser.borrow_mut().sent(&target.id);
+        gateway.chooser.borrow_mut().sent_at(&target.id, target.born_ms);
 
         InFlight { gateway: gateway.clone(), target: target.clone(), success: None }
     }
@@ -129,7 +130,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now = self.gateway.now();
-        self.gateway.chooser.borrow_mut().ended(&self.target.id, self.success, now);
+        let (id, birth) = (&self.target.id, self.target.born_ms);
+        self.gateway.chooser.borrow_mut().ended_at(id, birth, self.success, now);
         // One place is free, so one that waits is woken; where it cannot use the place, others find it at
         // their next look, some ten milliseconds later.
         self.gateway.freed.notify(1);
@@ -169,11 +171,10 @@
     pub fn finish(mut self, is_well: bool) {
         self.in_flight.judge(is_well);
 
-        if self.decoder.is_ended() {
+        if self.decoder.is_ended() && !self.gateway.is_earlier_start(&self.target) {
             let now = self.gateway.now();
             let max_kept = self.gateway.max_kept(&self.target.service);
-            let address = self.target.address;
-            self.gateway.pool.put(address, self.connection, &self.head, max_kept, now);
+            self.gateway.pool.put(&self.target, self.connection, &self.head, max_kept, now);
         }
     }
 
@@ -194,7 +195,11 @@
     match &opened {
         Ok(_) => {
             gateway.counters.attempts.add("opened");
-            gateway.note_taken(&request.service);
+
+            // That an earlier start took a request says nothing of the one that is there now.
+            if !gateway.is_earlier_start(target) {
+                gateway.note_taken(&request.service);
+            }
         }
         Err(failure) => note_failure(gateway, request, target, failure),
     }
@@ -218,10 +223,18 @@
         FailureCause::Full => {}
         // The target that was meant is gone, and another has its address.
         FailureCause::OtherTarget => gateway.change_targets(|targets, _| {
-            targets.remove(&target.id);
+            targets.remove(target);
             Vec::new()
         }),
-        _ => gateway.note_not_taken(&request.service, cause),
+        // So does that an earlier one did not.
+        _ if gateway.is_earlier_start(target) => {}
+        _ => {
+            gateway.note_not_taken(&request.service, cause);
+
+            if cause == FailureCause::Connect {
+                gateway.suspect_start(target);
+            }
+        }
     }
 }
 
@@ -264,7 +277,7 @@
     target: &TargetEntry,
     left: Duration,
 ) -> Result<Connection, HttpError> {
-    match gateway.pool.take(target.address, gateway.now()) {
+    match gateway.pool.take(target, gateway.now()) {
         Some(connection) => Ok(connection),
         None => Connection::connect(target.address, CONNECT_LIMIT.min(left)).await,
     }
@@ -307,6 +320,16 @@
 }
 
 fn note_load(gateway: &Gateway, target: &TargetEntry, head: &ResponseHead) {
+    if gateway.is_earlier_start(target) {
+        return;
+    }
+
+    let cold_ms = head.headers.text(gateway.names.cold_ms).and_then(|text| text.parse().ok());
+
+    if let Some(cold_ms) = cold_ms {
+        gateway.note_cold(&target.id, millis(cold_ms));
+    }
+
     let text = head.headers.text(gateway.names.load);
 
     if let Some(load) = text.and_then(TargetLoad::parse) {
--- a/grebedeck/src/gateway/counters.rs
+++ b/grebedeck/src/gateway/counters.rs
@@ -16,6 +16,10 @@
     pub repeats: Counter,
     /// Calls to the store by what they were for and how they ended.
     pub store_calls: Counter,
+    /// What was noticed of targets' starts and entries.
+    pub starts: Counter,
+    /// Looks for a place that met targets that are cold, by what became of those.
+    pub cold: Counter,
     /// Log lines that were left out, by kind.
     pub left_out: Counter,
     /// Time until an answer was whole, by the route's kind.
@@ -61,6 +65,16 @@
                 "end",
                 "Calls to the platform's store",
             ),
+            starts: counter(
+                "grebedeck_gateway_starts",
+                "kind",
+                "What was noticed of targets' starts and entries",
+            ),
+            cold: counter(
+                "grebedeck_gateway_cold",
+                "kind",
+                "Requests sent to cold targets, and looks for a place that passed over some",
+            ),
             left_out: counter(
                 "grebedeck_gateway_stories_left_out",
                 "kind",
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -42,6 +42,13 @@
         let Some(target) = found else {
             return;
         };
+
+        // A late word of an earlier start, or one of a start that the list does not have yet.
+        if target.born_ms.zip(load.born_ms).is_some_and(|(listed, told)| listed != told) {
+            self.counters.starts.add("other_start_dropped");
+            return;
+        }
+
         let report = LoadReport {
             in_flight: load.running + load.waiting,
             waiting: load.waiting,
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -11,7 +11,9 @@
 
 use async_std::task::sleep;
 use grebedeck_core::{Error, RandomSource, Result};
-use grebedeck_gateway::{GatewayEntry, GatewayInfo, ListedTarget, Site, SiteStore, StoreVersion};
+use grebedeck_gateway::{
+    GatewayEntry, GatewayInfo, GatewayListing, Site, SiteStore, StoreVersion, TargetListing,
+};
 use grebedeck_http::{Client, RequestHead};
 use grebedeck_kernel::log;
 use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
@@ -33,13 +35,18 @@
 const ASK_LIMIT: Duration = Duration::from_millis(300);
 /// How often the gateways that were published are read, to know whom to ask.
 const LIST_PERIOD: Duration = Duration::from_secs(10);
+/// How soon they are read again after the own row was written: others that start at the same time have written
+/// theirs by then.
+const FIRST_LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Rows of gateways that cannot be read that are told of, each once.
+const MAX_TOLD: usize = 100;
 
 /// What a gateway knows.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct PeerState {
     site: Option<Site>,
     targets_version: StoreVersion,
-    targets: Vec<ListedTarget>,
+    targets: TargetListing,
 }
 
 /// Answers another gateway.
@@ -69,24 +76,50 @@
     let settings = gateway.settings();
     let info = GatewayInfo { peer_address: settings.peer_address, hall: settings.hall.clone() };
     let own = GatewayEntry { name: settings.name.clone(), info };
-    let mut is_published = false;
+    let mut told = BTreeSet::new();
 
     loop {
-        if !is_published {
-            is_published = store.publish(&own).await.is_ok();
-        }
-
-        match store.read_gateways().await {
-            Ok(gateways) => {
-                let addresses = gateways.into_iter().map(|g| g.info.peer_address);
-                gateway.set_peers(addresses.collect());
+        // Read before it is published: a gateway whose row was there before is known to all others.
+        let is_published = match store.read_gateways().await {
+            Ok(listing) => {
+                note_unreadable(&listing, &mut told);
+                take_gateways(&gateway, &listing);
+                listing.gateways.contains(&own)
             }
             Err(error) => {
                 log::warn!("gateways not read", kv: { error = error.to_string() });
+                false
             }
+        };
+
+        if is_published {
+            sleep(LIST_PERIOD).await;
+            continue;
         }
 
-        sleep(LIST_PERIOD).await;
+        if let Err(error) = store.publish(&own).await {
+            log::warn!("gateway not published", kv: { error = error.to_string() });
+            sleep(LIST_PERIOD).await;
+        } else {
+            sleep(FIRST_LIST_PERIOD).await;
+        }
+    }
+}
+
+fn take_gateways(gateway: &Gateway, listing: &GatewayListing) {
+    let addresses = listing.gateways.iter().map(|g| g.info.peer_address);
+    let addresses: BTreeSet<SocketAddr> = addresses.collect();
+    gateway.set_owners(&addresses);
+    gateway.set_peers(addresses);
+}
+
+/// Tells of rows that cannot be read, once.
+fn note_unreadable(listing: &GatewayListing, told: &mut BTreeSet<String>) {
+    for (name, reason) in &listing.unreadable {
+        if told.len() < MAX_TOLD && told.insert(name.clone()) {
+            let (name, reason) = (name.as_str(), reason.as_str());
+            log::warn!("gateway not readable", kv: { name, reason });
+        }
     }
 }
 
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -129,6 +129,7 @@
 
 fn no_place(gateway: &Gateway, request: &RoutedRequest, reason: NoPlace, now: Moment) -> Decision {
     let serving = gateway.serving(&request.service).unwrap_or_default();
+    let serving = gateway.without_cold(&serving, now);
 
     Decision::NoPlace {
         reason,
@@ -182,11 +183,13 @@
     now: Moment,
 ) -> Result<(Vec<Arc<TargetEntry>>, f64), NoPlace> {
     let serving = gateway.serving(&request.service).ok_or(NoPlace::NoTargets)?;
+    let bearing = gateway.without_cold(&serving, now);
     // A stream that goes on elsewhere has given up a place for it.
     let per_place = match goes_on(request, tried) {
         true => gateway.settings().load.model,
-        false => gateway.allowed_load(&request.service, &serving, now),
+        false => gateway.allowed_load(&request.service, &bearing, now),
     };
+    let serving = gateway.without_held_back(&serving, now);
     let chooser = gateway.chooser.borrow();
     let has_room = |t: &&Arc<TargetEntry>| chooser.has_room(&t.id, per_place, now);
     let is_closed = |t: &&Arc<TargetEntry>| gateway.is_group_closed(t, now);
@@ -227,6 +230,7 @@
         last_event_id: request.last_event_id.get(),
     };
     request.story.add(now, decision);
+    gateway.take_cold(&target, now);
     gateway.take_prompt(request, now);
 
     Ok(target)
--- a/grebedeck/src/gateway/pool.rs
+++ b/grebedeck/src/gateway/pool.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use grebedeck_core::Moment;
+use grebedeck_gateway::TargetEntry;
 use grebedeck_http::{Connection, ResponseHead};
+use grebedeck_routing::Birth;
 
 /// How long a connection may rest where the target does not say: long enough for a quiet service's
 /// next request, short enough that most targets still have it.
@@ -17,6 +19,9 @@
 /// Most connections kept to one target: about as many as it works on at once.
 pub const MAX_KEPT: usize = 16;
 
+/// Connections are kept for one start of a target: what an earlier one left open is no way to the next.
+type Key = (SocketAddr, Birth);
+
 struct Kept {
     connection: Connection,
     until: Moment,
@@ -25,14 +30,14 @@
 /// Connections that carry no request just now.
 #[derive(Default)]
 pub struct Pool {
-    kept: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+    kept: RefCell<HashMap<Key, Vec<Kept>>>,
 }
 
 impl Pool {
     /// Takes a connection that is open, and on which nothing came that nobody asked for.
-    pub fn take(&self, address: SocketAddr, now: Moment) -> Option<Connection> {
+    pub fn take(&self, target: &TargetEntry, now: Moment) -> Option<Connection> {
         let mut all = self.kept.borrow_mut();
-        let kept = all.get_mut(&address)?;
+        let kept = all.get_mut(&(target.address, target.born_ms))?;
 
         while let Some(mut last) = kept.pop() {
             if last.until > now && last.connection.is_quiet() {
@@ -46,7 +51,7 @@
     /// Keeps a connection after a whole answer, if its head allows that and fewer than `max_kept` are.
     pub fn put(
         &self,
-        address: SocketAddr,
+        target: &TargetEntry,
         connection: Connection,
         head: &ResponseHead,
         max_kept: usize,
@@ -58,13 +63,21 @@
 
         let rest = rest_limit(head);
         let mut all = self.kept.borrow_mut();
-        let kept = all.entry(address).or_default();
+        let kept = all.entry((target.address, target.born_ms)).or_default();
 
         if kept.len() < max_kept {
             kept.push(Kept { connection, until: now + rest });
         }
     }
 
+    /// Closes connections to other starts at a target's address, which take places among those that it accepts.
+    pub fn drop_other_starts(&self, target: &TargetEntry) {
+        let is_other =
+            |(address, birth): &Key| *address == target.address && *birth != target.born_ms;
+
+        self.kept.borrow_mut().retain(|key, _| !is_other(key));
+    }
+
     /// Closes connections that have rested for too long.
     pub fn drop_rested(&self, now: Moment) {
         self.kept.borrow_mut().retain(|_, kept| {
--- a/grebedeck/src/gateway/prompts.rs
+++ b/grebedeck/src/gateway/prompts.rs
@@ -43,7 +43,7 @@
         let Some(engine) = table.service(service).and_then(|s| s.engine.as_ref()) else {
             return;
         };
-        let serving = self.serving(service).unwrap_or_default();
+        let serving = self.without_cold(&self.serving(service).unwrap_or_default(), now);
         let group_tokens_per_s = serving.len() as f64 * engine.read_tokens_per_s * PROMPT_PART;
         let tokens_per_s = group_tokens_per_s * self.share(&serving, now);
         let tokens = request.request.prompt_tokens(&self.names).unwrap_or(engine.usual_prompt);
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -12,7 +12,7 @@
 use grebedeck_gateway::answer;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    Availability, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, RouteTable,
+    Availability, ColdGate, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, RouteTable,
     Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
@@ -28,6 +28,7 @@
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
 use super::request::RoutedRequest;
+use super::starts::ENTRY_LINES_PER_S;
 use super::stop::StopState;
 use super::story::{Decision, End, STORIES_PER_S, Story};
 
@@ -73,6 +74,10 @@
     pub(super) paces: RefCell<HashMap<ServiceName, Pacing>>,
     pub(super) prompts: RefCell<HashMap<ServiceName, PromptRate>>,
     patience: RefCell<HashMap<ServiceName, Patience>>,
+    /// This gateway's part in targets that are cold.
+    pub(super) cold: RefCell<ColdGate>,
+    /// Lines on entries that cannot be read.
+    pub(super) entry_lines: RefCell<LineBudget>,
 }
 
 impl Gateway {
@@ -108,6 +113,8 @@
             paces: RefCell::default(),
             prompts: RefCell::default(),
             patience: RefCell::default(),
+            cold: RefCell::default(),
+            entry_lines: RefCell::new(LineBudget::new(ENTRY_LINES_PER_S)),
         };
         gateway.count_gateways();
 
@@ -134,6 +141,8 @@
 
         *self.table.borrow_mut() = Rc::new(RouteTable::new(site));
         *self.site.borrow_mut() = Some(site.clone());
+        let services = site.services.iter().map(|service| service.name.clone()).collect();
+        self.targets.borrow_mut().set_services(services);
         self.freed.notify(usize::MAX);
         log::info!("configuration in force", kv: { version = site.version, before, from });
         true
@@ -193,6 +202,8 @@
             self.note_list_event(event);
         }
 
+        self.note_heard();
+
         if !events.is_empty() {
             self.freed.notify(usize::MAX);
         }
@@ -336,7 +347,9 @@
             json!({
                 "id": entry.id, "service": entry.service, "hall": entry.hall,
                 "address": entry.address, "state": entry.state, "in_flight": load.in_flight,
-                "places": load.places,
+                "places": load.places, "born_ms": entry.born_ms,
+                "cold_ms": self.cold_left(&entry.id).as_millis() as u64,
+                "readable": targets.is_readable(&entry.id),
             })
         };
         let services: Vec<serde_json::Value> = table
@@ -419,8 +432,10 @@
                 log::info!("target listed", kv: {
                     target = entry.id.as_str(), service = entry.service.as_str(),
                 });
-                self.chooser.borrow_mut().listed(&entry.id, entry.slots);
+                self.chooser.borrow_mut().listed(&entry.id, entry.born_ms, entry.slots);
             }
+            ListEvent::Restarted(entry) => self.note_restart(entry),
+            ListEvent::Unreadable { id, reason } => self.note_unreadable(id, reason),
             ListEvent::Leaving(id) => {
                 log::info!("target leaving", kv: { target = id.as_str() });
             }
--- a/grebedeck/src/rank/calls.rs
+++ b/grebedeck/src/rank/calls.rs
@@ -6,7 +6,7 @@
 use grebedeck_experts::engine::PlacementNo;
 use grebedeck_experts::rollout::RankPart;
 use grebedeck_experts::{OrderEnd, RankCounts, RankEngine, RankOrder, RankReport};
-use grebedeck_gateway::{ListedTarget, Site, SiteStore};
+use grebedeck_gateway::{Site, SiteStore, TargetListing};
 use grebedeck_kernel::log;
 
 use super::driver::Driver;
@@ -19,7 +19,7 @@
     Counts(Result<RankCounts>),
     Ordered { rank: Rank, order: RankOrder, end: OrderEnd },
     Part(Result<(PlacementNo, RankPart)>),
-    Listed(Result<Vec<ListedTarget>>),
+    Listed(Result<TargetListing>),
     Site(Result<Option<Site>>),
 }
 
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -15,7 +15,7 @@
 use grebedeck_experts::balancer::CountDelta;
 use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote};
 use grebedeck_experts::{RankEngine, RankReport};
-use grebedeck_gateway::{ListedTarget, SiteStore, TargetEntry};
+use grebedeck_gateway::{SiteStore, TargetEntry, TargetListing};
 use grebedeck_kernel::{Clock, Metrics, log};
 use serde_json::{Value, json};
 
@@ -93,6 +93,8 @@
     pub(super) obstacles: ObstacleWatch,
     pub(super) lost: Dependencies,
     pub(super) counters: Counters,
+    /// Entries of the list that could not be read last time.
+    unreadable_entries: usize,
     pub(super) state: Rc<RefCell<Value>>,
 }
 
@@ -138,6 +140,7 @@
             obstacles: ObstacleWatch::default(),
             lost: Dependencies::default(),
             counters,
+            unreadable_entries: 0,
             state,
         })
     }
@@ -289,7 +292,11 @@
             }
             Body::Load(_) => {}
             Body::Counts(report) => {
-                let is_current = self.node.report().is_some_and(|r| r.epoch == report.epoch);
+                let is_same_formation =
+                    self.node.report().is_some_and(|r| r.epoch == report.epoch);
+                // What an earlier start of an engine counted is no part of what the next one counts.
+                let is_current = is_same_formation
+                    && !self.node.is_of_other_start(report.rank, report.born_ms);
 
                 if is_current && self.node.is_leading() {
                     self.balance.count(&report);
@@ -374,6 +381,7 @@
             formation: report.epoch,
             is_open: report.is_open,
             slowdown: report.pace,
+            born_ms: report.born_ms,
         };
         let watchers: Vec<SocketAddr> = self.watchers.keys().copied().collect();
 
@@ -382,11 +390,18 @@
         }
     }
 
-    fn note_list(&mut self, targets: Result<Vec<ListedTarget>>) {
-        self.lost.targets.note(&targets);
-        let Ok(targets) = targets else {
+    fn note_list(&mut self, listing: Result<TargetListing>) {
+        self.lost.targets.note(&listing);
+        let Ok(TargetListing { targets, unreadable }) = listing else {
             return;
         };
+
+        if unreadable.len() != self.unreadable_entries {
+            self.unreadable_entries = unreadable.len();
+            let first = unreadable.first().map_or("", |(_, _, reason)| reason.as_str());
+            log::warn!("entries not readable", kv: { count = unreadable.len(), first });
+        }
+
         let own = self.settings.target_address;
         let is_other = |t: &TargetEntry| t.service == self.settings.service && t.address != own;
         let entries = targets.into_iter().map(|listed| listed.entry);
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -53,6 +53,8 @@
     pub is_open: bool,
     /// Time that the engine takes for its work, relative to what is usual.
     pub slowdown: f32,
+    /// Unix milliseconds of the engine's start by its own clock, where it tells them.
+    pub born_ms: Option<u64>,
 }
 
 /// Lines a second on datagrams that are not understood: enough to see who sends them, whatever comes.
--- a/grebedeck/tests/pace.rs
+++ b/grebedeck/tests/pace.rs
@@ -23,6 +23,7 @@
     deadline_ms: "deadline-ms",
     retry_after: "retry-after",
     signature: "signature",
+    cold_ms: "cold-ms",
     not_run: "not-run",
     load: "load",
     last_event_id: "last-event-id",
