--- a/grebedeck-experts/tests/rollout/engine.rs
+++ b/grebedeck-experts/tests/rollout/engine.rs
@@ -54,6 +54,7 @@
             running: 1,
             waiting: 0,
             pace: 1.0,
+            born_ms: None,
         }
     }
 
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -179,6 +179,7 @@
         running: 1,
         waiting: 0,
         pace: 1.0,
+        born_ms: None,
     }
 }
 
--- a/grebedeck-gateway/tests/choice.rs
+++ b/grebedeck-gateway/tests/choice.rs
@@ -109,3 +109,32 @@
     chooser.set_slowdown("target-002", 1.1, NOW);
     assert_eq!(steady(&chooser, NOW), 2);
 }
+
+/// A target that started again under its id was left out for as long as what was known of its earlier start held.
+#[test]
+fn what_was_known_of_an_earlier_start_does_not_stand_for_the_next() {
+    let mut chooser = Chooser::new("hall", chooser_options());
+    chooser.listed("a", Some(1), 10);
+    chooser.reported("a", report(10, 30), NOW);
+    chooser.set_slowdown("a", 12.0, NOW);
+
+    for _ in 0..3 {
+        chooser.sent_at("a", Some(1));
+        chooser.ended_at("a", Some(1), Some(false), NOW);
+    }
+
+    chooser.sent_at("a", Some(1));
+    chooser.listed("a", Some(2), 4);
+    let view = chooser.load_view("a", NOW);
+    assert_eq!((view.in_flight, view.places, view.report_age), (0.0, 4.0, None));
+    let all = targets(1);
+    assert_eq!(chooser.worst_slowdown(&all, NOW), 1.0);
+
+    // How the earlier start's request ends is nothing to the next one.
+    chooser.sent_at("a", Some(2));
+    chooser.ended_at("a", Some(1), Some(false), NOW);
+    chooser.sent_at("a", Some(1));
+    assert_eq!(chooser.own_in_flight("a"), 1);
+    chooser.ended_at("a", Some(2), Some(true), NOW);
+    assert_eq!(chooser.own_in_flight("a"), 0);
+}
--- a/grebedeck-gateway/tests/targets.rs
+++ b/grebedeck-gateway/tests/targets.rs
@@ -1,9 +1,13 @@
 //! The list of targets: late, lapsed and replaced entries.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use grebedeck_gateway::targets::ListEvent;
-use grebedeck_gateway::{ListedTarget, TargetChange, TargetEntry, TargetList, TargetState};
+use grebedeck_gateway::{
+    ListedTarget, TargetChange, TargetEntry, TargetList, TargetListing, TargetState,
+};
+use proptest::prelude::*;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -112,3 +116,203 @@
 
     assert_eq!(serving(&list), ["new"]);
 }
+
+/// An entry of a start that tells when it was.
+fn born(version: u64, id: &str, port: u16, born_ms: u64) -> ListedTarget {
+    let mut listed = listed(version, id, port);
+    listed.entry.born_ms = Some(born_ms);
+    listed
+}
+
+fn unreadable(version: u64, id: &str) -> TargetChange {
+    TargetChange::Unreadable { version, id: id.into(), reason: "no entry".into() }
+}
+
+#[test]
+fn a_target_that_starts_again_under_its_id_is_told_of() {
+    let mut list = TargetList::default();
+    let first = born(10, "a", 1, 500);
+    list.take_snapshot(10, vec![first.clone()], MS(0));
+    assert!(!list.is_earlier_start(&first.entry));
+
+    let next = born(11, "a", 2, 900);
+    let events = list.take_changes(11, vec![TargetChange::Set(next.clone())], MS(10));
+
+    assert_eq!(events, [ListEvent::Restarted(Arc::new(next.entry.clone()))]);
+    assert!(list.is_earlier_start(&first.entry));
+    // The clock of its instance may go back: what was written later counts.
+    let back = born(12, "a", 2, 300);
+    let events = list.take_changes(12, vec![TargetChange::Set(back.clone())], MS(20));
+    assert_eq!(events, [ListEvent::Restarted(Arc::new(back.entry))]);
+}
+
+#[test]
+fn a_start_that_leaves_at_once_is_both_new_and_leaving() {
+    let mut list = TargetList::default();
+    list.take_snapshot(10, vec![born(10, "a", 1, 500)], MS(0));
+    let mut next = born(11, "a", 1, 900);
+    next.entry.state = TargetState::Leaving;
+    let events = list.take_changes(11, vec![TargetChange::Set(next.clone())], MS(10));
+
+    assert_eq!(
+        events,
+        [ListEvent::Restarted(Arc::new(next.entry)), ListEvent::Leaving("a".into())]
+    );
+    assert!(serving(&list).is_empty());
+}
+
+/// Another target answered where the earlier start was; the next one is elsewhere.
+#[test]
+fn an_earlier_start_that_is_gone_does_not_take_the_next_one_along() {
+    let mut list = TargetList::default();
+    let first = born(10, "a", 1, 500);
+    list.take_snapshot(10, vec![first.clone()], MS(0));
+    list.take_changes(11, vec![TargetChange::Set(born(11, "a", 2, 900))], MS(10));
+    list.remove(&first.entry);
+    assert_eq!(serving(&list), ["a"]);
+
+    list.remove(&born(11, "a", 2, 900).entry);
+    assert!(serving(&list).is_empty());
+}
+
+#[test]
+fn one_entry_that_cannot_be_read_hides_no_other() {
+    let mut list = TargetList::default();
+    let unreadable = vec![("x".to_string(), 12, "no entry".to_string())];
+    let listing = TargetListing { targets: vec![listed(10, "a", 1), listed(11, "b", 2)], unreadable };
+    let events = list.take_snapshot(12, listing.clone(), MS(0));
+
+    assert_eq!(serving(&list), ["a", "b"]);
+    assert_eq!(events.len(), 3);
+    assert!(list.take_snapshot(12, listing, MS(1)).is_empty(), "it is told once");
+}
+
+#[test]
+fn a_known_target_gets_no_new_work_until_a_good_entry_comes() {
+    let mut list = TargetList::default();
+    list.take_snapshot(10, vec![listed(9, "a", 1), listed(10, "b", 2)], MS(0));
+    let events = list.take_changes(11, vec![unreadable(11, "a")], MS(10));
+    let told = ListEvent::Unreadable { id: "a".into(), reason: "no entry".into() };
+    assert_eq!(events, [told]);
+    assert_eq!(serving(&list), ["b"]);
+    assert!(list.get("a").is_some(), "what runs there goes on");
+
+    assert!(list.take_changes(12, vec![unreadable(12, "a")], MS(20)).is_empty(), "told once");
+    // An older good one, such as a peer has that is behind, does not bring it back.
+    list.take_changes(12, vec![TargetChange::Set(listed(9, "a", 1))], MS(30));
+    assert_eq!(serving(&list), ["b"]);
+
+    let events = list.take_changes(13, vec![TargetChange::Set(listed(13, "a", 1))], MS(40));
+    assert_eq!(events.len(), 1);
+    assert_eq!(serving(&list), ["a", "b"]);
+}
+
+#[test]
+fn a_peer_hears_which_entries_cannot_be_read() {
+    let mut list = TargetList::default();
+    list.take_snapshot(10, vec![listed(9, "a", 1), listed(10, "b", 2)], MS(0));
+    list.take_changes(11, vec![unreadable(11, "a"), unreadable(11, "x")], MS(10));
+    let mut peer = TargetList::default();
+    peer.take_snapshot(10, vec![listed(9, "a", 1), listed(10, "b", 2)], MS(0));
+    peer.take_snapshot(list.version(), list.listed(), MS(20));
+
+    assert_eq!(serving(&peer), ["b"]);
+    assert_eq!(peer.listed(), list.listed());
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_and_goes_leaves_nothing() {
+    let mut list = TargetList::default();
+    list.take_snapshot(10, vec![listed(9, "a", 1)], MS(0));
+    list.take_changes(12, vec![unreadable(11, "a"), unreadable(12, "x")], MS(10));
+    let events = list.take_changes(14, vec![removed(13, "a"), removed(14, "x")], MS(20));
+
+    assert_eq!(events, [ListEvent::Gone("a".into())]);
+    assert_eq!(list.listed(), TargetListing::default());
+}
+
+/// Another writer's entry at the address of a target, and one that takes the time of its start away.
+#[test]
+fn an_entry_of_another_writer_hides_no_target() {
+    let mut list = TargetList::default();
+    list.set_services(["plain".to_string()].into());
+    list.take_snapshot(10, vec![born(10, "a", 1, 500)], MS(0));
+    let mut other = listed(11, "x", 1);
+    other.entry.service = "never-named".into();
+    list.take_changes(11, vec![TargetChange::Set(other)], MS(10));
+    assert_eq!(serving(&list), ["a"]);
+    assert!(list.serving("never-named").is_none());
+
+    // What cannot be read at the same address hides nothing, either.
+    list.take_changes(12, vec![TargetChange::Set(listed(12, "y", 1))], MS(20));
+    assert_eq!(serving(&list), ["y"]);
+    list.take_changes(13, vec![unreadable(13, "y")], MS(30));
+    assert_eq!(serving(&list), ["a"]);
+
+    list.take_changes(14, vec![TargetChange::Set(listed(14, "a", 1))], MS(40));
+    assert!(serving(&list).is_empty(), "a target that tells its start always does");
+}
+
+#[test]
+fn what_entries_say_anew_is_handed_on_once() {
+    let mut list = TargetList::default();
+    list.take_snapshot(10, vec![listed(9, "a", 1), listed(10, "b", 2)], MS(0));
+    assert_eq!(list.take_heard().len(), 2);
+    list.take_snapshot(11, vec![listed(9, "a", 1), listed(11, "b", 2)], MS(10));
+    let heard: Vec<String> = list.take_heard().iter().map(|t| t.id.clone()).collect();
+
+    assert_eq!(heard, ["b"], "the entry of the other is as old as before");
+    assert!(list.take_heard().is_empty());
+}
+
+/// A change of one of three targets, or of what nobody can read, with a version.
+fn any_change() -> impl Strategy<Value = (u64, usize, u8)> {
+    (1..40u64, 0..3usize, 0..6u8)
+}
+
+fn change(version: u64, target: usize, kind: u8) -> TargetChange {
+    let id = ["a", "b", "c"][target];
+
+    match kind {
+        0 => removed(version, id),
+        1 => unreadable(version, id),
+        2 => leaving(version, id, target as u16),
+        _ => TargetChange::Set(born(version, id, target as u16, u64::from(kind))),
+    }
+}
+
+proptest! {
+    /// Whatever comes in whatever order, the newest word on a target holds.
+    #[test]
+    fn the_newest_word_on_each_target_holds(news in prop::collection::vec(any_change(), 0..40)) {
+        // The store has one word on a target at each version.
+        let word = |version: u64, target: usize| {
+            let found = news.iter().find(|(v, t, _)| (*v, *t) == (version, target));
+            found.map(|(v, t, kind)| change(*v, *t, *kind))
+        };
+        let mut list = TargetList::default();
+
+        for (version, target, _) in &news {
+            list.take_changes(*version, word(*version, *target).into_iter().collect(), MS(0));
+        }
+
+        for target in 0..3 {
+            let id = ["a", "b", "c"][target].to_string();
+            let newest = news.iter().filter(|(_, t, _)| *t == target).map(|(v, ..)| *v).max();
+            let last = newest.and_then(|version| word(version, target));
+            let is_removed = matches!(last, Some(TargetChange::Removed { .. }));
+
+            // What was removed leaves no trace, so an older word may come after it.
+            if is_removed {
+                continue;
+            }
+
+            let is_born = |l: &ListedTarget| l.entry.born_ms.is_some();
+            let is_serving = matches!(
+                &last,
+                Some(TargetChange::Set(l)) if l.entry.state == TargetState::Serving && is_born(l)
+            );
+            prop_assert_eq!(serving(&list).contains(&id), is_serving, "{} of {:?}", id, news);
+        }
+    }
+}
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -77,32 +77,36 @@
     let info = GatewayInfo { peer_address: settings.peer_address, hall: settings.hall.clone() };
     let own = GatewayEntry { name: settings.name.clone(), info };
     let mut told = BTreeSet::new();
+    let mut is_first = true;
 
     loop {
         // Read before it is published: a gateway whose row was there before is known to all others.
-        let is_published = match store.read_gateways().await {
+        match store.read_gateways().await {
             Ok(listing) => {
                 note_unreadable(&listing, &mut told);
                 take_gateways(&gateway, &listing);
-                listing.gateways.contains(&own)
+
+                if !listing.gateways.contains(&own) {
+                    publish(&store, &own).await;
+
+                    if std::mem::take(&mut is_first) {
+                        sleep(FIRST_LIST_PERIOD).await;
+                        continue;
+                    }
+                }
             }
             Err(error) => {
                 log::warn!("gateways not read", kv: { error = error.to_string() });
-                false
             }
-        };
-
-        if is_published {
-            sleep(LIST_PERIOD).await;
-            continue;
         }
 
-        if let Err(error) = store.publish(&own).await {
-            log::warn!("gateway not published", kv: { error = error.to_string() });
-            sleep(LIST_PERIOD).await;
-        } else {
-            sleep(FIRST_LIST_PERIOD).await;
-        }
+        sleep(LIST_PERIOD).await;
+    }
+}
+
+async fn publish<S: SiteStore>(store: &S, own: &GatewayEntry) {
+    if let Err(error) = store.publish(own).await {
+        log::warn!("gateway not published", kv: { error = error.to_string() });
     }
 }
 
