--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -228,8 +228,7 @@
     /// Takes in what became of an order.
     pub fn on_order(&mut self, rank: Rank, order: &RankOrder, end: OrderEnd) {
         // What an engine refused before the group formed anew says nothing of the plans since.
-        let is_own =
-            self.report.as_ref().is_some_and(|r| r.rank == rank && r.epoch == order.epoch);
+        let is_own = self.report.as_ref().is_some_and(|r| r.rank == rank && r.epoch == order.epoch);
 
         if let (true, RankAction::Prepare { placement_no, .. }, OrderEnd::Refused) =
             (is_own, &order.action, end)
--- a/grebedeck-gateway/src/cold.rs
+++ b/grebedeck-gateway/src/cold.rs
@@ -16,8 +16,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use grebedeck_core::digest::{digest, rendezvous};
 use grebedeck_core::Moment;
+use grebedeck_core::digest::{digest, rendezvous};
 
 use crate::targets::TargetId;
 
@@ -196,9 +196,8 @@
         let Some(cold) = self.cold.get_mut(target) else {
             return false;
         };
-        let before = *cold
-            .before_own
-            .get_or_insert_with(|| count_before(target, &self.own, &self.gateways));
+        let before =
+            *cold.before_own.get_or_insert_with(|| count_before(target, &self.own, &self.gateways));
 
         before < owners
     }
--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -34,7 +34,8 @@
     CallerLimits, EngineSpec, Kind, Organisation, RouteRule, ServiceSpec, Site, Weighted,
 };
 pub use source::{
-    GatewayEntry, GatewayInfo, GatewayListing, SiteStore, Snapshot, StoreVersion, TargetChange, Watched,
+    GatewayEntry, GatewayInfo, GatewayListing, SiteStore, Snapshot, StoreVersion, TargetChange,
+    Watched,
 };
 pub use targets::{ListedTarget, TargetEntry, TargetId, TargetList, TargetListing, TargetState};
 pub use wire::HeaderNames;
--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -298,7 +298,9 @@
 
         TargetListing {
             targets: self.known.values().filter(is_held).map(listed).collect(),
-            unreadable: unreadable.map(|(id, (v, reason))| (id.clone(), *v, reason.clone())).collect(),
+            unreadable: unreadable
+                .map(|(id, (v, reason))| (id.clone(), *v, reason.clone()))
+                .collect(),
         }
     }
 
--- a/grebedeck-gateway/tests/cold.rs
+++ b/grebedeck-gateway/tests/cold.rs
@@ -63,7 +63,8 @@
 
 /// Gets the most requests in any one second.
 fn busiest_second(arrivals: &[u64]) -> usize {
-    let in_second = |from: &u64| arrivals.iter().filter(|at| (*from..from + 1000).contains(at)).count();
+    let in_second =
+        |from: &u64| arrivals.iter().filter(|at| (*from..from + 1000).contains(at)).count();
 
     arrivals.iter().map(in_second).max().unwrap_or(0)
 }
@@ -156,7 +157,8 @@
 #[test]
 fn gateways_that_start_at_once_stay_below_the_bound() {
     for cold_per_s in RATES {
-        let mut gates: Vec<ColdGate> = (0..53).map(|number| gate(number, &addresses(0..0))).collect();
+        let mut gates: Vec<ColdGate> =
+            (0..53).map(|number| gate(number, &addresses(0..0))).collect();
 
         for (number, gate) in gates.iter_mut().enumerate() {
             gate.set_gateways(address(number), &addresses(0..=number), MS(FROM_MS));
--- a/grebedeck-gateway/tests/targets.rs
+++ b/grebedeck-gateway/tests/targets.rs
@@ -179,7 +179,8 @@
 fn one_entry_that_cannot_be_read_hides_no_other() {
     let mut list = TargetList::default();
     let unreadable = vec![("x".to_string(), 12, "no entry".to_string())];
-    let listing = TargetListing { targets: vec![listed(10, "a", 1), listed(11, "b", 2)], unreadable };
+    let listing =
+        TargetListing { targets: vec![listed(10, "a", 1), listed(11, "b", 2)], unreadable };
     let events = list.take_snapshot(12, listing.clone(), MS(0));
 
     assert_eq!(serving(&list), ["a", "b"]);
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -12,8 +12,8 @@
 use grebedeck_gateway::answer;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    Availability, ColdGate, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, RouteTable,
-    Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
+    Availability, ColdGate, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate,
+    RouteTable, Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Metrics, log};
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -292,11 +292,10 @@
             }
             Body::Load(_) => {}
             Body::Counts(report) => {
-                let is_same_formation =
-                    self.node.report().is_some_and(|r| r.epoch == report.epoch);
+                let is_same_formation = self.node.report().is_some_and(|r| r.epoch == report.epoch);
                 // What an earlier start of an engine counted is no part of what the next one counts.
-                let is_current = is_same_formation
-                    && !self.node.is_of_other_start(report.rank, report.born_ms);
+                let is_current =
+                    is_same_formation && !self.node.is_of_other_start(report.rank, report.born_ms);
 
                 if is_current && self.node.is_leading() {
                     self.balance.count(&report);
--- a/grebedeck/tests/datagrams.rs
+++ b/grebedeck/tests/datagrams.rs
@@ -25,8 +25,15 @@
 
 #[test]
 fn a_datagram_is_read_as_it_was_written() {
-    let load =
-        RankLoad { group: 7, running: 3, waiting: 1, formation: 2, is_open: true, slowdown: 1.5, born_ms: None };
+    let load = RankLoad {
+        group: 7,
+        running: 3,
+        waiting: 1,
+        formation: 2,
+        is_open: true,
+        slowdown: 1.5,
+        born_ms: None,
+    };
     let written = Datagram { body: Body::Load(load), ..datagram(Some(7)) };
     let bytes = written.to_bytes().expect("it always serializes");
 
