--- a/grebedeck-http/src/error.rs
+++ b/grebedeck-http/src/error.rs
@@ -27,3 +27,10 @@
     #[error("timed out")]
     TimedOut,
 }
+
+impl HttpError {
+    /// Tells whether nobody listens at the address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, HttpError::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -228,13 +228,7 @@
         }),
         // So does that an earlier one did not.
         _ if gateway.is_earlier_start(target) => {}
-        _ => {
-            gateway.note_not_taken(&request.service, cause);
-
-            if cause == FailureCause::Connect {
-                gateway.suspect_start(target);
-            }
-        }
+        _ => gateway.note_not_taken(&request.service, cause),
     }
 }
 
@@ -246,9 +240,17 @@
     let mut in_flight = InFlight::new(gateway, target);
     let left = request.deadline.saturating_sub(gateway.now());
 
-    let Ok(mut connection) = connect(gateway, target, left).await else {
-        in_flight.judge(false);
-        return Err(Failure::not_run(FailureCause::Connect));
+    let mut connection = match connect(gateway, target, left).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            in_flight.judge(false);
+
+            if error.is_refused() && !gateway.is_earlier_start(target) {
+                gateway.suspect_start(target);
+            }
+
+            return Err(Failure::not_run(FailureCause::Connect));
+        }
     };
 
     let left = request.deadline.saturating_sub(gateway.now());
