Merge starts, entries and cold targets

Cause: one entry that could not be read hid the whole list, any unknown state was taken for leaving, what was known of an earlier start of a target stood for the next one, and each gateway sent a cold target its own full part. Joined here: targets of a hall that was taken back are taken for cold for their service's cold time.

--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod answer;
 pub mod choice;
+pub mod cold;
 pub mod evacuation;
 pub mod events;
 pub mod outage;
@@ -23,6 +24,7 @@
 
 pub use answer::{RunState, Verdict, judge};
 pub use choice::chooser_options;
+pub use cold::{ColdGate, ColdPart};
 pub use evacuation::{Evacuations, HallEvent, HallWord, HallWords};
 pub use events::{Event, EventBuffer};
 pub use outage::{Availability, Outage, OutageOptions};
@@ -34,8 +36,8 @@
     CallerLimits, EngineSpec, Kind, Organisation, RouteRule, ServiceSpec, Site, Weighted,
 };
 pub use source::{
-    GatewayEntry, GatewayInfo, OperatorChange, OperatorState, SiteStore, Snapshot, StoreVersion,
-    TargetChange, Unreadable, Watched,
+    GatewayEntry, GatewayInfo, GatewayListing, OperatorChange, OperatorState, SiteStore, Snapshot,
+    StoreVersion, TargetChange, Unreadable, Watched,
 };
-pub use targets::{ListedTarget, TargetEntry, TargetId, TargetList, TargetState};
+pub use targets::{ListedTarget, TargetEntry, TargetId, TargetList, TargetListing, TargetState};
 pub use wire::HeaderNames;
--- a/grebedeck-gateway/tests/evacuation.rs
+++ b/grebedeck-gateway/tests/evacuation.rs
@@ -21,6 +21,8 @@
         hall: hall.into(),
         slots: 4,
         state: TargetState::Serving,
+        born_ms: None,
+        cold: Duration::ZERO,
     }
 }
 
@@ -224,7 +226,7 @@
         entry.address.set_port(100 + at as u16);
         ListedTarget { version: 1 + at as u64, entry }
     });
-    list.take_snapshot(50, listed.collect(), MS(0));
+    list.take_snapshot(50, listed.collect::<Vec<_>>(), MS(0));
     list
 }
 
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod body;
 pub mod caller;
+pub mod cold;
 pub mod counters;
 pub mod halls;
 pub mod health;
@@ -21,6 +22,7 @@
 pub mod reload;
 pub mod request;
 pub mod service;
+pub mod starts;
 pub mod stop;
 pub mod story;
 pub mod stream;
@@ -138,6 +140,7 @@
         async_std::task::sleep(options::HOUSEKEEPING_PERIOD).await;
         gateway.drop_lapsed();
         gateway.log_left_out();
+        gateway.forget_warm();
         gateway.pool.drop_rested(gateway.now());
     }
 }
--- a/grebedeck/src/gateway/halls.rs
+++ b/grebedeck/src/gateway/halls.rs
@@ -68,7 +68,7 @@
         let since = self.operator.current_at.replace(Some(asked_at));
         self.take_halls("store", |halls, now| halls.take_snapshot(version, &evacuated, since, now));
         self.operator.knows_halls.set(true);
-        unreadable.iter().for_each(|what| self.note_unreadable(what));
+        unreadable.iter().for_each(|what| self.note_unreadable_key(what));
 
         if let Some(site) = site {
             self.take_site(&site, "store");
@@ -97,7 +97,7 @@
                         halls.take_change(version, &hall, false, now)
                     });
                 }
-                OperatorChange::Unreadable(what) => self.note_unreadable(&what),
+                OperatorChange::Unreadable(what) => self.note_unreadable_key(&what),
             }
         }
 
@@ -176,10 +176,11 @@
                 log::info!("hall taken back", kv: {
                     hall = hall.as_str(), version = *version, from,
                 });
+                self.suspect_starts_in(hall);
             }
             HallEvent::LeftOut { hall, version } => {
                 self.counters.hall_news.add("left_out");
-                self.note_unreadable(&Unreadable {
+                self.note_unreadable_key(&Unreadable {
                     version: *version,
                     key: hall.clone(),
                     error: "too many halls, or a name that is too long".to_string(),
@@ -190,7 +191,7 @@
         self.freed.notify(usize::MAX);
     }
 
-    fn note_unreadable(&self, what: &Unreadable) {
+    fn note_unreadable_key(&self, what: &Unreadable) {
         if self.operator.is_news(what) {
             log::error!("refused", kv: {
                 what = what.key.as_str(), version = what.version, error = what.error.as_str(),
