Rollout: a test that fails: nodes without memory never settle on a leader

Cause, by a trace of each datagram: after all processes were killed 62 nodes do not know the placement that a plan differs from. Each asks the leader 0.1 s later and again, and the leader answers each with 2.7 KB: 168 KB at once and 120 KB each 0.1 s over 8 Mbit/s. 8 of the first 62 answers to one hall's nodes came through, then nothing did, signs of life included, until another claimed after 0.45 s. The virtual group's shape and its links' queue are parameters now.

--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -30,6 +30,37 @@
     pub until: Moment,
 }
 
+/// What the engines' experts look like.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Sets of layers.
+    pub sets: u16,
+    /// Experts of a set that each rank starts with.
+    pub per_rank: u16,
+}
+
+/// One set, two experts a rank.
+pub const SMALL_SHAPE: Shape = Shape { sets: 1, per_rank: 2 };
+
+impl Shape {
+    fn dealt(self, size: usize) -> Arc<Placement> {
+        let experts = self.per_rank * size as u16;
+        Arc::new(Placement::dealt(size as Rank, usize::from(self.sets), experts))
+    }
+
+    /// Gets a placement with one more expert at each rank than it starts with.
+    fn shifted(self, size: Rank, shift: u16) -> Placement {
+        let experts = self.per_rank * size;
+        let held = |set: u16, rank: Rank| -> Vec<u16> {
+            let dealt = (0..self.per_rank).map(|turn| rank + turn * size);
+            dealt.chain([(rank + shift + set) % experts]).collect()
+        };
+        let set = |set| (0..size).map(|rank| held(set, rank)).collect();
+
+        Placement { sets: (0..self.sets).map(set).collect() }
+    }
+}
+
 /// A fault put into the group itself, which the check must notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Broken {
@@ -77,6 +108,7 @@
     random: SeededSource,
     faults: Faults,
     broken: Broken,
+    shape: Shape,
     now: Moment,
     pass: PassNo,
     pass_at: Moment,
@@ -97,6 +129,11 @@
     pub changeovers: Vec<Duration>,
     /// Bytes that each machine's link carries in a second, either way; no limit where there is none.
     pub link_bytes_per_s: Option<f64>,
+    /// Longest time that a datagram waits at a link before it is dropped.
+    pub link_queue: Duration,
+    /// Whether the link's time goes by for a datagram that is dropped too, as on the smallest ones seen: after 168 KB
+    /// at once over 8 Mbit/s nothing came through for as long as new ones were sent.
+    pub drops_take_time: bool,
     /// How often a node took the lead.
     pub claims: u64,
     /// By how much each pass with a new placement began later than a pass takes.
@@ -123,13 +160,19 @@
 
 impl Group {
     pub fn new(size: usize, seed: u64, faults: Faults, broken: Broken) -> Self {
+        Self::shaped(size, SMALL_SHAPE, seed, faults, broken)
+    }
+
+    /// Makes a group whose engines have so many sets and experts.
+    pub fn shaped(size: usize, shape: Shape, seed: u64, faults: Faults, broken: Broken) -> Self {
         let mut random = SeededSource::new(seed);
-        let machines = (0..size).map(|at| Machine::new(at, size, &mut random)).collect();
+        let machines = (0..size).map(|at| Machine::new(at, size, shape, &mut random)).collect();
 
         Group {
             random,
             faults,
             broken,
+            shape,
             now: Duration::ZERO,
             pass: 0,
             pass_at: Duration::ZERO,
@@ -144,6 +187,8 @@
             held_at: Duration::ZERO,
             changeovers: Vec::new(),
             link_bytes_per_s: None,
+            link_queue: LINK_QUEUE,
+            drops_take_time: false,
             claims: 0,
             pauses: Vec::new(),
             from_proposal: Vec::new(),
@@ -390,11 +435,18 @@
         let up = self.machines[from].link_free.up.max(now);
         let down = self.machines[to].link_free.down.max(up + takes);
 
-        if up > now + LINK_QUEUE || down > up + LINK_QUEUE {
+        let is_dropped = up > now + self.link_queue || down > up + self.link_queue;
+
+        if is_dropped && !self.drops_take_time {
             return None;
         }
 
         self.machines[from].link_free.up = up + takes;
+
+        if is_dropped {
+            return None;
+        }
+
         self.machines[to].link_free.down = down + takes;
         Some(down + takes - now)
     }
@@ -404,6 +456,18 @@
         self.machines.iter().position(|m| m.node.as_ref().is_some_and(Node::is_leading))
     }
 
+    /// Gets the nodes that lead.
+    pub fn leaders(&self) -> usize {
+        self.machines.iter().filter(|m| m.node.as_ref().is_some_and(Node::is_leading)).count()
+    }
+
+    /// Gets when the last of the machines is back that are frozen now, or whose nodes are away.
+    pub fn whole_at(&self) -> Moment {
+        let back = self.machines.iter().map(|m| m.starts_at.max(m.frozen_until));
+
+        back.max().unwrap_or_default().max(self.now)
+    }
+
     /// Tells whether a machine's call reaches another's engine.
     fn reaches(&self, from: usize, to: usize) -> bool {
         from == to || self.now >= self.machines[to].frozen_until
@@ -459,13 +523,11 @@
 
             if node.can_plan(now) {
                 // Only whoever plans knows the engines' shape; the others learn it from the plan.
-                node.keep_placement(0, first_placement(usize::from(size)));
+                node.keep_placement(0, self.shape.dealt(usize::from(size)));
             }
 
             if node.can_plan(now) && node.placement_in_use().is_some() {
-                let experts = |rank: Rank| vec![rank, rank + size, (rank + shift) % (2 * size)];
-                let placement = Placement { sets: vec![(0..size).map(experts).collect()] };
-                let actions = node.propose(placement, now);
+                let actions = node.propose(self.shape.shifted(size, shift), now);
                 self.proposed_at = now;
                 actions.into_iter().for_each(|action| self.act(at, action));
             }
@@ -492,13 +554,9 @@
     node
 }
 
-fn first_placement(size: usize) -> Arc<Placement> {
-    Arc::new(Placement::dealt(size as Rank, 1, 2 * size as u16))
-}
-
 impl Machine {
-    fn new(at: usize, size: usize, random: &mut SeededSource) -> Self {
-        let first = first_placement(size);
+    fn new(at: usize, size: usize, shape: Shape, random: &mut SeededSource) -> Self {
+        let first = shape.dealt(size);
         let engine = Engine {
             epoch: 1,
             placement: 0,
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -3,6 +3,7 @@
 
 mod engine;
 mod group;
+mod settles;
 
 use std::sync::Arc;
 use std::time::Duration;
