Rollout: a leader that nobody understands keeps the lead, and its plans come into use

Cause: after all processes were killed, 62 of 63 nodes asked the leader for the placement that its plan differed from, 2.7 KB each and again each 0.1 s, over 8 Mbit/s; signs of life were dropped with the rest. Traced datagram by datagram. Ruled out: the process itself (sending took 10 us a datagram), the followers (each answered within some ms), the order of the plan.

Change: a status says whether its node knows the placement in use. Where more than eight do not, a plan is told as what differs from the first placement, which each can work out. Long words wait for a budget of half the smallest link; short ones go before them; a whole placement is sent only within it. A node that lost the lead twice waits longer, a new leader goes on with the placement that it was preparing, and a leader that stops calls on the next. Numbers of placements are not given twice by one process, and what was known of a formation is forgotten with it.

--- a/grebedeck-experts/src/placement.rs
+++ b/grebedeck-experts/src/placement.rs
@@ -83,6 +83,11 @@
         self.sets.iter().map(held).collect()
     }
 
+    /// Gets the number of ranks.
+    pub fn ranks(&self) -> Rank {
+        self.sets.first().map_or(0, |set| set.len() as Rank)
+    }
+
     /// Gets the number of sets, and of experts in each.
     pub fn shape(&self) -> (u16, Expert) {
         let highest = self.sets.iter().flatten().flatten().max();
--- a/grebedeck-experts/src/rollout.rs
+++ b/grebedeck-experts/src/rollout.rs
@@ -26,7 +26,9 @@
 
 pub mod action;
 mod arming;
+mod bulk;
 mod changeover;
+mod claim;
 mod engaged;
 mod holder;
 mod lead;
--- a/grebedeck-experts/src/rollout/action.rs
+++ b/grebedeck-experts/src/rollout/action.rs
@@ -40,6 +40,16 @@
 pub enum RankNote {
     /// It takes the lead.
     Leads(Term),
+    /// It gives the lead up, as the process is to stop.
+    Resigns {
+        /// The rank that it calls on.
+        next: Rank,
+    },
+    /// It goes on with what the leader before it wanted.
+    CarriesOn {
+        /// The placement.
+        placement_no: PlacementNo,
+    },
     /// It follows a leader.
     Follows(Term),
     /// The group has formed anew; all plans are void.
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use grebedeck_core::{Expert, Moment, Rank};
 
@@ -10,7 +9,8 @@
 use super::message::{Directive, Stage, Status, Term};
 use super::node::Node;
 use super::options::NodeOptions;
-use crate::engine::{PassNo, PlacementNo, RankAction, RankOrder, RankReport};
+use super::tell::FAN_OUT;
+use crate::engine::{DEALT_PLACEMENT, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
 use crate::placement::{Placement, RankChange};
 
 /// Bits of a placement's number that tell the starts of the leaders' processes apart.
@@ -43,8 +43,8 @@
     /// When the plan came to its present stage.
     since: Moment,
     told_at: Option<Moment>,
-    /// When some nodes were told last what the plan changes.
-    changes_told_at: Option<Moment>,
+    /// When some nodes may be told again what the plan changes.
+    changes_due_at: Option<Moment>,
     statuses: BTreeMap<Rank, (Status, Moment)>,
 }
 
@@ -97,7 +97,7 @@
             plan: Plan::Idle,
             since: now,
             told_at: None,
-            changes_told_at: None,
+            changes_due_at: None,
             statuses: BTreeMap::new(),
         }
     }
@@ -124,7 +124,7 @@
         self.since = now;
         self.revision += 1;
         self.told_at = None;
-        self.changes_told_at = None;
+        self.changes_due_at = None;
     }
 
     /// Tells whether every rank's node has promised to follow and was heard of lately.
@@ -190,13 +190,57 @@
         status.is_some_and(|(s, _)| s.report.prepared == Some(placement_no))
     }
 
-    pub(super) fn note_changes_told(&mut self, now: Moment) {
-        self.changes_told_at = Some(now);
+    /// Notes that what the plan changes was told, and is not to be told again before a moment.
+    pub(super) fn note_changes_told(&mut self, due_at: Moment) {
+        self.changes_due_at = Some(due_at);
     }
 
-    /// Tells whether what the plan changes may be told now, where it is told again after `pause`.
-    pub(super) fn may_tell_changes(&self, now: Moment, pause: Duration) -> bool {
-        self.changes_told_at.is_none_or(|at| now >= at + pause)
+    /// Tells whether what the plan changes may be told now.
+    pub(super) fn may_tell_changes(&self, now: Moment) -> bool {
+        self.changes_due_at.is_none_or(|at| now >= at)
+    }
+
+    /// Goes on with a placement that the leader before wanted, told as what differs from the first one.
+    pub(super) fn carry_on(
+        &mut self,
+        placement_no: PlacementNo,
+        shape: (u16, Expert),
+        changes: Vec<RankChange>,
+        now: Moment,
+    ) {
+        let (base_no, changes) = (DEALT_PLACEMENT, Arc::new(changes));
+        self.set_plan(Plan::Prepare { placement_no, base_no, shape, changes }, now);
+    }
+
+    /// Gets the first other rank whose node was heard of lately.
+    pub(super) fn first_heard(
+        &self,
+        own: &RankReport,
+        now: Moment,
+        options: &NodeOptions,
+    ) -> Option<Rank> {
+        let is_heard = |(rank, (_, at)): &(&Rank, &(Status, Moment))| {
+            **rank != own.rank && now < *at + options.status_lifetime
+        };
+
+        self.statuses.iter().find(is_heard).map(|(rank, _)| *rank)
+    }
+
+    /// Tells whether few enough nodes do not know the placement in use to be told it one by one.
+    fn is_base_known(&self) -> bool {
+        let is_unknown = |(status, _): &&(Status, Moment)| !status.knows_placement;
+
+        self.statuses.values().filter(is_unknown).count() <= FAN_OUT
+    }
+
+    /// Gets the first rank that is bound to a plan, or has another placement in use than the leader's.
+    fn first_bound(&self, own: &RankReport) -> Option<Rank> {
+        let is_free = |s: &Status| {
+            let is_bound = s.is_engaged || s.report.armed.is_some() || s.report.held.is_some();
+            !is_bound && s.report.placement == own.placement
+        };
+
+        (0..own.size).find(|rank| !self.statuses.get(rank).is_some_and(|(s, _)| is_free(s)))
     }
 
     /// Tells whether a rank's node has taken a word of this leadership.
@@ -225,10 +269,6 @@
     /// Gets what keeps a leader from a new plan, or `None` where nothing does.
     pub fn plan_block(&self, now: Moment) -> Option<PlanBlock> {
         let (lead, own) = (self.lead.as_ref()?, self.report.as_ref()?);
-        let is_free = |s: &Status| {
-            let is_bound = s.is_engaged || s.report.armed.is_some() || s.report.held.is_some();
-            !is_bound && s.report.placement == own.placement
-        };
 
         if !matches!(lead.plan, Plan::Idle) {
             return Some(PlanBlock::UnderWay);
@@ -238,9 +278,7 @@
             return Some(PlanBlock::NotFollowing { rank });
         }
 
-        let is_bound = |rank: &Rank| !lead.statuses.get(rank).is_some_and(|(s, _)| is_free(s));
-
-        (0..own.size).find(is_bound).map(|rank| PlanBlock::Bound { rank })
+        lead.first_bound(own).map(|rank| PlanBlock::Bound { rank })
     }
 
     /// Gets what all ranks said last, in order, where the node leads and all are known.
@@ -259,16 +297,17 @@
             return actions;
         }
 
-        let Some(base) = self.placement_in_use().cloned() else {
+        let Some(in_use) = self.placement_in_use().cloned() else {
             return actions;
         };
-        let base_no = self.report.as_ref().map_or(0, |r| r.placement);
+        let shape = in_use.shape();
+        let (base_no, base) = self.base_of_plan(in_use);
         let placement_no = self.next_placement_no();
         let changes = Arc::new(base.changes_to(&placement));
+        self.proposed_no = placement_no;
         self.keep_placement(placement_no, Arc::new(placement));
 
         if let Some(lead) = &mut self.lead {
-            let shape = base.shape();
             lead.set_plan(Plan::Prepare { placement_no, base_no, shape, changes }, now);
         }
 
@@ -276,6 +315,22 @@
         actions
     }
 
+    /// Gets the placement that a plan is told to differ from: the one in use, or where many nodes do not know that, the
+    /// first one, which each can work out. With the one in use, 62 of 63 nodes that had lost their memory asked the
+    /// leader for it; its link carried nothing else, and in virtual time 22 nodes took the lead in 22 s.
+    fn base_of_plan(&mut self, in_use: Arc<Placement>) -> (PlacementNo, Arc<Placement>) {
+        let in_use_no = self.report.as_ref().map_or(DEALT_PLACEMENT, |r| r.placement);
+
+        if self.lead.as_ref().is_some_and(Lead::is_base_known) {
+            return (in_use_no, in_use);
+        }
+
+        self.keep_first_placement(in_use.shape());
+        let first = self.placements.get(&DEALT_PLACEMENT).cloned();
+
+        first.map_or((in_use_no, in_use), |first| (DEALT_PLACEMENT, first))
+    }
+
     /// Gets a number above all that any engine has had, and that no other leader draws.
     fn next_placement_no(&self) -> PlacementNo {
         let seen = |s: &Status| {
@@ -284,7 +339,9 @@
             [Some(r.placement), r.prepared, armed, s.refused].into_iter().flatten().max()
         };
         let statuses = self.lead.iter().flat_map(|l| l.statuses.values());
-        let highest = statuses.filter_map(|(s, _)| seen(s)).max().unwrap_or(0);
+        let seen = statuses.filter_map(|(s, _)| seen(s)).max().unwrap_or(0);
+        // A node that led before may have given a number that no engine has had yet.
+        let highest = seen.max(self.proposed_no);
 
         // Two starts of a process may see the same numbers, and must not give one to two placements.
         (((highest >> LIFE_BITS) + 1) << LIFE_BITS) | (self.life & LIFE_MASK)
@@ -311,7 +368,7 @@
             self.broadcast(directive, now, actions);
         } else if matches!(lead.plan, Plan::Prepare { .. }) {
             let directive = lead.directive(own);
-            self.tell_changes(&directive, now, actions);
+            self.tell_changes(&directive, now);
         }
     }
 
@@ -340,6 +397,15 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
+
+        // The holder of the leader before has brought it into use.
+        if own.placement == placement_no {
+            let pass = own.pass;
+            lead.set_plan(Plan::Idle, now);
+            actions.push(Action::Note(RankNote::InUse { placement_no, pass }));
+            return;
+        }
+
         let is_refused = lead.statuses.values().any(|(s, _)| s.refused == Some(placement_no));
         let is_late = now >= lead.since + options.prepare_limit;
 
@@ -352,7 +418,9 @@
 
         let is_ready = lead.all(own.size, |s| s.report.prepared == Some(placement_no));
 
-        if !is_ready || !lead.follows_all(own, now, &options) {
+        let is_free = lead.first_bound(own).is_none();
+
+        if !is_ready || !is_free || !lead.follows_all(own, now, &options) {
             return;
         }
 
--- a/grebedeck-experts/src/rollout/message.rs
+++ b/grebedeck-experts/src/rollout/message.rs
@@ -128,6 +128,8 @@
     /// The last word of the leadership it has promised to follow that it has taken, counted as the
     /// leader does; 0 where it has taken none.
     pub revision: u64,
+    /// Whether it knows the placement in use, from which a plan may differ.
+    pub knows_placement: bool,
 }
 
 /// Experts of one rank by set.
@@ -153,6 +155,13 @@
         /// The nodes that are to hear of it.
         to: Vec<A>,
     },
+    /// From a leader that is to stop, to all.
+    Resign {
+        /// The leadership that ends.
+        term: Term,
+        /// The rank whose node is to take the lead at once.
+        next: Rank,
+    },
     /// From a node to its leader.
     Status(Status),
     /// From a holder to all.
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -7,6 +7,7 @@
 
 use super::action::{Action, RankNote};
 use super::arming::ArmingTime;
+use super::bulk::BulkQueue;
 use super::changeover::Holding;
 use super::engaged::Engaged;
 use super::lead::Lead;
@@ -32,6 +33,10 @@
     pub(super) others: Vec<A>,
     pub(super) leader: Option<A>,
     pub(super) heard_at: Moment,
+    /// Whether the leader that stops has called on this node to follow it.
+    pub(super) is_called: bool,
+    /// Leads that were lost to others since a placement last came into use.
+    pub(super) lost_leads: u32,
     pub(super) directive: Option<Directive>,
     pub(super) refused: Option<PlacementNo>,
     pub(super) ordered: Option<(RankOrder, Moment)>,
@@ -50,6 +55,9 @@
     /// The next changeover's round, counted from the life.
     pub(super) next_round: u64,
     pub(super) placements: BTreeMap<PlacementNo, Arc<Placement>>,
+    /// The last number that the node gave to a placement.
+    pub(super) proposed_no: PlacementNo,
+    pub(super) bulk: BulkQueue<A>,
     pub(super) parts: BTreeMap<Rank, RankPart>,
     pub(super) parts_of: PlacementNo,
     pub(super) asked_parts_at: Option<Moment>,
@@ -73,6 +81,8 @@
             others: Vec::new(),
             leader: None,
             heard_at: now,
+            is_called: false,
+            lost_leads: 0,
             directive: None,
             refused: None,
             ordered: None,
@@ -86,6 +96,8 @@
             life,
             next_round: life,
             placements: BTreeMap::new(),
+            proposed_no: 0,
+            bulk: BulkQueue::new(now),
             parts: BTreeMap::new(),
             parts_of: 0,
             asked_parts_at: None,
@@ -200,7 +212,7 @@
                 self.take_directive(from, directive, roster, now, &mut actions);
             }
             Message::Relay { leader, directive, to } => {
-                self.pass_on(&leader, &directive, to, &mut actions);
+                self.pass_on(&leader, &directive, to);
                 self.take_directive(leader, directive, Vec::new(), now, &mut actions);
             }
             Message::Status(status) => self.take_status(from, status, now, &mut actions),
@@ -209,14 +221,12 @@
             }
             Message::Answer(answer) => self.take_answer(from, answer, now, &mut actions),
             Message::AskPlacement { placement_no } => {
-                if let Some(placement) = self.placements.get(&placement_no).cloned() {
-                    let message = Message::Placement { placement_no, placement };
-                    actions.push(Action::Send { to: from, message });
-                }
+                self.send_placement(from, placement_no, now, &mut actions);
             }
             Message::Placement { placement_no, placement } => {
                 self.keep_placement(placement_no, placement);
             }
+            Message::Resign { term, next } => self.take_resign(term, next, now),
             Message::AskPart { placement_no } => self.send_part(from, placement_no, &mut actions),
             Message::Part { placement_no, rank, part } => self.take_part(placement_no, rank, part),
         }
@@ -266,6 +276,7 @@
         self.step_lead(&report, now, actions);
         self.tell_status(&report, now, actions);
         self.ask_parts(&report, now, actions);
+        self.send_bulk(now, actions);
     }
 
     pub(super) fn take_own_report(
@@ -279,6 +290,10 @@
         let is_same = |b: &RankReport| b.group == report.group && b.epoch == report.epoch;
         let is_new_epoch = !before.as_ref().is_some_and(is_same);
 
+        if before.as_ref().is_some_and(|b| b.placement != report.placement) {
+            self.lost_leads = 0;
+        }
+
         if before.is_none() {
             // Whoever leads had no way to tell before.
             self.heard_at = now;
@@ -316,8 +331,10 @@
         }
 
         if is_new_epoch {
-            // Ranks may have changed their places.
+            // Ranks may have changed their places, and numbers count from the start again.
             self.roster.clear();
+            self.parts.clear();
+            self.placements.retain(|no, p| *no == DEALT_PLACEMENT && p.ranks() == report.size);
             actions.push(Action::Note(RankNote::NewEpoch(report.epoch)));
         }
     }
@@ -342,6 +359,7 @@
 
         self.leader = Some(from);
         self.heard_at = now;
+        self.is_called = false;
         self.roster.extend(roster);
         let epoch = self.report.as_ref().map(|r| r.epoch);
         let is_newer = self.directive.as_ref().is_none_or(|d| d.revision < directive.revision);
@@ -371,14 +389,6 @@
         }
     }
 
-    /// Follows a later leadership.
-    pub(super) fn follow(&mut self, term: Term, actions: &mut Vec<Action<A>>) {
-        self.promised = term;
-        self.lead = None;
-        self.directive = None;
-        actions.push(Action::Note(RankNote::Follows(term)));
-    }
-
     fn take_status(&mut self, from: A, status: Status, now: Moment, actions: &mut Vec<Action<A>>) {
         let is_same_epoch = self.report.as_ref().is_some_and(|r| r.epoch == status.report.epoch);
 
@@ -439,28 +449,6 @@
         }
     }
 
-    fn may_claim(&self, rank: Rank, now: Moment) -> bool {
-        let doublings = (f64::from(rank) + 1.0).log2();
-        let wait = self.options.claim_after + self.options.claim_per_doubling.mul_f64(doublings);
-
-        self.lead.is_none() && now >= self.heard_at + wait
-    }
-
-    /// Takes the lead where no leader has been heard of for long enough.
-    fn claim(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        if !self.may_claim(report.rank, now) {
-            return;
-        }
-
-        let term = Term { round: self.promised.round + 1, rank: report.rank, life: self.life };
-        self.promised = term;
-        self.leader = None;
-        self.directive = None;
-        self.lead = Some(Lead::new(term, now));
-        self.asked_parts_at = None;
-        actions.push(Action::Note(RankNote::Leads(term)));
-    }
-
     fn tell_status(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
         let status = self.status(report);
 
@@ -497,6 +485,8 @@
             is_engaged: self.engaged.is_some() || self.holding.is_some(),
             known: self.roster.len() as Rank,
             revision: self.directive.as_ref().map_or(0, |directive| directive.revision),
+            knows_placement: report.placement == DEALT_PLACEMENT
+                || self.placements.contains_key(&report.placement),
         }
     }
 }
--- a/grebedeck-experts/src/rollout/parts.rs
+++ b/grebedeck-experts/src/rollout/parts.rs
@@ -6,6 +6,7 @@
 use grebedeck_core::{Expert, Moment, Rank};
 
 use super::action::Action;
+use super::bulk::placement_bytes;
 use super::message::{Message, RankPart};
 use super::node::Node;
 use crate::engine::{DEALT_PLACEMENT, PlacementNo, RankReport};
@@ -54,6 +55,24 @@
         }
     }
 
+    /// Sends a placement that was asked for, unless the link has no time for it: whoever asked asks again.
+    pub(super) fn send_placement(
+        &mut self,
+        to: A,
+        placement_no: PlacementNo,
+        now: Moment,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let Some(placement) = self.placements.get(&placement_no).cloned() else {
+            return;
+        };
+
+        if self.bulk.take_time(placement_bytes(&placement), now) {
+            let message = Message::Placement { placement_no, placement };
+            actions.push(Action::Send { to, message });
+        }
+    }
+
     /// Reads what the own engine holds, where the node does not know the placement in use, so that it is at
     /// hand when a leader asks; a leader asks all nodes.
     pub(super) fn ask_parts(
@@ -82,7 +101,10 @@
             return;
         }
 
-        for (_, to) in self.known_others() {
+        let is_missing =
+            |rank: &Rank| self.parts_of != report.placement || !self.parts.contains_key(rank);
+
+        for (_, to) in self.known_others().filter(|(rank, _)| is_missing(rank)) {
             let message = Message::AskPart { placement_no: report.placement };
             actions.push(Action::Send { to: to.clone(), message });
         }
--- a/grebedeck-experts/src/rollout/tell.rs
+++ b/grebedeck-experts/src/rollout/tell.rs
@@ -5,11 +5,12 @@
 //! plan changes is passed on by some nodes, each to a part of the group. A node that does not say that it has
 //! them is told again.
 
-use std::collections::BTreeSet;
+use std::time::Duration;
 
 use grebedeck_core::{Moment, Rank};
 
 use super::action::Action;
+use super::bulk::{BULK_BURST_BYTES, BULK_BYTES_PER_S, directive_bytes};
 use super::message::{Directive, Message, Stage};
 use super::node::Node;
 
@@ -20,7 +21,9 @@
 const NAMED_RANKS: Rank = 8;
 /// Nodes that one node tells what a plan changes, before others pass it on: at 7 KB, as with 650 ranks, they take 75 ms
 /// of a link of 6 Mbit/s, and three steps reach 512.
-const FAN_OUT: usize = 8;
+pub(super) const FAN_OUT: usize = 8;
+/// Least number of them, however long what is passed on: steps then grow faster in number than they get shorter.
+const LEAST_FAN_OUT: usize = 3;
 
 impl<A: Clone + PartialEq> Node<A> {
     /// Sends the leader's word to all nodes, and takes it itself.
@@ -30,9 +33,7 @@
         now: Moment,
         actions: &mut Vec<Action<A>>,
     ) {
-        let told = self.tell_changes(&directive, now, actions);
-
-        for (rank, to) in self.known_others().filter(|(rank, _)| !told.contains(rank)) {
+        for (rank, to) in self.known_others() {
             let message = self.short_word(rank, &directive);
             actions.push(Action::Send { to: to.clone(), message });
         }
@@ -42,31 +43,27 @@
             actions.push(Action::Send { to: to.clone(), message });
         }
 
+        // Signs of life go first.
+        self.tell_changes(&directive, now);
         self.directive = Some(directive);
     }
 
-    /// Tells what a plan changes to the nodes that are yet to learn it, unless they were told a moment ago; gives
-    /// their ranks.
-    pub(super) fn tell_changes(
-        &mut self,
-        directive: &Directive,
-        now: Moment,
-        actions: &mut Vec<Action<A>>,
-    ) -> BTreeSet<Rank> {
+    /// Tells what a plan changes to the nodes that are yet to learn it, unless they were told a moment ago.
+    pub(super) fn tell_changes(&mut self, directive: &Directive, now: Moment) {
         if !self.may_tell_changes(now) {
-            return BTreeSet::new();
+            return;
         }
 
         let wanting = self.known_others().filter(|(rank, _)| self.needs_changes(*rank, directive));
-        let (ranks, to): (BTreeSet<Rank>, Vec<A>) =
-            wanting.map(|(rank, to)| (rank, to.clone())).unzip();
+        let to: Vec<A> = wanting.map(|(_, to)| to.clone()).collect();
+        let due_at = now + self.spread_time(directive, to.len());
 
         if let Some(lead) = self.lead.as_mut().filter(|_| !to.is_empty()) {
-            lead.note_changes_told(now);
+            lead.note_changes_told(due_at);
         }
 
-        self.pass_on(&self.own_address, directive, to, actions);
-        ranks
+        let own_address = self.own_address.clone();
+        self.pass_on(&own_address, directive, to);
     }
 
     /// Gets the other nodes of the group that are known.
@@ -77,14 +74,8 @@
     }
 
     /// Passes a leader's word on: to a few nodes, or through some that pass it on in their turn.
-    pub(super) fn pass_on(
-        &self,
-        leader: &A,
-        directive: &Directive,
-        to: Vec<A>,
-        actions: &mut Vec<Action<A>>,
-    ) {
-        let part_size = to.len().div_ceil(FAN_OUT).max(1);
+    pub(super) fn pass_on(&mut self, leader: &A, directive: &Directive, to: Vec<A>) {
+        let part_size = to.len().div_ceil(fan_out(directive)).max(1);
 
         for part in to.chunks(part_size) {
             let Some((next, others)) = part.split_first() else {
@@ -96,7 +87,7 @@
             } else {
                 Message::Relay { leader: leader.clone(), directive, to: others.to_vec() }
             };
-            actions.push(Action::Send { to: next.clone(), message });
+            self.bulk.push(next.clone(), message);
         }
     }
 
@@ -104,10 +95,19 @@
     /// that say that they have taken them have had their time. Among 192 nodes one word is mostly lost; told
     /// again after 0.3 s it made a plan ready after 0.26 s in place of 0.09.
     fn may_tell_changes(&self, now: Moment) -> bool {
+        self.bulk.is_empty() && self.lead.as_ref().is_none_or(|lead| lead.may_tell_changes(now))
+    }
+
+    /// Gets how long what a plan changes is on its way to this many nodes, and their answers.
+    fn spread_time(&self, directive: &Directive, nodes: usize) -> Duration {
         let size = self.report.as_ref().map_or(1, |r| r.size);
-        let pause = self.options.for_all(self.options.insist, size);
+        let fan_out = fan_out(directive);
+        let steps = ((nodes + 1) as f64).log(fan_out as f64).ceil();
+        let step_bytes = (directive_bytes(directive) * fan_out.min(nodes)) as f64;
+        let waiting_bytes = (step_bytes - BULK_BURST_BYTES).max(0.0);
+        let spread = Duration::from_secs_f64(steps * waiting_bytes / BULK_BYTES_PER_S);
 
-        self.lead.as_ref().is_none_or(|lead| lead.may_tell_changes(now, pause))
+        self.options.for_all(self.options.insist, size) + spread
     }
 
     /// Gets the leader's word for one node, without what a plan changes.
@@ -163,3 +163,10 @@
         self.others.iter().filter(|a| !is_known(a)).collect()
     }
 }
+
+/// Gets how many nodes one tells what a plan changes: as many as its link takes at once.
+fn fan_out(directive: &Directive) -> usize {
+    let fitting = BULK_BURST_BYTES as usize / directive_bytes(directive);
+
+    fitting.clamp(LEAST_FAN_OUT, FAN_OUT)
+}
--- a/grebedeck/src/rank/counters.rs
+++ b/grebedeck/src/rank/counters.rs
@@ -62,6 +62,8 @@
         let kind = match note {
             RankNote::Leads(_) => "leads",
             RankNote::Follows(_) => "follows",
+            RankNote::Resigns { .. } => "resigns",
+            RankNote::CarriesOn { .. } => "carries_on",
             RankNote::NewEpoch(_) => "group_formed",
             RankNote::Holding { .. } => "hold_wanted",
             RankNote::InUse { .. } => "placement_in_use",
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -83,6 +83,8 @@
     pub(super) delta: CountDelta,
     pub(super) reader: DatagramReader,
     pub(super) outcomes: (Sender<Outcome>, Receiver<Outcome>),
+    /// When the process stops at the latest, once it was told to.
+    pub(super) stop_by: Option<Moment>,
     pub(super) report_due: Due,
     pub(super) counts_due: Due,
     pub(super) list_due: Due,
@@ -128,6 +130,7 @@
             delta: CountDelta::default(),
             reader: DatagramReader::default(),
             outcomes: async_channel::bounded(OUTCOMES_WAITING),
+            stop_by: None,
             report_due: Due::At(now),
             counts_due: Due::At(now),
             list_due: Due::At(now),
@@ -146,7 +149,6 @@
     pub async fn run(mut self) -> anyhow::Result<()> {
         let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        let mut stop_by: Option<Moment> = None;
 
         loop {
             let wait = self.wait();
@@ -154,9 +156,9 @@
 
             futures::select! {
                 signal = signals.next().fuse() => {
-                    if !matches!(signal, Some(Ok(Signal::Hup)) | None) && stop_by.is_none() {
+                    if !matches!(signal, Some(Ok(Signal::Hup)) | None) && self.stop_by.is_none() {
                         log::info!("stopping", kv: { busy = self.node.is_busy() });
-                        stop_by = Some(self.clock.now() + STOP_LIMIT);
+                        self.stop_by = Some(self.clock.now() + STOP_LIMIT);
                     }
                 }
                 received = self.socket.recv_from(&mut buffer).fuse() => {
@@ -175,7 +177,11 @@
 
             self.tick().await;
 
-            if stop_by.is_some_and(|by| !self.node.is_busy() || self.clock.now() >= by) {
+            let now = self.clock.now();
+
+            if self.stop_by.is_some_and(|by| !self.node.is_busy() || now >= by) {
+                let actions = self.node.resign(now);
+                self.carry_out(actions).await;
                 log::info!("stopped");
                 return Ok(());
             }
--- a/grebedeck/src/rank/planning.rs
+++ b/grebedeck/src/rank/planning.rs
@@ -24,6 +24,11 @@
             return;
         }
 
+        // A new plan would hold the process up, and whoever takes the lead next begins with one.
+        if self.stop_by.is_some() {
+            return;
+        }
+
         let obstacle = self.obstacle(now);
         self.note_obstacle(obstacle, now);
 
--- a/grebedeck/src/rank/show.rs
+++ b/grebedeck/src/rank/show.rs
@@ -35,6 +35,10 @@
         RankNote::Follows(term) => {
             log::info!("follows a leader", kv: { round = term.round, rank = term.rank });
         }
+        RankNote::Resigns { next } => log::info!("hands the lead on", kv: { next }),
+        RankNote::CarriesOn { placement_no } => {
+            log::info!("goes on with a placement", kv: { placement_no });
+        }
         RankNote::NewEpoch(epoch) => log::info!("group formed", kv: { epoch }),
         RankNote::Holding { placement_no, pass, holder } => {
             log::info!("pass to be held", kv: { placement_no, pass, holder });
