--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -138,6 +138,8 @@
     pub claims: u64,
     /// By how much each pass with a new placement began later than a pass takes.
     pub pauses: Vec<Duration>,
+    /// How often a new leader went on with what was begun.
+    pub carried_on: u64,
     /// Times from a proposal to the pass with the new placement.
     pub from_proposal: Vec<Duration>,
     proposed_at: Moment,
@@ -191,6 +193,7 @@
             drops_take_time: false,
             claims: 0,
             pauses: Vec::new(),
+            carried_on: 0,
             from_proposal: Vec::new(),
             proposed_at: Duration::ZERO,
             traffic: BTreeMap::new(),
@@ -248,6 +251,35 @@
         (0..self.machines.len()).for_each(|at| self.kill_for(at, pause));
     }
 
+    /// Stops the leader's process in order; it starts again after this time.
+    pub fn stop_leader(&mut self, pause: Duration) {
+        let now = self.now;
+        let at = self.leader().expect("one leads");
+        let actions = self.machines[at].node.as_mut().map(|node| node.resign(now));
+        actions.into_iter().flatten().for_each(|action| self.act(at, action));
+        self.kill_for(at, pause);
+    }
+
+    /// Kills the leader's node, which starts again after this time.
+    pub fn kill_leader(&mut self, pause: Duration) {
+        let at = self.leader().expect("one leads");
+        self.kill_for(at, pause);
+    }
+
+    /// Runs until the next placement is proposed.
+    pub fn run_to_proposal(&mut self) {
+        let before = self.proposed_at;
+
+        while self.proposed_at == before {
+            self.run_until(self.now + TICK);
+        }
+    }
+
+    /// Gets the time.
+    pub fn now(&self) -> Moment {
+        self.now
+    }
+
     fn kill(&mut self, at: usize) {
         let pause = ms(200 + self.random.below(1500) as u64);
         self.kill_for(at, pause);
@@ -402,6 +434,7 @@
             }
             Action::Note(RankNote::GivenUp { .. }) => self.given_up += 1,
             Action::Note(RankNote::Holding { .. }) => self.held_at = self.now,
+            Action::Note(RankNote::CarriesOn { .. }) => self.carried_on += 1,
             Action::Note(RankNote::Leads(_)) => self.claims += 1,
             Action::Note(_) => {}
         }
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -3,6 +3,7 @@
 
 mod engine;
 mod group;
+mod lead;
 mod settles;
 
 use std::sync::Arc;
