Rollout: a rank whose process is away stops no placements

Cause: a plan needs the word of each rank's node, so one process that was killed or cut off stopped all placements of its group until it was back: 0 changes in 8 s in virtual time, with 6 ranks and with 63.

Change: where exactly one node of at least three has been silent for as long as a status is believed, the leader reads its engine and has it copy from afar, and the holder arms it from afar before any other rank. Until then nobody is armed, and if that engine has gone on to a later placement the pass is let go. An order that an engine has taken counts as its word, since reports from afar are some hundred ms old (the tests' engines tell others what is up to 0.2 s old now). A holder without memory that finds nobody armed lets go when the held pass is the next one.

Weighed: several ranks at once (not kept: one may be armed and another impossible, with no way back), arming the absent rank last (not kept: the same).

--- a/grebedeck-experts/src/rollout.rs
+++ b/grebedeck-experts/src/rollout.rs
@@ -24,6 +24,7 @@
 //! A hold does not lapse. A holder that was killed finds it in its engine when it is back, asks all
 //! nodes, or the engines of those that do not answer, whether anybody is armed, and goes on from there.
 
+mod absent;
 pub mod action;
 mod arming;
 mod bulk;
--- a/grebedeck-experts/src/rollout/changeover.rs
+++ b/grebedeck-experts/src/rollout/changeover.rs
@@ -2,7 +2,9 @@
 //!
 //! It alone decides. First every node has to answer that it is there and ready; if one is silent or
 //! refuses, the pass is let go and nobody was armed. Then all ranks are armed, and there is no way back:
-//! the pass is let go when every rank's own engine says that it is armed. A holder that has lost its
+//! the pass is let go when every rank's own engine says that it is armed. A rank whose node is away is armed first,
+//! from afar: as long as nobody else is armed, the pass can be let go if that rank's engine has gone on to
+//! another placement, which nobody can have promised for it. A holder that has lost its
 //! memory asks all nodes, or their engines, whether anybody is armed, and goes on from there.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,10 +24,15 @@
     round: u64,
     term: Term,
     pass: PassNo,
+    /// The rank whose node is away.
+    absent: Option<Rank>,
     phase: Phase,
     since: Moment,
     answered: BTreeSet<Rank>,
     reports: BTreeMap<Rank, RankReport>,
+    /// Other ranks whose engines have taken an order to arm: what they say of themselves to another machine is some
+    /// hundred ms old, and the group would stand still for as long.
+    armed_afar: BTreeSet<Rank>,
     helped_at: BTreeMap<Rank, Moment>,
     told_at: Option<Moment>,
     released_at: Option<Moment>,
@@ -35,6 +42,8 @@
 enum Phase {
     /// Every node is asked whether it is ready for a placement.
     Ready(PlacementNo),
+    /// The rank whose node is away is to be armed, before any other.
+    ArmAbsent(PlacementNo),
     /// The holder has no memory of this pass, and asks whether anybody is armed.
     Recover,
     /// Every rank is to be armed.
@@ -43,6 +52,15 @@
     Release,
 }
 
+/// What a leader wants a pass held for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WantedHold {
+    pub(super) placement_no: PlacementNo,
+    pub(super) pass: PassNo,
+    /// The rank whose node is away.
+    pub(super) absent: Option<Rank>,
+}
+
 /// What a holder wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum HoldingAction {
@@ -59,12 +77,14 @@
     pub(super) fn new(
         own: &RankReport,
         term: Term,
-        placement_no: PlacementNo,
-        pass: PassNo,
+        wanted: WantedHold,
         round: u64,
         now: Moment,
     ) -> Self {
-        Self::in_phase(Phase::Ready(placement_no), own, term, pass, round, now)
+        let WantedHold { placement_no, pass, absent } = wanted;
+        let holding = Self::in_phase(Phase::Ready(placement_no), own, term, pass, round, now);
+
+        Holding { absent, ..holding }
     }
 
     /// Starts to find out what a held pass was held for.
@@ -104,10 +124,12 @@
             round,
             term,
             pass,
+            absent: None,
             phase,
             since: now,
             answered: BTreeSet::from([own.rank]),
             reports: BTreeMap::from([(own.rank, own.clone())]),
+            armed_afar: BTreeSet::new(),
             helped_at: BTreeMap::new(),
             told_at: None,
             released_at: None,
@@ -124,7 +146,7 @@
 
     /// Tells whether ranks may be armed for the pass.
     pub(super) fn is_arming(&self) -> bool {
-        matches!(self.phase, Phase::Arm(_) | Phase::Recover)
+        matches!(self.phase, Phase::Arm(_) | Phase::ArmAbsent(_) | Phase::Recover)
     }
 
     pub(super) fn since(&self) -> Moment {
@@ -147,8 +169,33 @@
 
     /// Takes in what a rank's engine says.
     pub(super) fn note_report(&mut self, report: RankReport) {
-        if report.epoch == self.epoch {
-            self.reports.insert(report.rank, report);
+        if report.epoch != self.epoch {
+            return;
+        }
+
+        if let Phase::Ready(placement_no) = self.phase
+            && self.absent == Some(report.rank)
+            && is_ready(&report, placement_no, self.pass)
+        {
+            self.answered.insert(report.rank);
+        }
+
+        self.reports.insert(report.rank, report);
+    }
+
+    /// Takes in that a rank's engine has taken an order to arm it.
+    pub(super) fn note_armed(&mut self, rank: Rank, order: &RankOrder) {
+        let RankAction::Arm { placement_no, pass } = order.action else {
+            return;
+        };
+        let is_wanted = match self.phase {
+            Phase::Arm(no) | Phase::ArmAbsent(no) => no == placement_no,
+            _ => false,
+        };
+
+        // What is armed stays so until the pass begins or the group forms anew.
+        if is_wanted && order.epoch == self.epoch && pass == self.pass && rank != self.own {
+            self.armed_afar.insert(rank);
         }
     }
 
@@ -158,7 +205,10 @@
         let mut actions = Vec::new();
 
         match self.phase {
-            Phase::Ready(_) => {}
+            Phase::Ready(_) => self.ask_absent(now, options, &mut actions),
+            Phase::ArmAbsent(placement_no) => {
+                self.arm_absent(placement_no, now, options, &mut actions);
+            }
             Phase::Recover => self.ask_silent(now, options, &mut actions),
             Phase::Arm(placement_no) => self.arm(placement_no, now, options, &mut actions),
             Phase::Release => self.let_go(now, options, &mut actions),
@@ -186,7 +236,7 @@
             Phase::Recover => !self.reports.contains_key(rank),
             Phase::Arm(placement_no) => !self.is_armed_at(*rank, placement_no),
             // Nodes that the word did not reach ask, or see the pass begin.
-            Phase::Release => false,
+            Phase::Release | Phase::ArmAbsent(_) => false,
         };
 
         (0..self.size).filter(is_missing).collect()
@@ -195,15 +245,26 @@
     fn decide(&mut self, now: Moment, options: &NodeOptions) {
         match self.phase {
             Phase::Ready(placement_no) if self.has_all_answers() => {
+                let next = match self.absent {
+                    Some(_) => Phase::ArmAbsent(placement_no),
+                    None => Phase::Arm(placement_no),
+                };
+                self.set_phase(next, now);
+            }
+            Phase::ArmAbsent(placement_no) if self.is_absent_armed(placement_no) => {
                 self.set_phase(Phase::Arm(placement_no), now);
             }
+            // It will never be armed for this placement, and nobody else is.
+            Phase::ArmAbsent(placement_no) if self.is_absent_lost(placement_no) => {
+                self.set_phase(Phase::Release, now);
+            }
             // Nobody is armed yet, so a node that is silent costs nothing but this plan.
             Phase::Ready(_)
                 if now >= self.since + options.for_all(options.ready_limit, self.size) =>
             {
                 self.set_phase(Phase::Release, now);
             }
-            Phase::Recover if self.reports.len() == usize::from(self.size) => {
+            Phase::Recover if self.reports.len() == usize::from(self.size) && self.may_decide() => {
                 let next = match self.armed_for_pass() {
                     Some(placement_no) => Phase::Arm(placement_no),
                     None => Phase::Release,
@@ -217,6 +278,18 @@
         }
     }
 
+    /// Tells whether a holder without memory may act on what engines say: once somebody is armed, or the held pass is
+    /// the next one. An order to arm that its earlier life gave may be carried out later, and is refused as soon
+    /// as the pass has begun.
+    fn may_decide(&self) -> bool {
+        self.armed_for_pass().is_some() || self.is_next()
+    }
+
+    /// Tells whether the held pass is the next one.
+    fn is_next(&self) -> bool {
+        self.reports.get(&self.own).is_some_and(|own| own.pass + 1 >= self.pass)
+    }
+
     fn set_phase(&mut self, phase: Phase, now: Moment) {
         self.phase = phase;
         self.since = now;
@@ -236,13 +309,65 @@
     fn is_armed_at(&self, rank: Rank, placement_no: PlacementNo) -> bool {
         let target = Armed { placement_no, pass: self.pass };
 
-        self.reports.get(&rank).is_some_and(|r| r.armed == Some(target))
+        self.armed_afar.contains(&rank)
+            || self.reports.get(&rank).is_some_and(|r| r.armed == Some(target))
     }
 
     fn is_armed(&self, placement_no: PlacementNo) -> bool {
         (0..self.size).all(|rank| self.is_armed_at(rank, placement_no))
     }
 
+    fn is_absent_armed(&self, placement_no: PlacementNo) -> bool {
+        self.absent.is_none_or(|rank| self.is_armed_at(rank, placement_no))
+    }
+
+    /// Tells whether the absent rank's engine has copied a later placement in place of the wanted one. Engines take
+    /// only higher numbers, so an order to arm it that is still on its way will be refused.
+    fn is_absent_lost(&self, placement_no: PlacementNo) -> bool {
+        let report = self.absent.and_then(|rank| self.reports.get(&rank));
+
+        report.is_some_and(|r| r.prepared > Some(placement_no) || r.placement > placement_no)
+    }
+
+    fn ask_absent(&mut self, now: Moment, options: &NodeOptions, actions: &mut Vec<HoldingAction>) {
+        if let Some(rank) = self.absent.filter(|rank| !self.answered.contains(rank))
+            && self.may_help(rank, now, options)
+        {
+            actions.push(HoldingAction::Ask(rank));
+        }
+    }
+
+    fn arm_absent(
+        &mut self,
+        placement_no: PlacementNo,
+        now: Moment,
+        options: &NodeOptions,
+        actions: &mut Vec<HoldingAction>,
+    ) {
+        // A holder that is killed now lets the pass go when it is back, if it finds nobody armed. By then an order
+        // that is carried out late has to be too late.
+        if let Some(rank) = self.absent.filter(|_| self.is_next())
+            && self.may_help(rank, now, options)
+        {
+            self.arm_from_afar(rank, placement_no, actions);
+        }
+    }
+
+    fn arm_from_afar(
+        &self,
+        rank: Rank,
+        placement_no: PlacementNo,
+        actions: &mut Vec<HoldingAction>,
+    ) {
+        let action = RankAction::Arm { placement_no, pass: self.pass };
+        let order = RankOrder { epoch: self.epoch, action };
+        actions.push(HoldingAction::Order(rank, order));
+
+        if rank != self.own {
+            actions.push(HoldingAction::Ask(rank));
+        }
+    }
+
     /// Reads the engines of nodes that do not answer.
     fn ask_silent(&mut self, now: Moment, options: &NodeOptions, actions: &mut Vec<HoldingAction>) {
         if now < self.since + options.for_all(options.help_after, self.size) {
@@ -271,13 +396,7 @@
 
             if is_due && !self.is_armed_at(rank, placement_no) && self.may_help(rank, now, options)
             {
-                let action = RankAction::Arm { placement_no, pass: self.pass };
-                let order = RankOrder { epoch: self.epoch, action };
-                actions.push(HoldingAction::Order(rank, order));
-
-                if rank != self.own {
-                    actions.push(HoldingAction::Ask(rank));
-                }
+                self.arm_from_afar(rank, placement_no, actions);
             }
         }
     }
@@ -303,7 +422,9 @@
 
     fn message(&self) -> Changeover {
         let step = match self.phase {
-            Phase::Ready(placement_no) => ChangeoverStep::Ready { placement_no },
+            Phase::Ready(placement_no) | Phase::ArmAbsent(placement_no) => {
+                ChangeoverStep::Ready { placement_no }
+            }
             Phase::Recover => ChangeoverStep::Recover,
             Phase::Arm(placement_no) => ChangeoverStep::Arm { placement_no },
             Phase::Release => ChangeoverStep::Over,
@@ -319,3 +440,10 @@
         }
     }
 }
+
+/// Tells whether an engine can be armed, as it says itself.
+fn is_ready(report: &RankReport, placement_no: PlacementNo, pass: PassNo) -> bool {
+    let is_bound = report.armed.is_some() || report.held.is_some();
+
+    report.prepared == Some(placement_no) && report.pass < pass && !is_bound
+}
--- a/grebedeck-experts/src/rollout/holder.rs
+++ b/grebedeck-experts/src/rollout/holder.rs
@@ -5,10 +5,10 @@
 use grebedeck_core::{Moment, Rank};
 
 use super::action::{Action, RankNote};
-use super::changeover::{Holding, HoldingAction};
+use super::changeover::{Holding, HoldingAction, WantedHold};
 use super::message::{Changeover, ChangeoverAnswer, ChangeoverStep, Message, Stage};
 use super::node::Node;
-use crate::engine::{PassNo, PlacementNo, RankReport};
+use crate::engine::RankReport;
 
 impl<A: Clone + PartialEq> Node<A> {
     pub(super) fn take_answer(
@@ -115,8 +115,10 @@
                 actions.push(Action::Note(RankNote::Recovers { pass }));
                 Some(Holding::recover(report, term, pass, round, now))
             }
-            Some((wanted, no)) if wanted == pass && self.is_free_for(report, no) => {
-                Some(Holding::new(report, term, no, pass, round, now))
+            Some(wanted)
+                if wanted.pass == pass && self.is_free_for(report, wanted.placement_no) =>
+            {
+                Some(Holding::new(report, term, wanted, round, now))
             }
             _ if now < held_since + self.options.hold_grace => return,
             // Nobody wants it, and nobody can be armed for it.
@@ -127,10 +129,10 @@
     }
 
     /// Gets the pass that the leader wants held at the own engine, and for what.
-    pub(super) fn wanted_hold(&self, report: &RankReport) -> Option<(PassNo, PlacementNo)> {
+    pub(super) fn wanted_hold(&self, report: &RankReport) -> Option<WantedHold> {
         match &self.directive.as_ref()?.stage {
-            Stage::Hold { placement_no, pass, holder } if *holder == report.rank => {
-                Some((*pass, *placement_no))
+            Stage::Hold { placement_no, pass, holder, absent } if *holder == report.rank => {
+                Some(WantedHold { placement_no: *placement_no, pass: *pass, absent: *absent })
             }
             _ => None,
         }
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -5,6 +5,7 @@
 
 use grebedeck_core::{Expert, Moment, Rank};
 
+use super::absent::Help;
 use super::action::{Action, RankNote};
 use super::message::{Directive, Stage, Status, Term};
 use super::node::Node;
@@ -37,19 +38,23 @@
 /// A leadership.
 #[derive(Clone, Debug)]
 pub(super) struct Lead {
-    term: Term,
-    revision: u64,
-    plan: Plan,
+    pub(super) term: Term,
+    pub(super) began_at: Moment,
+    pub(super) revision: u64,
+    pub(super) plan: Plan,
     /// When the plan came to its present stage.
     since: Moment,
     told_at: Option<Moment>,
     /// When some nodes may be told again what the plan changes.
     changes_due_at: Option<Moment>,
-    statuses: BTreeMap<Rank, (Status, Moment)>,
+    pub(super) statuses: BTreeMap<Rank, (Status, Moment)>,
+    /// When each rank's node itself was heard of last.
+    pub(super) heard_at: BTreeMap<Rank, Moment>,
+    pub(super) help: Help,
 }
 
 #[derive(Clone, Debug)]
-enum Plan {
+pub(super) enum Plan {
     Idle,
     Prepare {
         placement_no: PlacementNo,
@@ -61,10 +66,12 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct HoldPlan {
+pub(super) struct HoldPlan {
     placement_no: PlacementNo,
     pass: PassNo,
     holder: Rank,
+    /// The rank whose node is away.
+    absent: Option<Rank>,
     /// Holds that were tried for this placement.
     holds: u32,
     ordered_at: Moment,
@@ -93,17 +100,21 @@
     pub(super) fn new(term: Term, now: Moment) -> Self {
         Lead {
             term,
+            began_at: now,
             revision: 0,
             plan: Plan::Idle,
             since: now,
             told_at: None,
             changes_due_at: None,
             statuses: BTreeMap::new(),
+            heard_at: BTreeMap::new(),
+            help: Help::default(),
         }
     }
 
     pub(super) fn forget_plan(&mut self) {
         self.statuses.clear();
+        self.heard_at.clear();
         self.revision += 1;
         self.plan = Plan::Idle;
         self.told_at = None;
@@ -116,6 +127,7 @@
             plan.note_holder(&status.report, now);
         }
 
+        self.heard_at.insert(status.report.rank, now);
         self.statuses.insert(status.report.rank, (status, now));
     }
 
@@ -162,9 +174,12 @@
                 shape: *shape,
                 changes: Some(changes.clone()),
             },
-            Plan::Hold(HoldPlan { placement_no, pass, holder, .. }) => {
-                Stage::Hold { placement_no: *placement_no, pass: *pass, holder: *holder }
-            }
+            Plan::Hold(HoldPlan { placement_no, pass, holder, absent, .. }) => Stage::Hold {
+                placement_no: *placement_no,
+                pass: *pass,
+                holder: *holder,
+                absent: *absent,
+            },
         };
 
         Directive { term: self.term, revision: self.revision, epoch: own.epoch, stage }
@@ -172,8 +187,10 @@
 
     /// Gets the rank whose engine is to hold a pass. It is not the leader's own where there is another,
     /// so that neither of the two machines that act alone can keep the group from going on.
-    fn holder(&self, own: &RankReport) -> Rank {
-        (0..own.size).find(|rank| *rank != own.rank).unwrap_or(own.rank)
+    fn holder(&self, own: &RankReport, absent: Option<Rank>) -> Rank {
+        let may_hold = |rank: &Rank| *rank != own.rank && Some(*rank) != absent;
+
+        (0..own.size).find(may_hold).unwrap_or(own.rank)
     }
 
     /// Notes that the holder's engine has taken the order to hold a pass.
@@ -234,7 +251,7 @@
     }
 
     /// Gets the first rank that is bound to a plan, or has another placement in use than the leader's.
-    fn first_bound(&self, own: &RankReport) -> Option<Rank> {
+    pub(super) fn first_bound(&self, own: &RankReport) -> Option<Rank> {
         let is_free = |s: &Status| {
             let is_bound = s.is_engaged || s.report.armed.is_some() || s.report.held.is_some();
             !is_bound && s.report.placement == own.placement
@@ -354,6 +371,7 @@
         actions: &mut Vec<Action<A>>,
     ) {
         if own.is_open {
+            self.step_absent(own, now, actions);
             self.step_plan(own, now, actions);
         }
 
@@ -407,6 +425,9 @@
         }
 
         let is_refused = lead.statuses.values().any(|(s, _)| s.refused == Some(placement_no));
+        let absent = lead.absent(own, now, &options);
+        let is_overtaken = absent.is_some_and(|rank| lead.is_overtaken(rank, placement_no));
+        let is_refused = is_refused || is_overtaken;
         let is_late = now >= lead.since + options.prepare_limit;
 
         if is_refused || is_late {
@@ -442,11 +463,13 @@
             return;
         };
         let pass = (own.pass + passes_ahead).max(lead.newest_pass() + 1);
-        let holder = lead.holder(own);
+        let absent = lead.absent(own, now, &self.options);
+        let holder = lead.holder(own, absent);
         let plan = HoldPlan {
             placement_no,
             pass,
             holder,
+            absent,
             holds,
             ordered_at: now,
             is_taken: false,
--- a/grebedeck-experts/src/rollout/message.rs
+++ b/grebedeck-experts/src/rollout/message.rs
@@ -60,6 +60,8 @@
         pass: PassNo,
         /// The rank whose engine holds the pass.
         holder: Rank,
+        /// The rank whose node is away, and whose engine is spoken to from afar.
+        absent: Option<Rank>,
     },
 }
 
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -195,7 +195,7 @@
         }
 
         match &self.report {
-            Some(own) if own.rank != report.rank => {}
+            Some(own) if own.rank != report.rank => self.take_report_from_afar(report, now),
             _ => self.take_own_report(report, now, &mut actions),
         }
 
@@ -246,6 +246,10 @@
             self.told_at = None;
         }
 
+        if let (Some(holding), OrderEnd::Taken) = (&mut self.holding, end) {
+            holding.note_armed(rank, order);
+        }
+
         if let (Some(lead), RankAction::Hold { pass }, OrderEnd::Taken) =
             (&mut self.lead, &order.action, end)
         {
--- a/grebedeck-experts/src/rollout/tell.rs
+++ b/grebedeck-experts/src/rollout/tell.rs
@@ -54,7 +54,11 @@
             return;
         }
 
-        let wanting = self.known_others().filter(|(rank, _)| self.needs_changes(*rank, directive));
+        let absent = self.absent(now);
+        // Where nobody is, nobody takes it or passes it on.
+        let is_wanting =
+            |rank: &Rank| Some(*rank) != absent && self.needs_changes(*rank, directive);
+        let wanting = self.known_others().filter(|(rank, _)| is_wanting(rank));
         let to: Vec<A> = wanting.map(|(_, to)| to.clone()).collect();
         let due_at = now + self.spread_time(directive, to.len());
 
--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -26,6 +26,8 @@
     pub kills_all: f64,
     /// Chance in each tenth of a second that a machine freezes, its engine's address included.
     pub freezes: f64,
+    /// Chance in each tenth of a second that a node is cut off from the others, its engine not.
+    pub cuts: f64,
     /// When they end.
     pub until: Moment,
 }
@@ -75,9 +77,13 @@
 struct Machine {
     node: Option<Node<usize>>,
     starts_at: Moment,
+    /// Until when no message reaches its node, or leaves it; its engine answers.
+    cut_until: Moment,
     frozen_until: Moment,
     engine: Engine,
     report_at: Moment,
+    /// What its engine tells other machines.
+    lagged: Option<RankReport>,
     /// What comes for the node while its machine stands still.
     queue: Vec<Event>,
     /// When its link has sent, and taken in, what waits there.
@@ -149,6 +155,8 @@
 
 const PASS: Duration = Duration::from_millis(50);
 const TICK: Duration = Duration::from_millis(1);
+/// Milliseconds between two moments that an engine tells other machines of: what they read is as old as this.
+const REPORT_LAG_MS: u128 = 200;
 /// Bytes of a datagram beside its message: the headers of the network, the sender and the group.
 const HEADER_BYTES: usize = 50;
 /// Bytes of a node's address, which stands as a number here.
@@ -209,6 +217,7 @@
             self.begin_pass();
             let now = self.now;
             self.machines.iter_mut().for_each(|m| m.engine.finish_copy(now));
+            self.note_lagged();
 
             for at in 0..self.machines.len() {
                 self.step_machine(at);
@@ -218,6 +227,18 @@
         }
     }
 
+    fn note_lagged(&mut self) {
+        if !self.now.as_millis().is_multiple_of(REPORT_LAG_MS) {
+            return;
+        }
+
+        let (size, pass) = (self.machines.len(), self.pass);
+
+        for (at, machine) in self.machines.iter_mut().enumerate() {
+            machine.lagged = Some(machine.engine.report(at, size, pass));
+        }
+    }
+
     fn chance(&mut self, part: f64) -> bool {
         self.random.unit() < part
     }
@@ -229,7 +250,7 @@
             return;
         }
 
-        let Faults { kills, kills_all, freezes, .. } = self.faults;
+        let Faults { kills, kills_all, freezes, cuts, .. } = self.faults;
         let at = self.random.below(self.machines.len());
 
         if self.chance(kills) {
@@ -244,6 +265,12 @@
             let length = ms(200 + self.random.below(4000) as u64);
             self.machines[at].frozen_until = self.now + length;
         }
+
+        // Without cuts, the runs of a seed stay as they are.
+        if cuts > 0.0 && self.chance(cuts) {
+            let length = ms(200 + self.random.below(4000) as u64);
+            self.machines[at].cut_until = self.now + length;
+        }
     }
 
     /// Kills all nodes, which start again together after this time.
@@ -280,6 +307,16 @@
         self.now
     }
 
+    /// Kills a node, which starts again after this time.
+    pub fn kill_node(&mut self, at: usize, pause: Duration) {
+        self.kill_for(at, pause);
+    }
+
+    /// Lets no message reach a node, or leave it.
+    pub fn cut_node(&mut self, at: usize, length: Duration) {
+        self.machines[at].cut_until = self.now + length;
+    }
+
     fn kill(&mut self, at: usize) {
         let pause = ms(200 + self.random.below(1500) as u64);
         self.kill_for(at, pause);
@@ -407,7 +444,10 @@
             Action::Send { to, message } => {
                 let lost = self.faults.lost;
 
-                if self.now >= self.faults.until || !self.chance(lost) {
+                let is_cut = self.is_cut(at) || self.is_cut(to);
+                let is_lost = self.now < self.faults.until && self.chance(lost);
+
+                if !is_cut && !is_lost {
                     let delay = ms(1 + self.random.below(4) as u64);
                     let waits = self.wait_at_links(at, to, &message);
                     let event = Event::Message { from: at, message };
@@ -419,11 +459,12 @@
             }
             Action::Order { rank, order } => self.order(at, rank, order),
             Action::Ask { rank } => {
-                if self.reaches(at, usize::from(rank)) {
-                    let size = self.machines.len();
-                    let engine = &self.machines[usize::from(rank)].engine;
-                    let report = engine.report(usize::from(rank), size, self.pass);
-                    self.at(ms(3), Timed::ToNode(at, Event::Report(report)));
+                if self.knows(at, rank) && self.reaches(at, usize::from(rank)) {
+                    let lagged = self.machines[usize::from(rank)].lagged.clone();
+
+                    if let Some(report) = lagged {
+                        self.at(ms(3), Timed::ToNode(at, Event::Report(report)));
+                    }
                 }
             }
             Action::ReadPart => {
@@ -496,7 +537,7 @@
 
     /// Gets when the last of the machines is back that are frozen now, or whose nodes are away.
     pub fn whole_at(&self) -> Moment {
-        let back = self.machines.iter().map(|m| m.starts_at.max(m.frozen_until));
+        let back = self.machines.iter().map(|m| m.starts_at.max(m.frozen_until).max(m.cut_until));
 
         back.max().unwrap_or_default().max(self.now)
     }
@@ -506,7 +547,20 @@
         from == to || self.now >= self.machines[to].frozen_until
     }
 
+    /// Tells whether a machine's node knows where a rank's engine is.
+    fn knows(&self, at: usize, rank: Rank) -> bool {
+        self.machines[at].node.as_ref().is_some_and(|n| n.address_of(rank).is_some())
+    }
+
+    fn is_cut(&self, at: usize) -> bool {
+        self.now < self.machines[at].cut_until
+    }
+
     fn order(&mut self, at: usize, rank: Rank, order: RankOrder) {
+        if !self.knows(at, rank) {
+            return;
+        }
+
         let to = usize::from(rank);
         let late = self.faults.late_orders;
         let is_late = self.now < self.faults.until && self.chance(late);
@@ -605,9 +659,11 @@
         Machine {
             node: Some(new_node(at, size, life, Duration::ZERO)),
             starts_at: Duration::ZERO,
+            cut_until: Duration::ZERO,
             frozen_until: Duration::ZERO,
             engine,
             report_at: Duration::ZERO,
+            lagged: None,
             queue: Vec::new(),
             link_free: LinkFree::default(),
         }
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -1,6 +1,7 @@
 //! Rolling placements out: whatever is lost, late, killed or frozen, all ranks have one placement in
 //! each pass, and the group goes on.
 
+mod absent;
 mod engine;
 mod group;
 mod lead;
@@ -19,6 +20,7 @@
     kills: 0.0,
     kills_all: 0.0,
     freezes: 0.0,
+    cuts: 0.0,
     until: Duration::ZERO,
 };
 
