Admission: a queue by urgency, organisation and time, pure

Those who wait for a place raced for it. The new crate holds them in order: streams that go on first, then by urgency with a share of half for each urgency, organisations in turns by deficit round robin over tokens, within one who can still be in time first.

Ruled out: knowing callers that come back (they come to other gateways), strict order (the least urgent get nothing). Not joined into the gateway yet.

--- /dev/null
+++ b/grebedeck-admission/tests/order.rs
@@ -0,0 +1,355 @@
+//! The order of a queue: urgency, organisations, time, and who leaves.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use grebedeck_admission::share::LEAST_SHARE;
+use grebedeck_admission::{Order, Queue, QueueOptions, Ticket, Waiter};
+use grebedeck_core::Moment;
+use proptest::prelude::*;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+const TURN: u64 = 1000;
+
+fn options(order: Order) -> QueueOptions {
+    QueueOptions { order, turn_tokens: TURN, ..QueueOptions::default() }
+}
+
+fn queue() -> Queue<u32> {
+    Queue::new(options(Order::Urgency))
+}
+
+fn waiter(urgency: u8, organisation: &str, start_by_ms: u64) -> Waiter {
+    Waiter {
+        urgency,
+        organisation: organisation.to_string(),
+        weight: 1,
+        tokens: TURN,
+        start_by: MS(start_by_ms),
+        give_up: MS(start_by_ms),
+        goes_on: false,
+    }
+}
+
+fn popped(queue: &mut Queue<u32>, now: Moment) -> Vec<u32> {
+    std::iter::from_fn(|| queue.pop(now).map(|(_, item)| item)).collect()
+}
+
+#[test]
+fn the_most_urgent_goes_first_and_a_stream_that_goes_on_before_all() {
+    let mut queue = queue();
+
+    for (item, urgency) in [(1, 2), (2, 0), (3, 1), (4, 0)] {
+        queue.push(waiter(urgency, "a", 100 + u64::from(item)), item, MS(0)).expect("room");
+    }
+
+    let moved = Waiter { goes_on: true, ..waiter(2, "a", 900) };
+    queue.push(moved, 5, MS(0)).expect("room");
+
+    assert_eq!(popped(&mut queue, MS(1)), [5, 2, 4, 3, 1]);
+    assert!(queue.is_empty() && queue.next_give_up().is_none());
+}
+
+#[test]
+fn with_one_urgency_the_order_is_that_of_arrival() {
+    let mut queue = Queue::new(options(Order::Arrival));
+
+    for (item, organisation, start_by_ms) in [(1, "a", 900), (2, "b", 100), (3, "a", 500)] {
+        queue.push(waiter(1, organisation, start_by_ms), item, MS(0)).expect("room");
+    }
+
+    assert_eq!(popped(&mut queue, MS(200)), [1, 2, 3], "whoever can still be in time");
+}
+
+#[test]
+fn within_an_organisation_goes_first_who_can_still_be_in_time() {
+    let mut queue = queue();
+
+    for (item, start_by_ms) in [(1, 300), (2, 100), (3, 50), (4, 200)] {
+        queue.push(waiter(0, "a", start_by_ms), item, MS(0)).expect("room");
+    }
+
+    assert_eq!(popped(&mut queue, MS(120)), [4, 1, 3, 2], "the late ones last, oldest first");
+}
+
+#[test]
+fn a_small_organisation_has_every_other_turn_beside_a_large_one() {
+    let mut queue = queue();
+
+    for item in 0..50 {
+        queue.push(waiter(0, "large", 1000), item, MS(0)).expect("room");
+    }
+
+    for item in 100..103 {
+        queue.push(waiter(0, "small", 1000), item, MS(0)).expect("room");
+    }
+
+    let first: Vec<u32> = popped(&mut queue, MS(1));
+    let small: Vec<usize> = (0..first.len()).filter(|at| first[*at] >= 100).collect();
+    assert!(small[2] <= 6, "{small:?}");
+    assert_eq!(first.len(), 53, "an idle organisation's part goes to the other");
+}
+
+#[test]
+fn turns_are_worth_tokens_and_weights_count() {
+    let mut queue = queue();
+
+    for item in 0..60 {
+        let long = Waiter { tokens: 4 * TURN, ..waiter(0, "long", 1000) };
+        let heavy = Waiter { weight: 2, ..waiter(0, "heavy", 1000) };
+        queue.push(long, item, MS(0)).expect("room");
+        queue.push(heavy, 100 + item, MS(0)).expect("room");
+        queue.push(waiter(0, "usual", 1000), 200 + item, MS(0)).expect("room");
+    }
+
+    let first: Vec<u32> = popped(&mut queue, MS(1)).into_iter().take(52).collect();
+    let count = |from: u32| first.iter().filter(|item| (from..from + 100).contains(item)).count();
+    assert_eq!((count(0), count(100), count(200)), (4, 32, 16));
+}
+
+/// A request that names absurdly many tokens does not keep its organisation out for long.
+#[test]
+fn a_request_counts_for_some_turns_at_the_most() {
+    let mut queue = queue();
+    let absurd = Waiter { tokens: u64::MAX, ..waiter(0, "a", 1000) };
+    queue.push(absurd, 1, MS(0)).expect("room");
+
+    for item in 100..200 {
+        queue.push(waiter(0, "b", 1000), item, MS(0)).expect("room");
+    }
+
+    let at = popped(&mut queue, MS(1)).iter().position(|item| *item == 1);
+    assert!(at.expect("served") <= 17, "{at:?}");
+}
+
+/// Places for two thirds of what is asked: the least urgent get half as many as all, and no more.
+#[test]
+fn the_least_urgent_keep_their_share() {
+    let mut queue = queue();
+    let mut asked: HashMap<u8, u32> = HashMap::new();
+    let mut served: HashMap<u8, u32> = HashMap::new();
+
+    for step in 0..6000u64 {
+        let now = MS(step * 10);
+        let urgency = [0, 1, 0, 1, 1, 2][(step % 6) as usize];
+        let start_by_ms = step * 10 + 400;
+        queue.push(waiter(urgency, "a", start_by_ms), 0, now).expect("room");
+        *asked.entry(urgency).or_default() += 1;
+        queue.expired(now);
+
+        if step % 3 != 0
+            && let Some((waiter, _)) = queue.pop(now)
+        {
+            *served.entry(waiter.urgency).or_default() += 1;
+        }
+    }
+
+    let part = |urgency: u8| f64::from(served[&urgency]) / f64::from(asked[&urgency]);
+    let all = f64::from(served.values().sum::<u32>()) / f64::from(asked.values().sum::<u32>());
+    assert!((0.64..0.68).contains(&all), "{all}");
+    assert!(part(2) >= 0.95 * LEAST_SHARE * all, "{} of {all}", part(2));
+    assert!(part(2) <= 1.15 * LEAST_SHARE * all, "{} of {all}", part(2));
+    assert!(part(0) > 0.95, "{}", part(0));
+}
+
+#[test]
+fn who_leaves_or_is_given_up_is_out_at_once() {
+    let mut queue = queue();
+    let tickets: Vec<Ticket> = (0..4u32)
+        .map(|item| queue.push(waiter(1, "a", 100 + u64::from(item)), item, MS(0)).expect("room"))
+        .collect();
+
+    assert!(queue.remove(tickets[1], MS(1)).is_some());
+    assert!(queue.remove(tickets[1], MS(1)).is_none(), "only once");
+    queue.set_give_up(tickets[0], MS(500));
+    let expired: Vec<Ticket> = queue.expired(MS(102)).into_iter().map(|(t, ..)| t).collect();
+    assert_eq!(expired, [tickets[2]]);
+    assert_eq!(queue.next_give_up(), Some(MS(103)));
+    assert_eq!(popped(&mut queue, MS(102)), [3, 0], "the one that can be in time first");
+}
+
+#[test]
+fn a_full_queue_takes_nobody_and_the_least_urgent_make_room() {
+    let mut queue: Queue<u32> = Queue::new(QueueOptions { limit: 2, ..options(Order::Urgency) });
+    queue.push(waiter(1, "a", 100), 1, MS(0)).expect("room");
+    let last = queue.push(waiter(2, "a", 100), 2, MS(0)).expect("room");
+
+    assert_eq!(queue.push(waiter(1, "a", 100), 3, MS(0)), Err(3));
+    assert_eq!(queue.displaced_by(2), None, "nobody is less urgent");
+    assert_eq!(queue.displaced_by(1), Some(last));
+}
+
+#[test]
+fn an_order_that_changes_keeps_all_who_wait() {
+    let mut queue = Queue::new(options(Order::Arrival));
+
+    for (item, urgency) in [(1, 2), (2, 1), (3, 0)] {
+        queue.push(waiter(urgency, "a", 100), item, MS(0)).expect("room");
+    }
+
+    queue.set_options(options(Order::Urgency));
+    assert_eq!(queue.pop(MS(1)).map(|(_, item)| item), Some(3));
+    queue.set_options(options(Order::Arrival));
+    assert_eq!(popped(&mut queue, MS(1)), [1, 2]);
+}
+
+/// Whoever stands behind more than will be served in time is told so; the first of an urgency never is.
+#[test]
+fn who_cannot_be_in_time_is_known_by_the_places_given_lately() {
+    let mut queue = queue();
+    assert_eq!(queue.expected_wait(&waiter(0, "a", 400)), Some(MS(0)));
+
+    for item in 0..40 {
+        queue.push(waiter(0, "a", 5000), item, MS(0)).expect("room");
+    }
+
+    assert_eq!(queue.expected_wait(&waiter(0, "a", 400)), None, "no place was given yet");
+
+    // Twenty places in a second.
+    for step in 1..=20 {
+        queue.pop(MS(step * 50)).expect("one waits");
+    }
+
+    let wait = queue.expected_wait(&waiter(0, "a", 1400)).expect("known").as_secs_f64();
+    assert!((0.9..1.1).contains(&wait), "{wait}");
+    let small = queue.expected_wait(&waiter(0, "small", 1400)).expect("known").as_secs_f64();
+    assert!(small < 0.1, "its turn comes soon: {small}");
+    assert_eq!(queue.expected_wait(&waiter(2, "a", 1400)), Some(MS(0)), "the first of its urgency");
+
+    let first = queue.push(waiter(2, "a", 1400), 100, MS(1000)).expect("room");
+    assert_eq!(queue.hopeless(0, MS(1000)), None);
+    let second = queue.push(waiter(2, "a", 1400), 101, MS(1000)).expect("room");
+    assert_eq!(queue.hopeless(0, MS(1000)), Some(second));
+    assert_eq!(queue.hopeless(2, MS(1000)), None, "nobody is less urgent");
+    queue.remove(second, MS(1000));
+    assert_eq!(queue.hopeless(0, MS(1000)), None, "{first} keeps the share of its urgency");
+}
+
+/// Places that were given when there was room say nothing of how much room there is.
+#[test]
+fn nobody_is_refused_by_the_rate_of_quiet_times() {
+    let mut queue = queue();
+
+    for second in 0..10 {
+        queue.push(waiter(0, "a", second * 1000 + 400), 0, MS(second * 1000)).expect("room");
+        queue.pop(MS(second * 1000));
+    }
+
+    for item in 0..20 {
+        queue.push(waiter(0, "a", 10_400), item, MS(10_000)).expect("room");
+    }
+
+    assert_eq!(queue.expected_wait(&waiter(0, "a", 10_400)), None);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Push { urgency: u8, organisation: u8, tokens: u64, patience_ms: u64, goes_on: bool },
+    Pop,
+    Remove(usize),
+    Expire,
+    Reorder(bool),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..4u8, 0..5u8, 0..9000u64, 0..900u64, prop::bool::weighted(0.1)).prop_map(
+            |(urgency, organisation, tokens, patience_ms, goes_on)| Step::Push {
+                urgency, organisation, tokens, patience_ms, goes_on
+            }
+        ),
+        3 => Just(Step::Pop),
+        1 => (0..40usize).prop_map(Step::Remove),
+        1 => Just(Step::Expire),
+        1 => any::<bool>().prop_map(Step::Reorder),
+        2 => (0..200u64).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    /// Whatever comes in whatever order: nobody is lost or served twice, asking who is next changes nothing, streams
+    /// that go on are first, and by arrival the order is that of arrival.
+    #[test]
+    fn nobody_is_lost_or_served_twice(steps in prop::collection::vec(step(), 1..200)) {
+        let mut queue: Queue<u32> = queue();
+        let mut present: HashMap<Ticket, (Waiter, u32)> = HashMap::new();
+        let mut now = MS(0);
+
+        for (item, step) in steps.into_iter().enumerate() {
+            let item = item as u32;
+
+            match step {
+                Step::Push { urgency, organisation, tokens, patience_ms, goes_on } => {
+                    let start_by = now + MS(patience_ms);
+                    let waiter = Waiter {
+                        urgency, organisation: format!("o{organisation}"), weight: 1, tokens,
+                        start_by, give_up: start_by, goes_on,
+                    };
+                    let ticket = queue.push(waiter.clone(), item, now).expect("room");
+                    prop_assert!(present.insert(ticket, (waiter, item)).is_none());
+                }
+                Step::Pop => {
+                    let next = queue.peek(now).map(|(ticket, item)| (ticket, *item));
+                    prop_assert_eq!(queue.peek(now).map(|(ticket, item)| (ticket, *item)), next);
+                    let got = queue.pop(now).map(|(_, item)| item);
+                    prop_assert_eq!(got, next.map(|(_, item)| item));
+                    prop_assert_eq!(got.is_none(), present.is_empty());
+
+                    if let Some((ticket, _)) = next {
+                        let (waiter, _) = present.remove(&ticket).expect("was not served before");
+                        let goes_on = present.values().filter(|(w, _)| w.goes_on).count();
+                        prop_assert!(waiter.goes_on || goes_on == 0);
+                        let older = present.iter().filter(|(t, (w, _))| **t < ticket && !w.goes_on);
+                        let by_arrival = queue.order() == Order::Arrival && !waiter.goes_on;
+                        prop_assert!(!by_arrival || older.count() == 0);
+                    }
+                }
+                Step::Remove(at) => {
+                    let ticket = at as Ticket;
+                    let expected = present.remove(&ticket).map(|(_, item)| item);
+                    prop_assert_eq!(queue.remove(ticket, now).map(|(_, item)| item), expected);
+                }
+                Step::Expire => {
+                    for (ticket, waiter, _) in queue.expired(now) {
+                        prop_assert!(waiter.give_up <= now);
+                        prop_assert!(present.remove(&ticket).is_some());
+                    }
+                    prop_assert!(present.values().all(|(w, _)| w.give_up > now));
+                }
+                Step::Reorder(by_arrival) => {
+                    let order = if by_arrival { Order::Arrival } else { Order::Urgency };
+                    queue.set_options(options(order));
+                }
+                Step::Wait(ms) => now += MS(ms),
+            }
+
+            prop_assert_eq!(queue.len(), present.len());
+            prop_assert_eq!(queue.waiting().values().sum::<usize>(), present.len());
+        }
+    }
+
+    /// Two organisations that always have somebody waiting get the same tokens within some turns.
+    #[test]
+    fn organisations_get_the_same_tokens(
+        sizes in prop::collection::vec((1..5000u64, 1..5000u64), 100..200),
+    ) {
+        let mut queue: Queue<u32> = queue();
+
+        for (a, b) in &sizes {
+            queue.push(Waiter { tokens: *a, ..waiter(0, "a", 9000) }, 0, MS(0)).expect("room");
+            queue.push(Waiter { tokens: *b, ..waiter(0, "b", 9000) }, 1, MS(0)).expect("room");
+        }
+
+        let mut taken = [0u64; 2];
+        let mut left = [sizes.len(); 2];
+
+        while left.iter().all(|n| *n > 0) {
+            let (waiter, item) = queue.pop(MS(1)).expect("some wait");
+            taken[item as usize] += waiter.tokens;
+            left[item as usize] -= 1;
+            let bound = 5000 + 2 * TURN;
+            prop_assert!(taken[0].abs_diff(taken[1]) <= bound, "{taken:?}");
+        }
+    }
+}
