Gateway: places go to whoever is next in line, not to whoever wakes first

Cause: those who waited listened to one event, and each looked again; nothing decided who goes first. Now one queue for each service holds them, and one task hands out places that are taken already. On by urgency where routes or keys name more than one urgency for a service; else in the order of arrival. Who can't be in time behind those ahead is refused at once, told by when room comes; the least urgent first.

--- a/grebedeck-admission/src/flow.rs
+++ b/grebedeck-admission/src/flow.rs
@@ -5,6 +5,7 @@
 //! room there is.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Duration;
 
 use grebedeck_core::Moment;
@@ -15,6 +16,8 @@
 const MEMORY: Duration = Duration::from_secs(2);
 /// Time with somebody waiting before a rate is told: some passes of a group, in each of which places become free.
 const LEAST_SEEN: Duration = Duration::from_millis(200);
+/// Places given before a rate is told: of a service whose requests take seconds nothing follows from some moments.
+const LEAST_GIVEN: f64 = 3.0;
 
 /// Places given, by urgency, and the time in which somebody waited for them.
 #[derive(Clone, Debug, Default)]
@@ -50,7 +53,7 @@
 
     /// Gets the places that are given in a second, where that was seen lately.
     pub fn rate(&self) -> Option<f64> {
-        self.per_second(self.given.values().sum())
+        self.per_second(self.all())
     }
 
     /// Gets the places that are given to an urgency in a second, where that was seen lately.
@@ -58,7 +61,21 @@
         self.per_second(self.given.get(&urgency).copied().unwrap_or_default())
     }
 
+    /// Gets the part of the places that lately went to those less urgent than `urgency`.
+    pub fn part_behind(&self, urgency: Urgency) -> f64 {
+        let behind = (Bound::Excluded(urgency), Bound::Unbounded);
+        let given: f64 = self.given.range(behind).map(|(_, given)| given).sum();
+
+        given / self.all().max(f64::MIN_POSITIVE)
+    }
+
     fn per_second(&self, given: f64) -> Option<f64> {
-        (self.waited_s >= LEAST_SEEN.as_secs_f64()).then(|| given / self.waited_s)
+        let is_known = self.waited_s >= LEAST_SEEN.as_secs_f64() && self.all() >= LEAST_GIVEN;
+
+        is_known.then(|| given / self.waited_s)
+    }
+
+    fn all(&self) -> f64 {
+        self.given.values().sum()
     }
 }
--- a/grebedeck-admission/src/queue.rs
+++ b/grebedeck-admission/src/queue.rs
@@ -17,7 +17,7 @@
 
 use crate::fair::Fair;
 use crate::flow::Flow;
-use crate::share::Shares;
+use crate::share::{LEAST_SHARE, Shares};
 
 /// Names one that waits.
 pub type Ticket = u64;
@@ -212,21 +212,19 @@
         self.take(ticket, false).map(|entry| (entry.waiter, entry.item))
     }
 
-    /// Takes out those who are to be given up by now.
-    pub fn expired(&mut self, now: Moment) -> Vec<(Ticket, Waiter, T)> {
-        let mut expired = Vec::new();
+    /// Gets those who are to be given up by now.
+    pub fn due(&self, now: Moment) -> Vec<Ticket> {
+        let due = self.by_give_up.iter().take_while(|(give_up, _)| *give_up <= now);
 
-        while let Some((give_up, ticket)) = self.by_give_up.first().copied() {
-            if give_up > now {
-                break;
-            }
+        due.map(|(_, ticket)| *ticket).collect()
+    }
 
-            if let Some((waiter, item)) = self.remove(ticket, now) {
-                expired.push((ticket, waiter, item));
-            }
-        }
+    /// Takes out those who are to be given up by now.
+    pub fn expired(&mut self, now: Moment) -> Vec<(Ticket, Waiter, T)> {
+        let due = self.due(now);
+        let take = |ticket: Ticket| self.remove(ticket, now).map(|(w, item)| (ticket, w, item));
 
-        expired
+        due.into_iter().filter_map(take).collect()
     }
 
     /// Gets when the next one is to be given up.
@@ -277,8 +275,9 @@
         self.wait_behind(class, waiter.urgency, beside)
     }
 
-    /// Gets the newest of those who are less urgent than `urgency` and can't be in time behind all who go first.
-    pub fn hopeless(&self, urgency: Urgency, now: Moment) -> Option<Ticket> {
+    /// Gets the newest of those who are less urgent than `urgency` and can't be in time behind all who go first,
+    /// and how long it would wait.
+    pub fn hopeless(&self, urgency: Urgency, now: Moment) -> Option<(Ticket, Duration)> {
         if self.options.order == Order::Arrival {
             return None;
         }
@@ -293,7 +292,7 @@
             let beside = fair.ahead_of(&waiter.organisation, own_ahead).min(fair.len() - 1);
             let wait = self.wait_behind(*class, waiter.urgency, beside)?;
 
-            (now + wait > waiter.start_by).then_some(ticket)
+            (now + wait > waiter.start_by).then_some((ticket, wait))
         })
     }
 
@@ -317,7 +316,11 @@
         }
 
         let before: usize = self.classes.range(..class).map(|(_, fair)| fair.len()).sum();
-        let in_order_s = (before + beside) as f64 / self.flow.rate()?;
+        // The less urgent take their share of the places meanwhile, where some of them wait.
+        let has_behind = self.classes.last_key_value().is_some_and(|(last, _)| *last > class);
+        let part_behind = self.flow.part_behind(urgency).min(LEAST_SHARE);
+        let part = if has_behind { 1.0 - part_behind } else { 1.0 };
+        let in_order_s = (before + beside) as f64 / (self.flow.rate()? * part);
         // What its urgency gets may be more than what the others leave over.
         let in_share_s = beside as f64 / self.flow.rate_of(urgency)?;
         let wait_s = in_order_s.min(in_share_s).min(MAX_EXPECTED.as_secs_f64());
--- a/grebedeck-admission/tests/load.rs
+++ b/grebedeck-admission/tests/load.rs
@@ -261,7 +261,7 @@
             return self.refuse(call, kind.urgency, now);
         }
 
-        while let Some(ticket) = self.queue.hopeless(kind.urgency, now).filter(|_| is_ranked) {
+        while let Some((ticket, _)) = self.queue.hopeless(kind.urgency, now).filter(|_| is_ranked) {
             self.turn_out(ticket, now);
         }
     }
--- a/grebedeck-admission/tests/order.rs
+++ b/grebedeck-admission/tests/order.rs
@@ -219,7 +219,8 @@
     let first = queue.push(waiter(2, "a", 1400), 100, MS(1000)).expect("room");
     assert_eq!(queue.hopeless(0, MS(1000)), None);
     let second = queue.push(waiter(2, "a", 1400), 101, MS(1000)).expect("room");
-    assert_eq!(queue.hopeless(0, MS(1000)), Some(second));
+    let hopeless = queue.hopeless(0, MS(1000)).map(|(ticket, _)| ticket);
+    assert_eq!(hopeless, Some(second));
     assert_eq!(queue.hopeless(2, MS(1000)), None, "nobody is less urgent");
     queue.remove(second, MS(1000));
     assert_eq!(queue.hopeless(0, MS(1000)), None, "{first} keeps the share of its urgency");
--- a/grebedeck-gateway/src/routes.rs
+++ b/grebedeck-gateway/src/routes.rs
@@ -1,6 +1,6 @@
 //! The compiled form of a site: the route and the organisation of a request.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use grebedeck_core::{OrganisationName, RandomSource, ServiceName};
@@ -68,6 +68,7 @@
     services: HashMap<ServiceName, Arc<ServiceSpec>>,
     limits: CallerLimits,
     needs_keys: bool,
+    ranked: HashSet<ServiceName>,
 }
 
 impl RouteTable {
@@ -97,9 +98,15 @@
             services: services.collect(),
             limits: site.limits,
             needs_keys: !site.organisations.is_empty(),
+            ranked: ranked_services(site),
         }
     }
 
+    /// Tells whether requests for a service differ in urgency.
+    pub fn ranks_requests(&self, service: &str) -> bool {
+        self.ranked.contains(service)
+    }
+
     /// Gets the version; 0 where there is no configuration yet.
     pub fn version(&self) -> SiteVersion {
         self.version
@@ -153,6 +160,27 @@
     }
 }
 
+/// Gets the services whose requests differ in urgency, by their routes and by the keys that may be used there.
+fn ranked_services(site: &Site) -> HashSet<ServiceName> {
+    let mut urgencies: HashMap<&str, BTreeSet<u8>> = HashMap::new();
+    let own: BTreeSet<Option<u8>> = site.organisations.iter().map(|o| o.priority).collect();
+
+    for rule in &site.routes {
+        let keyless = rule.is_public || own.is_empty();
+        let holders = own.iter().map(|priority| priority.unwrap_or(rule.priority));
+        let of_rule: BTreeSet<u8> =
+            if keyless { BTreeSet::from([rule.priority]) } else { holders.collect() };
+
+        for weighted in &rule.services {
+            urgencies.entry(&weighted.service).or_default().extend(&of_rule);
+        }
+    }
+
+    let ranked = urgencies.into_iter().filter(|(_, urgencies)| urgencies.len() > 1);
+
+    ranked.map(|(service, _)| service.to_string()).collect()
+}
+
 /// Draws one of a route's services by weight.
 pub fn draw_service<'a>(rule: &'a RouteRule, random: &mut impl RandomSource) -> Option<&'a str> {
     let total: u64 = rule.services.iter().map(|s| u64::from(s.weight)).sum();
--- a/grebedeck-kernel/src/metrics.rs
+++ b/grebedeck-kernel/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::{AsyncInstrument, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -84,6 +84,25 @@
         gauge.with_callback(move |observer| observer.observe(read(), &[])).build();
     }
 
+    /// Adds a gauge that is read when the metrics are, with values told apart by `label`.
+    pub fn gauge_by(
+        &self,
+        name: &'static str,
+        label: &'static str,
+        help: &'static str,
+        read: impl Fn() -> Vec<(&'static str, f64)> + Send + Sync + 'static,
+    ) {
+        let meter = self.provider.meter("grebedeck");
+        let gauge = meter.f64_observable_gauge(name).with_description(help);
+        let observe = move |observer: &dyn AsyncInstrument<f64>| {
+            for (value, number) in read() {
+                observer.observe(number, &[KeyValue::new(label, value)]);
+            }
+        };
+
+        gauge.with_callback(observe).build();
+    }
+
     /// Gets all metrics as text.
     pub fn text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -8,7 +8,9 @@
 pub mod body;
 pub mod caller;
 pub mod counters;
+pub mod dump;
 pub mod health;
+pub mod hold;
 pub mod loads;
 pub mod mechanism;
 pub mod options;
@@ -23,6 +25,7 @@
 pub mod stop;
 pub mod story;
 pub mod stream;
+pub mod waiting;
 pub mod watch;
 pub mod whole;
 
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -11,6 +11,7 @@
 use grebedeck_routing::LoadReport;
 
 use super::options::{CONNECT_LIMIT, MAX_ANSWER_HEAD_BYTES, MAX_WHOLE_BYTES};
+use super::place::Place;
 use super::request::RoutedRequest;
 use super::service::Gateway;
 use super::story::Decision;
@@ -113,7 +114,7 @@
 }
 
 impl InFlight {
-    /// Notes that a request is sent to a target.
+    /// Takes a place on a target for a request.
     pub fn new(gateway: &Rc<Gateway>, target: &Arc<TargetEntry>) -> Self {
         gateway.chooser.borrow_mut().sent(&target.id);
 
@@ -130,9 +131,7 @@
     fn drop(&mut self) {
         let now = self.gateway.now();
         self.gateway.chooser.borrow_mut().ended(&self.target.id, self.success, now);
-        // One place is free, so one that waits is woken; where it cannot use the place, others find it at
-        // their next look, some ten milliseconds later.
-        self.gateway.freed.notify(1);
+        self.gateway.freed.notify(usize::MAX);
     }
 }
 
@@ -183,20 +182,21 @@
     }
 }
 
-/// Sends a request to a target and waits for the head of its answer.
+/// Sends a request to the target of its place and waits for the head of its answer.
 pub async fn open(
     gateway: &Rc<Gateway>,
     request: &RoutedRequest,
-    target: &Arc<TargetEntry>,
+    place: Place,
 ) -> Result<Opened, Failure> {
-    let opened = send(gateway, request, target).await;
+    let Place { target, in_flight } = place;
+    let opened = send(gateway, request, &target, in_flight).await;
 
     match &opened {
         Ok(_) => {
             gateway.counters.attempts.add("opened");
             gateway.note_taken(&request.service);
         }
-        Err(failure) => note_failure(gateway, request, target, failure),
+        Err(failure) => note_failure(gateway, request, &target, failure),
     }
 
     opened
@@ -229,8 +229,8 @@
     gateway: &Rc<Gateway>,
     request: &RoutedRequest,
     target: &Arc<TargetEntry>,
+    mut in_flight: InFlight,
 ) -> Result<Opened, Failure> {
-    let mut in_flight = InFlight::new(gateway, target);
     let left = request.deadline.saturating_sub(gateway.now());
 
     let Ok(mut connection) = connect(gateway, target, left).await else {
--- a/grebedeck/src/gateway/caller.rs
+++ b/grebedeck/src/gateway/caller.rs
@@ -121,7 +121,7 @@
         return write_whole(connection, answer, after).await;
     };
     let service = service.to_string();
-    let routed = RoutedRequest::new(request, admitted, service, &gateway.names);
+    let routed = Rc::new(RoutedRequest::new(request, admitted, service, &gateway.names));
 
     if routed.admitted.rule.kind.is_stream() {
         return stream::serve(gateway, &routed, connection, after).await;
--- a/grebedeck/src/gateway/counters.rs
+++ b/grebedeck/src/gateway/counters.rs
@@ -1,7 +1,46 @@
 //! What a gateway counts.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use grebedeck_kernel::{Counter, Histogram, Metrics};
 
+/// Urgencies that are told apart in metrics; the last one stands for all beyond.
+const URGENCY_WORDS: [&str; 4] = ["0", "1", "2", "3_and_more"];
+
+/// Gets the label of an urgency.
+pub fn urgency_word(urgency: u8) -> &'static str {
+    URGENCY_WORDS[urgency_class(urgency)]
+}
+
+fn urgency_class(urgency: u8) -> usize {
+    usize::from(urgency).min(URGENCY_WORDS.len() - 1)
+}
+
+/// Requests in line, by urgency.
+#[derive(Clone, Default)]
+pub struct InLineCounts {
+    counts: Arc<[AtomicUsize; URGENCY_WORDS.len()]>,
+}
+
+impl InLineCounts {
+    /// Notes that a request got in line.
+    pub fn came(&self, urgency: u8) {
+        self.counts[urgency_class(urgency)].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes that a request is in line no longer.
+    pub fn left(&self, urgency: u8) {
+        self.counts[urgency_class(urgency)].fetch_sub(1, Ordering::Relaxed);
+    }
+
+    fn read(&self) -> Vec<(&'static str, f64)> {
+        let counts = self.counts.iter().map(|count| count.load(Ordering::Relaxed) as f64);
+
+        URGENCY_WORDS.into_iter().zip(counts).collect()
+    }
+}
+
 /// Counters and histograms of a gateway.
 pub struct Counters {
     /// Requests by what their callers got.
@@ -10,6 +49,10 @@
     pub attempts: Counter,
     /// Requests that were turned away, by reason.
     pub refusals: Counter,
+    /// Requests that got a place, by urgency.
+    pub admitted: Counter,
+    /// Requests that wait for a place.
+    pub in_line: InLineCounts,
     /// Streams that another target went on with, by how that ended.
     pub resumes: Counter,
     /// Repeats by whether the budget allowed them.
@@ -34,7 +77,22 @@
         let counter = |name, label, help| metrics.counter(name, label, help);
         let histogram = |name, label, help| metrics.histogram(name, label, help);
 
+        let in_line = InLineCounts::default();
+        let waiting = in_line.clone();
+        metrics.gauge_by(
+            "grebedeck_gateway_waiting",
+            "urgency",
+            "Requests that wait for a place, by urgency",
+            move || waiting.read(),
+        );
+
         Counters {
+            in_line,
+            admitted: counter(
+                "grebedeck_gateway_admitted",
+                "urgency",
+                "Requests that got a place, by urgency",
+            ),
             requests: counter(
                 "grebedeck_gateway_requests",
                 "end",
--- /dev/null
+++ b/grebedeck/src/gateway/dump.rs
@@ -0,0 +1,52 @@
+//! The state of a gateway, for operators.
+
+use std::sync::Arc;
+
+use grebedeck_gateway::{Availability, TargetEntry};
+use serde_json::json;
+
+use super::service::Gateway;
+
+impl Gateway {
+    /// Gets the state for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.now();
+        let table = self.table();
+        let targets = self.targets.borrow();
+        let chooser = self.chooser.borrow();
+        let target = |entry: &Arc<TargetEntry>| {
+            let load = chooser.load_view(&entry.id, now);
+            json!({
+                "id": entry.id, "service": entry.service, "hall": entry.hall,
+                "address": entry.address, "state": entry.state, "in_flight": load.in_flight,
+                "places": load.places,
+            })
+        };
+        let services: Vec<serde_json::Value> = table
+            .services()
+            .map(|service| {
+                json!({
+                    "name": service.name,
+                    "out_ms": match self.availability(&service.name) {
+                        Availability::Up => None,
+                        Availability::Out(left) => Some(left.as_millis() as u64),
+                    },
+                    "waiting": self.waiting.dump(&service.name),
+                    "pause_ms": self.pause(&service.name).map(|p| p.as_millis() as u64),
+                })
+            })
+            .collect();
+
+        json!({
+            "name": self.settings().name,
+            "ready": self.is_ready(),
+            "stopping": self.stop.is_stopping(),
+            "in_flight": self.stop.in_flight(),
+            "config_version": table.version(),
+            "targets_version": targets.version(),
+            "buffered_bytes": self.bodies.used_bytes(),
+            "targets": targets.all().map(target).collect::<Vec<_>>(),
+            "services": services,
+        })
+    }
+}
--- /dev/null
+++ b/grebedeck/src/gateway/hold.rs
@@ -0,0 +1,64 @@
+//! For how long a request is held without a place.
+//!
+//! For as long as its answer can still be in time, as a refusal is of use only while the caller has time left; longer
+//! where its service is out and expected back soon, and as long as its caller waits where a stream would be cut.
+
+use grebedeck_core::Moment;
+use grebedeck_gateway::TargetId;
+
+use super::mechanism::Mechanism;
+use super::options::{HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD};
+use super::place::{self, NoPlace};
+use super::request::RoutedRequest;
+use super::service::Gateway;
+
+/// Gets the latest moment at which a request's start is of use.
+pub fn start_by(
+    gateway: &Gateway,
+    request: &RoutedRequest,
+    tried: &[TargetId],
+    now: Moment,
+) -> Moment {
+    // A stream that has begun would be cut, so it waits for as long as its caller does.
+    let until = if place::goes_on(request, tried) {
+        now + MAX_HOLD
+    } else {
+        let objective = request.admitted.rule.objective;
+        request.request.arrived + gateway.patience(&request.service, objective)
+    };
+
+    until.min(request.deadline)
+}
+
+/// Gets until when a request that has no place is held; none where it is to be given up now.
+pub fn held_until(
+    gateway: &Gateway,
+    request: &RoutedRequest,
+    reason: NoPlace,
+    give_up: Moment,
+    now: Moment,
+) -> Option<Moment> {
+    let is_held_longer = least_hold(gateway, reason, request, now) > give_up;
+    // Who has waited for longer than a refusal is of use is served rather late than not.
+    let longest = (request.request.arrived + MAX_HOLD).min(request.deadline);
+    let give_up = if is_held_longer { longest } else { give_up };
+    let is_overdue = gateway.is_overdue(&request.service);
+    let is_over = now >= give_up || reason.is_hopeless(is_overdue, give_up, now);
+
+    (!is_over).then_some(give_up)
+}
+
+/// Gets how long a request is held at least, for the reason that there is no place.
+fn least_hold(gateway: &Gateway, reason: NoPlace, request: &RoutedRequest, now: Moment) -> Moment {
+    // A caller whose stream broke has come back once already, and would lose what it has.
+    let limit = if request.request.resumes(&gateway.names) { MAX_HOLD } else { HOLD_LIMIT };
+
+    match reason {
+        NoPlace::Out(left) | NoPlace::Paced(left)
+            if left <= limit && gateway.uses(Mechanism::Hold) =>
+        {
+            (now + left + HOLD_MARGIN).min(request.request.arrived + MAX_HOLD).min(request.deadline)
+        }
+        _ => Moment::ZERO,
+    }
+}
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -50,6 +50,9 @@
 /// Longest time that a request is held for a service that is out: callers leave a stream that says nothing
 /// for two seconds.
 pub const MAX_HOLD: Duration = Duration::from_millis(1800);
+/// How often a place is looked for while all are taken and somebody waits, as shorter pauses of a model's group make
+/// room and nothing tells it: a tenth of a pass, so that no pass goes by with room that was not given.
+pub const LOOK_PAUSE: Duration = Duration::from_millis(10);
 /// Shortest wait before a place is looked for again.
 pub const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Part of a group's time that may go into reading prompts. Half of it is what skew takes while experts
--- a/grebedeck/src/gateway/pace.rs
+++ b/grebedeck/src/gateway/pace.rs
@@ -8,6 +8,7 @@
 
 use super::mechanism::Mechanism;
 use super::options::UNKNOWN_ANSWER_TIME;
+use super::request::RoutedRequest;
 use super::service::Gateway;
 
 impl Gateway {
@@ -81,6 +82,14 @@
         self.usual_time(service).mul_f64(over.min(1.0))
     }
 
+    /// Gets when a request that was refused should come back, where its service's places are given by urgency.
+    pub fn return_slot(&self, request: &RoutedRequest, first: Duration) -> Option<Duration> {
+        let now = self.now();
+        let left = request.deadline.saturating_sub(now);
+
+        self.waiting.return_time(&request.service, request.admitted.priority, first, left, now)
+    }
+
     /// Gets the time that a request of a service usually takes.
     fn usual_time(&self, service: &str) -> Duration {
         let table = self.table();
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -4,18 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::future::timeout;
 use grebedeck_core::{Moment, RandomSource};
 use grebedeck_gateway::{Availability, TargetEntry, TargetId};
 
+use super::attempt::InFlight;
+use super::counters::urgency_word;
 use super::mechanism::Mechanism;
 use super::options::{
-    HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, MIN_RETURN_SPREAD, MIN_WAIT, NO_TARGETS_WAIT, PLACEMENT_LAG,
-    RETURN_SPREAD, TRIAL_PAUSE,
+    HOLD_LIMIT, MIN_RETURN_SPREAD, NO_TARGETS_WAIT, PLACEMENT_LAG, RETURN_SPREAD,
 };
 use super::request::RoutedRequest;
 use super::service::Gateway;
 use super::story::Decision;
+use super::waiting::{self, Entered};
 use crate::random::ProcessRandom;
 
 /// Why there is no place.
@@ -29,6 +30,16 @@
     Out(Duration),
     /// Too many prompts have begun lately; the next one may after this time.
     Paced(Duration),
+    /// All places are taken, and those who go first take them for this time.
+    Behind(Duration),
+}
+
+/// A place on a target, taken.
+pub struct Place {
+    /// The target.
+    pub target: Arc<TargetEntry>,
+    /// Counts the request there.
+    pub in_flight: InFlight,
 }
 
 impl NoPlace {
@@ -49,6 +60,11 @@
         is_overdue && matches!(self, NoPlace::Out(left) if now + left > give_up)
     }
 
+    /// Tells whether it is over so soon that requests are held for it.
+    pub fn is_near(self) -> bool {
+        matches!(self, NoPlace::Out(left) | NoPlace::Paced(left) if left <= HOLD_LIMIT)
+    }
+
     /// Gets a short word for logs and counters.
     pub fn word(self) -> &'static str {
         match self {
@@ -56,20 +72,24 @@
             NoPlace::Full => "full",
             NoPlace::Out(_) => "out",
             NoPlace::Paced(_) => "paced",
+            NoPlace::Behind(_) => "behind",
         }
     }
 
     /// Gets how long the caller should wait before it asks again.
-    pub fn retry_after(self, gateway: &Gateway, service: &str) -> Duration {
+    pub fn retry_after(self, gateway: &Gateway, request: &RoutedRequest) -> Duration {
+        let service = &request.service;
         let is_spread = gateway.uses(Mechanism::ReturnSpread);
         // Those that come back at the same moment find the targets full.
         let spread = if is_spread { ProcessRandom::default().unit() } else { 0.0 };
 
         match self {
             NoPlace::NoTargets => NO_TARGETS_WAIT.mul_f64(1.0 + spread),
-            NoPlace::Full => {
+            NoPlace::Full | NoPlace::Behind(_) => {
                 let left = gateway.time_to_place(service);
-                left + left.max(MIN_RETURN_SPREAD).mul_f64(spread)
+                let slot = gateway.return_slot(request, left).filter(|_| is_spread);
+
+                slot.unwrap_or_else(|| left + left.max(MIN_RETURN_SPREAD).mul_f64(spread))
             }
             NoPlace::Out(left) => left + PLACEMENT_LAG + RETURN_SPREAD.mul_f64(spread),
             NoPlace::Paced(left) => left + RETURN_SPREAD.mul_f64(spread),
@@ -77,54 +97,34 @@
     }
 }
 
-/// Waits for a place: for a short while where all are taken, as a refusal is of use only while the
-/// caller has time left, and for longer where the service is out and expected back soon.
+/// Gets a place: at once where nobody waits, else in the order of those who do.
 pub async fn find(
     gateway: &Rc<Gateway>,
-    request: &RoutedRequest,
+    request: &Rc<RoutedRequest>,
     tried: &[TargetId],
-) -> Result<Arc<TargetEntry>, NoPlace> {
-    let patience = gateway.patience(&request.service, request.admitted.rule.objective);
+) -> Result<Place, NoPlace> {
     let began = gateway.now();
-    // A stream that has begun would be cut, so it waits for as long as its caller does.
-    let patience = if goes_on(request, tried) { MAX_HOLD } else { patience };
-    let waits_from = if goes_on(request, tried) { began } else { request.request.arrived };
-    let mut give_up = (waits_from + patience).min(request.deadline);
-
-    loop {
-        // Listening begins before the look, so that no place is missed between them.
-        let freed = gateway.freed.listen();
-        let now = gateway.now();
-
-        match look(gateway, request, tried, now) {
-            Ok(target) => {
-                gateway.counters.waits.note(now - began, "placed");
-                return Ok(target);
-            }
-            Err(reason) => {
-                let held_until = hold_until(gateway, reason, request, now);
-
-                if held_until > give_up {
-                    // Who has waited for longer than a refusal is of use is served rather late than not.
-                    give_up = (request.request.arrived + MAX_HOLD).min(request.deadline);
-                }
-
-                let is_overdue = gateway.is_overdue(&request.service);
-
-                if now >= give_up || reason.is_hopeless(is_overdue, give_up, now) {
-                    gateway.counters.waits.note(now - began, reason.word());
-                    gateway.counters.refusals.add(reason.word());
-                    request.story.add(now, no_place(gateway, request, reason, now));
-                    return Err(reason);
-                }
-            }
-        }
+    let found = match waiting::enter(gateway, request, tried) {
+        Ok(Entered::Placed(place)) => Ok(place),
+        Ok(Entered::InLine(line)) => line.answer().await,
+        Err(reason) => Err(reason),
+    };
+    let now = gateway.now();
+    let counters = &gateway.counters;
 
-        let paced = gateway.prompt_wait(&request.service, now);
-        let next_look = if paced.is_zero() { TRIAL_PAUSE } else { paced.min(TRIAL_PAUSE) };
-        let wait = give_up.saturating_sub(now).min(next_look).max(MIN_WAIT);
-        let _ = timeout(wait, freed).await;
+    match &found {
+        Ok(_) => {
+            counters.waits.note(now - began, "placed");
+            counters.admitted.add(urgency_word(request.admitted.priority));
+        }
+        Err(reason) => {
+            counters.waits.note(now - began, reason.word());
+            counters.refusals.add(reason.word());
+            request.story.add(now, no_place(gateway, request, *reason, now));
+        }
     }
+
+    found
 }
 
 fn no_place(gateway: &Gateway, request: &RoutedRequest, reason: NoPlace, now: Moment) -> Decision {
@@ -135,23 +135,21 @@
         load: gateway.chooser.borrow().mean_load(&serving, now),
         allowed: gateway.allowed_load(&request.service, &serving, now),
         pause: gateway.pause(&request.service),
+        urgency: request.admitted.priority,
         targets: serving.len(),
     }
 }
 
-/// Gets how long a request is held at least, for the reason that there is no place.
-fn hold_until(gateway: &Gateway, reason: NoPlace, request: &RoutedRequest, now: Moment) -> Moment {
-    // A caller whose stream broke has come back once already, and would lose what it has.
-    let limit = if request.request.resumes(&gateway.names) { MAX_HOLD } else { HOLD_LIMIT };
+/// Takes a place for a request, where there is one.
+pub fn take(
+    gateway: &Rc<Gateway>,
+    request: &RoutedRequest,
+    tried: &[TargetId],
+    now: Moment,
+) -> Result<Place, NoPlace> {
+    let target = look(gateway, request, tried, now)?;
 
-    match reason {
-        NoPlace::Out(left) | NoPlace::Paced(left)
-            if left <= limit && gateway.uses(Mechanism::Hold) =>
-        {
-            (now + left + HOLD_MARGIN).min(request.request.arrived + MAX_HOLD).min(request.deadline)
-        }
-        _ => Moment::ZERO,
-    }
+    Ok(Place { in_flight: InFlight::new(gateway, &target), target })
 }
 
 fn look(
@@ -196,7 +194,7 @@
 }
 
 /// Tells whether a request is a stream that has begun at another target.
-fn goes_on(request: &RoutedRequest, tried: &[TargetId]) -> bool {
+pub fn goes_on(request: &RoutedRequest, tried: &[TargetId]) -> bool {
     !tried.is_empty() && request.last_event_id.get().is_some()
 }
 
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -12,13 +12,12 @@
 use grebedeck_gateway::answer;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    Availability, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, RouteTable,
-    Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
+    HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, RouteTable, Site,
+    TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Metrics, log};
 use grebedeck_routing::{Chooser, LoadReport};
-use serde_json::json;
 
 use super::Tasks;
 use super::attempt::Tried;
@@ -30,6 +29,7 @@
 use super::request::RoutedRequest;
 use super::stop::StopState;
 use super::story::{Decision, End, STORIES_PER_S, Story};
+use super::waiting::Waiting;
 
 /// Part of a process's memory that callers' bodies may take together.
 const BODY_MEMORY_PART: usize = 4;
@@ -73,6 +73,8 @@
     pub(super) paces: RefCell<HashMap<ServiceName, Pacing>>,
     pub(super) prompts: RefCell<HashMap<ServiceName, PromptRate>>,
     patience: RefCell<HashMap<ServiceName, Patience>>,
+    /// Requests that wait for a place.
+    pub waiting: Waiting,
 }
 
 impl Gateway {
@@ -108,6 +110,7 @@
             paces: RefCell::default(),
             prompts: RefCell::default(),
             patience: RefCell::default(),
+            waiting: Waiting::default(),
         };
         gateway.count_gateways();
 
@@ -132,7 +135,9 @@
             return false;
         }
 
-        *self.table.borrow_mut() = Rc::new(RouteTable::new(site));
+        let table = RouteTable::new(site);
+        self.waiting.take_table(&table);
+        *self.table.borrow_mut() = Rc::new(table);
         *self.site.borrow_mut() = Some(site.clone());
         self.freed.notify(usize::MAX);
         log::info!("configuration in force", kv: { version = site.version, before, from });
@@ -325,47 +330,6 @@
         }
     }
 
-    /// Gets the state for a dump.
-    pub fn dump(&self) -> serde_json::Value {
-        let now = self.now();
-        let table = self.table();
-        let targets = self.targets.borrow();
-        let chooser = self.chooser.borrow();
-        let target = |entry: &Arc<TargetEntry>| {
-            let load = chooser.load_view(&entry.id, now);
-            json!({
-                "id": entry.id, "service": entry.service, "hall": entry.hall,
-                "address": entry.address, "state": entry.state, "in_flight": load.in_flight,
-                "places": load.places,
-            })
-        };
-        let services: Vec<serde_json::Value> = table
-            .services()
-            .map(|service| {
-                json!({
-                    "name": service.name,
-                    "out_ms": match self.availability(&service.name) {
-                        Availability::Up => None,
-                        Availability::Out(left) => Some(left.as_millis() as u64),
-                    },
-                    "pause_ms": self.pause(&service.name).map(|p| p.as_millis() as u64),
-                })
-            })
-            .collect();
-
-        json!({
-            "name": self.settings().name,
-            "ready": self.is_ready(),
-            "stopping": self.stop.is_stopping(),
-            "in_flight": self.stop.in_flight(),
-            "config_version": table.version(),
-            "targets_version": targets.version(),
-            "buffered_bytes": self.bodies.used_bytes(),
-            "targets": targets.all().map(target).collect::<Vec<_>>(),
-            "services": services,
-        })
-    }
-
     /// Tells whether a mechanism is in use.
     pub fn uses(&self, mechanism: Mechanism) -> bool {
         self.settings.borrow().uses(mechanism)
@@ -392,6 +356,7 @@
         let now = self.now();
 
         self.chooser.borrow_mut().reported(target, report, now);
+        self.freed.notify(usize::MAX);
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut WindowBudget) -> T) -> T {
--- a/grebedeck/src/gateway/story.rs
+++ b/grebedeck/src/gateway/story.rs
@@ -59,6 +59,13 @@
         /// The last event that the caller has, where a stream goes on.
         last_event_id: Option<u64>,
     },
+    /// It got in line for a place.
+    InLine {
+        /// Its urgency; 0 goes first.
+        urgency: u8,
+        /// Those who go before it, as far as that could be known.
+        ahead: usize,
+    },
     /// There was no place.
     NoPlace {
         /// Why.
@@ -69,6 +76,8 @@
         allowed: f64,
         /// Mean pause between events, if streams were seen lately.
         pause: Option<Duration>,
+        /// Urgency of the request; 0 goes first.
+        urgency: u8,
         /// Targets that take work.
         targets: usize,
     },
@@ -232,13 +241,17 @@
                     last_event_id = optional(*last_event_id),
                 });
             }
-            Decision::NoPlace { reason, load, allowed, pause, targets } => {
+            Decision::InLine { urgency, ahead } => {
+                log::info!("in line", kv: { request, at_ms, urgency = *urgency, ahead = *ahead });
+            }
+            Decision::NoPlace { reason, load, allowed, pause, urgency, targets } => {
                 log::info!("no place", kv: {
                     request, at_ms,
                     reason = reason.word(),
                     load = rounded(*load),
                     allowed_load = rounded(*allowed),
                     pause_ms = optional_ms(*pause),
+                    urgency = *urgency,
                     targets = *targets,
                 });
             }
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -40,7 +40,7 @@
 /// A stream on its way to a caller.
 struct Relay<'a> {
     gateway: &'a Rc<Gateway>,
-    request: &'a RoutedRequest,
+    request: &'a Rc<RoutedRequest>,
     connection: &'a mut Connection,
     after: After,
     head_sent: bool,
@@ -93,7 +93,7 @@
 /// Serves a request; the answer is written to the caller as it comes.
 pub async fn serve(
     gateway: &Rc<Gateway>,
-    request: &RoutedRequest,
+    request: &Rc<RoutedRequest>,
     connection: &mut Connection,
     after: After,
 ) -> After {
@@ -131,16 +131,17 @@
                     () = self.connection.closed(READ_AHEAD_BYTES).fuse() => None,
                 }
             };
-            let target = match found {
-                Some(Ok(target)) => target,
+            let place = match found {
+                Some(Ok(place)) => place,
                 Some(Err(reason)) => return self.give_up(Some(reason)).await,
                 None => return (End::CallerGone, After::Close),
             };
 
+            let target = place.target.clone();
             self.tried.begin(&target);
             self.placed_at = Some(self.gateway.now());
             let opened = {
-                let opening = attempt::open(self.gateway, self.request, &target);
+                let opening = attempt::open(self.gateway, self.request, place);
                 futures::select! {
                     opened = opening.fuse() => Some(opened),
                     () = self.connection.closed(READ_AHEAD_BYTES).fuse() => None,
--- a/grebedeck/src/gateway/whole.rs
+++ b/grebedeck/src/gateway/whole.rs
@@ -1,17 +1,16 @@
 //! Requests whose answers are read whole before the caller gets them.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
 use grebedeck_gateway::answer::give_up_status;
-use grebedeck_gateway::{Denied, HeaderNames, RunState, TargetEntry, Verdict};
+use grebedeck_gateway::{Denied, HeaderNames, RunState, Verdict};
 use grebedeck_http::{Headers, ResponseHead};
 
 use super::attempt::{self, Failure, FailureCause, Tried};
 use super::caller::After;
-use super::place::{self, NoPlace};
+use super::place::{self, NoPlace, Place};
 use super::request::{CallerRequest, RoutedRequest};
 use super::service::Gateway;
 use super::story::{Decision, End};
@@ -70,7 +69,7 @@
         request: &RoutedRequest,
         gateway: &Gateway,
     ) -> Self {
-        let wait = reason.retry_after(gateway, &request.service);
+        let wait = reason.retry_after(gateway, request);
         let retry_after = (run == RunState::NotRun).then_some(wait);
 
         WholeAnswer::own(
@@ -104,7 +103,7 @@
 }
 
 /// Serves a request.
-pub async fn serve(gateway: &Rc<Gateway>, request: &RoutedRequest) -> WholeAnswer {
+pub async fn serve(gateway: &Rc<Gateway>, request: &Rc<RoutedRequest>) -> WholeAnswer {
     gateway.earn_repeat(&request.service);
     let left = request.deadline.saturating_sub(gateway.now());
     let mut attempts = Attempts::default();
@@ -127,16 +126,16 @@
 }
 
 impl Attempts {
-    async fn run(&mut self, gateway: &Rc<Gateway>, request: &RoutedRequest) -> WholeAnswer {
+    async fn run(&mut self, gateway: &Rc<Gateway>, request: &Rc<RoutedRequest>) -> WholeAnswer {
         loop {
-            let target = match place::find(gateway, request, self.tried.targets()).await {
-                Ok(target) => target,
+            let place = match place::find(gateway, request, self.tried.targets()).await {
+                Ok(place) => place,
                 Err(reason) => return self.give_up(gateway, request, reason),
             };
 
-            self.tried.begin(&target);
+            self.tried.begin(&place.target);
 
-            match self.attempt(gateway, request, &target).await {
+            match self.attempt(gateway, request, place).await {
                 Ok((answer, Verdict::Failure)) => self.failure = Some(answer),
                 Ok((answer, _)) => return answer,
                 Err(failure) => self.tried.failed(&failure),
@@ -153,10 +152,11 @@
         &self,
         gateway: &Rc<Gateway>,
         request: &RoutedRequest,
-        target: &Arc<TargetEntry>,
+        place: Place,
     ) -> Result<(WholeAnswer, Verdict), Failure> {
         let began = gateway.now();
-        let opened = attempt::open(gateway, request, target).await?;
+        let target = place.target.clone();
+        let opened = attempt::open(gateway, request, place).await?;
         let verdict = opened.verdict;
         let now = gateway.now();
 
