--- a/grebedeck-admission/src/queue.rs
+++ b/grebedeck-admission/src/queue.rs
@@ -251,6 +251,14 @@
         }
     }
 
+    /// Tells whether somebody waits who is less urgent than one.
+    pub fn has_less_urgent(&self, ticket: Ticket) -> bool {
+        let class = self.entries.get(&ticket).map(|entry| self.position(&entry.waiter).0);
+        let last = self.classes.last_key_value().map(|(class, _)| *class);
+
+        self.options.order == Order::Urgency && class < last
+    }
+
     /// Gets the number of those who would go before one that comes now, as far as it can be known.
     pub fn ahead_of(&self, waiter: &Waiter) -> usize {
         let (class, organisation, _) = self.position(waiter);
--- a/grebedeck-lab/src/cost/probes.rs
+++ b/grebedeck-lab/src/cost/probes.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod experts;
+mod order;
 mod routing;
 
 use std::hint::black_box;
@@ -119,6 +120,22 @@
         at: 36_000.0,
         cost: routing::admission_bytes,
     },
+    Probe {
+        name: "order of those who wait",
+        unit: "us",
+        per: "waiting request",
+        sizes: &[1_000, 2_500, 5_000, 10_000],
+        at: 10_000.0,
+        cost: order::order_us,
+    },
+    Probe {
+        name: "memory of the order",
+        unit: "bytes",
+        per: "waiting request",
+        sizes: &[1_000, 2_500, 5_000, 10_000],
+        at: 10_000.0,
+        cost: order::order_bytes,
+    },
     Probe {
         name: "gate",
         unit: "us",
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -9,6 +9,8 @@
 pub mod caller;
 pub mod counters;
 pub mod dump;
+pub mod entering;
+pub mod handout;
 pub mod health;
 pub mod hold;
 pub mod loads;
--- /dev/null
+++ b/grebedeck/src/gateway/entering.rs
@@ -0,0 +1,167 @@
+//! How a request gets a place, or in line for one.
+//!
+//! It takes a place at once where nobody waits, and stands in line otherwise: whoever came before it with the same
+//! urgency, or is more urgent, is not overtaken. Where the order means that it can't be in time, it is told at once.
+
+use std::rc::Rc;
+
+use futures::channel::oneshot;
+use grebedeck_admission::{Order, Waiter};
+use grebedeck_core::Moment;
+use grebedeck_gateway::TargetId;
+
+use super::handout;
+use super::hold;
+use super::place::{self, NoPlace, Place};
+use super::request::RoutedRequest;
+use super::service::Gateway;
+use super::story::Decision;
+use super::waiting::{InLine, Line, Seeker};
+
+/// Weight of an organisation: no configuration names another.
+const WEIGHT: u64 = 1;
+
+/// What a request has got.
+pub enum Entered {
+    /// A place.
+    Placed(Place),
+    /// A place in line.
+    InLine(InLine),
+}
+
+/// Gets a place at once, gets in line, or learns why there is no use in either.
+pub fn enter(
+    gateway: &Rc<Gateway>,
+    request: &Rc<RoutedRequest>,
+    tried: &[TargetId],
+) -> Result<Entered, NoPlace> {
+    let now = gateway.now();
+    let service = &request.service;
+    let urgency = request.admitted.priority;
+    gateway.waiting.make_line(&gateway.table(), service);
+    let is_first = gateway.waiting.is_empty(service);
+
+    let reason = if is_first {
+        match place::take(gateway, request, tried, now) {
+            Ok(place) => {
+                gateway.waiting.with(service, |line| line.queue.note_at_once(urgency, now));
+                return Ok(Entered::Placed(place));
+            }
+            Err(reason) => handout::note_obstacle(gateway, service, reason),
+        }
+    } else {
+        gateway.waiting.with(service, |line| line.obstacle.reason).unwrap_or(NoPlace::Full)
+    };
+
+    let start_by = hold::start_by(gateway, request, tried, now);
+    let give_up = hold::held_until(gateway, request, reason, start_by, now).ok_or(reason)?;
+    let waiter = waiter(gateway, request, tried, start_by, give_up);
+
+    if hold::can_be_in_time(gateway, request) && reason == NoPlace::Full {
+        turn_away(gateway, &waiter, service, now)?;
+    }
+
+    let line = line_up(gateway, request, tried, waiter, now)?;
+
+    // Who goes before all others may find a place that is of no use to them.
+    let is_next = |line: &mut Line| line.queue.peek(now).map(|(ticket, _)| ticket);
+    if !is_first && gateway.waiting.with(service, is_next).flatten() == Some(line.ticket) {
+        handout::hand_out(gateway, service);
+    }
+
+    Ok(Entered::InLine(line))
+}
+
+/// Gives up who can't be in time behind those who go first: the newcomer, or others less urgent than it. All of them are
+/// told while a second try is still of use. Only where all places are taken, as the rate of an outage says nothing.
+fn turn_away(
+    gateway: &Rc<Gateway>,
+    waiter: &Waiter,
+    service: &str,
+    now: Moment,
+) -> Result<(), NoPlace> {
+    let is_ranked = |line: &mut Line| line.queue.order() == Order::Urgency;
+    let is_ranked = gateway.waiting.with(service, is_ranked).unwrap_or(false);
+
+    if waiter.goes_on || !is_ranked {
+        return Ok(());
+    }
+
+    let wait = gateway.waiting.with(service, |line| line.queue.expected_wait(waiter)).flatten();
+
+    if let Some(wait) = wait.filter(|wait| now + *wait > waiter.start_by) {
+        gateway.waiting.with(service, |line| line.queue.note_refused(waiter.urgency, now));
+        return Err(NoPlace::Behind(wait));
+    }
+
+    while let Some((ticket, wait)) =
+        gateway.waiting.with(service, |line| line.queue.hopeless(waiter.urgency, now)).flatten()
+    {
+        handout::answer(gateway, service, ticket, Err(NoPlace::Behind(wait)), now);
+    }
+
+    Ok(())
+}
+
+fn waiter(
+    gateway: &Gateway,
+    request: &RoutedRequest,
+    tried: &[TargetId],
+    start_by: Moment,
+    give_up: Moment,
+) -> Waiter {
+    let table = gateway.table();
+    let engine = table.service(&request.service).and_then(|s| s.engine.as_ref());
+    let tokens = engine.map_or(1, |engine| {
+        let prompt = request.request.prompt_tokens(&gateway.names);
+        prompt.unwrap_or(engine.usual_prompt).saturating_add(engine.usual_answer)
+    });
+
+    Waiter {
+        urgency: request.admitted.priority,
+        organisation: request.admitted.organisation.clone().unwrap_or_default(),
+        weight: WEIGHT,
+        tokens,
+        start_by,
+        give_up,
+        goes_on: place::goes_on(request, tried),
+    }
+}
+
+fn line_up(
+    gateway: &Rc<Gateway>,
+    request: &Rc<RoutedRequest>,
+    tried: &[TargetId],
+    waiter: Waiter,
+    now: Moment,
+) -> Result<InLine, NoPlace> {
+    let service = &request.service;
+    let urgency = waiter.urgency;
+    let (sender, receiver) = oneshot::channel();
+    let seeker = Seeker { request: request.clone(), tried: tried.to_vec(), answer: sender };
+
+    if let Some(ticket) = gateway.waiting.with(service, |l| l.queue.displaced_by(urgency)).flatten()
+    {
+        handout::answer(gateway, service, ticket, Err(NoPlace::Full), now);
+    }
+
+    let pushed = gateway.waiting.with(service, |line| {
+        let ahead = line.queue.ahead_of(&waiter);
+        let needs_task = !std::mem::replace(&mut line.is_served, true);
+
+        (line.queue.push(waiter, seeker, now), ahead, needs_task)
+    });
+    let Some((Ok(ticket), ahead, needs_task)) = pushed else {
+        return Err(NoPlace::Full);
+    };
+
+    request.story.add(now, Decision::InLine { urgency, ahead });
+    gateway.counters.in_line.came(urgency);
+
+    if needs_task {
+        let task = handout::serve_line(gateway.clone(), service.clone());
+        gateway.tasks.spawn(task).detach();
+    }
+
+    Ok(InLine { gateway: gateway.clone(), service: service.clone(), ticket, answer: receiver })
+}
--- a/grebedeck/src/gateway/hold.rs
+++ b/grebedeck/src/gateway/hold.rs
@@ -4,10 +4,10 @@
 //! where its service is out and expected back soon, and as long as its caller waits where a stream would be cut.
 
 use grebedeck_core::Moment;
-use grebedeck_gateway::TargetId;
+use grebedeck_gateway::{PatienceOptions, TargetId};
 
 use super::mechanism::Mechanism;
-use super::options::{HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD};
+use super::options::{HOLD_LIMIT, HOLD_MARGIN, HOLD_STEP, MAX_HOLD};
 use super::place::{self, NoPlace};
 use super::request::RoutedRequest;
 use super::service::Gateway;
@@ -30,6 +30,23 @@
     until.min(request.deadline)
 }
 
+/// Tells whether a request can be in time wherever it goes; else a refusal does not help it, and only who is less
+/// urgent should make room.
+pub fn can_be_in_time(gateway: &Gateway, request: &RoutedRequest) -> bool {
+    let objective = request.admitted.rule.objective;
+
+    gateway.patience(&request.service, objective) > PatienceOptions::default().least
+}
+
+/// Gets until when a request that is late is held while less urgent ones wait: it is not refused for them to be served.
+/// On a day with three bursts over each other callers with the shorter objective were refused before the less urgent
+/// ones with the longer, and half of the refusals were theirs.
+pub fn held_before_others(request: &RoutedRequest, now: Moment) -> Option<Moment> {
+    let longest = (request.request.arrived + MAX_HOLD).min(request.deadline);
+
+    (now < longest).then(|| (now + HOLD_STEP).min(longest))
+}
+
 /// Gets until when a request that has no place is held; none where it is to be given up now.
 pub fn held_until(
     gateway: &Gateway,
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::InFlight;
 use super::counters::urgency_word;
+use super::entering::{self, Entered};
 use super::mechanism::Mechanism;
 use super::options::{
     HOLD_LIMIT, MIN_RETURN_SPREAD, NO_TARGETS_WAIT, PLACEMENT_LAG, RETURN_SPREAD,
@@ -16,7 +17,6 @@
 use super::request::RoutedRequest;
 use super::service::Gateway;
 use super::story::Decision;
-use super::waiting::{self, Entered};
 use crate::random::ProcessRandom;
 
 /// Why there is no place.
@@ -104,7 +104,7 @@
     tried: &[TargetId],
 ) -> Result<Place, NoPlace> {
     let began = gateway.now();
-    let found = match waiting::enter(gateway, request, tried) {
+    let found = match entering::enter(gateway, request, tried) {
         Ok(Entered::Placed(place)) => Ok(place),
         Ok(Entered::InLine(line)) => line.answer().await,
         Err(reason) => Err(reason),
