--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -11,6 +11,7 @@
 use grebedeck_routing::LoadReport;
 
 use super::options::{CONNECT_LIMIT, MAX_ANSWER_HEAD_BYTES, MAX_WHOLE_BYTES};
+use super::place::Place;
 use super::request::RoutedRequest;
 use super::service::Gateway;
 use super::story::Decision;
@@ -114,7 +115,7 @@
 }
 
 impl InFlight {
-    /// Notes that a request is sent to a target.
+    /// Takes a place on a target for a request.
     pub fn new(gateway: &Rc<Gateway>, target: &Arc<TargetEntry>) -> Self {
         gateway.chooser.borrow_mut().sent_at(&target.id, target.born_ms);
 
@@ -132,9 +133,7 @@
         let now = self.gateway.now();
         let (id, birth) = (&self.target.id, self.target.born_ms);
         self.gateway.chooser.borrow_mut().ended_at(id, birth, self.success, now);
-        // One place is free, so one that waits is woken; where it cannot use the place, others find it at
-        // their next look, some ten milliseconds later.
-        self.gateway.freed.notify(1);
+        self.gateway.freed.notify(usize::MAX);
     }
 }
 
@@ -184,24 +183,25 @@
     }
 }
 
-/// Sends a request to a target and waits for the head of its answer.
+/// Sends a request to the target of its place and waits for the head of its answer.
 pub async fn open(
     gateway: &Rc<Gateway>,
     request: &RoutedRequest,
-    target: &Arc<TargetEntry>,
+    place: Place,
 ) -> Result<Opened, Failure> {
-    let opened = send(gateway, request, target).await;
+    let Place { target, in_flight } = place;
+    let opened = send(gateway, request, &target, in_flight).await;
 
     match &opened {
         Ok(_) => {
             gateway.counters.attempts.add("opened");
 
             // That an earlier start took a request says nothing of the one that is there now.
-            if !gateway.is_earlier_start(target) {
+            if !gateway.is_earlier_start(&target) {
                 gateway.note_taken(&request.service);
             }
         }
-        Err(failure) => note_failure(gateway, request, target, failure),
+        Err(failure) => note_failure(gateway, request, &target, failure),
     }
 
     opened
@@ -236,8 +236,8 @@
     gateway: &Rc<Gateway>,
     request: &RoutedRequest,
     target: &Arc<TargetEntry>,
+    mut in_flight: InFlight,
 ) -> Result<Opened, Failure> {
-    let mut in_flight = InFlight::new(gateway, target);
     let left = request.deadline.saturating_sub(gateway.now());
 
     let mut connection = match connect(gateway, target, left).await {
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -12,19 +12,18 @@
 use grebedeck_gateway::answer;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    Availability, ColdGate, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate,
-    RouteTable, Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
+    ColdGate, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, RouteTable, Site,
+    TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Metrics, log};
 use grebedeck_routing::{Chooser, LoadReport};
-use serde_json::json;
 
 use super::Tasks;
 use super::attempt::Tried;
 use super::body::BodyBudget;
 use super::counters::Counters;
-use super::halls::{OperatorView, evacuated_view};
+use super::halls::OperatorView;
 use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
@@ -32,6 +31,7 @@
 use super::starts::ENTRY_LINES_PER_S;
 use super::stop::StopState;
 use super::story::{Decision, End, STORIES_PER_S, Story};
+use super::waiting::Waiting;
 
 /// Part of a process's memory that callers' bodies may take together.
 const BODY_MEMORY_PART: usize = 4;
@@ -81,6 +81,8 @@
     pub(super) cold: RefCell<ColdGate>,
     /// Lines on entries that cannot be read.
     pub(super) entry_lines: RefCell<LineBudget>,
+    /// Requests that wait for a place.
+    pub waiting: Waiting,
 }
 
 impl Gateway {
@@ -119,6 +121,7 @@
             patience: RefCell::default(),
             cold: RefCell::default(),
             entry_lines: RefCell::new(LineBudget::new(ENTRY_LINES_PER_S)),
+            waiting: Waiting::default(),
         };
         gateway.count_gateways();
         gateway.set_evacuation_bound();
@@ -144,7 +147,9 @@
             return false;
         }
 
-        *self.table.borrow_mut() = Rc::new(RouteTable::new(site));
+        let table = RouteTable::new(site);
+        self.waiting.take_table(&table);
+        *self.table.borrow_mut() = Rc::new(table);
         *self.site.borrow_mut() = Some(site.clone());
         let services = site.services.iter().map(|service| service.name.clone()).collect();
         self.targets.borrow_mut().set_services(services);
@@ -343,52 +348,6 @@
         }
     }
 
-    /// Gets the state for a dump.
-    pub fn dump(&self) -> serde_json::Value {
-        let now = self.now();
-        let table = self.table();
-        let targets = self.targets.borrow();
-        let chooser = self.chooser.borrow();
-        let target = |entry: &Arc<TargetEntry>| {
-            let load = chooser.load_view(&entry.id, now);
-            json!({
-                "id": entry.id, "service": entry.service, "hall": entry.hall,
-                "address": entry.address, "state": entry.state, "in_flight": load.in_flight,
-                "places": load.places, "takes_work": targets.takes_work(entry),
-                "places": load.places, "born_ms": entry.born_ms,
-                "cold_ms": self.cold_left(&entry.id).as_millis() as u64,
-                "readable": targets.is_readable(&entry.id),
-            })
-        };
-        let services: Vec<serde_json::Value> = table
-            .services()
-            .map(|service| {
-                json!({
-                    "name": service.name,
-                    "out_ms": match self.availability(&service.name) {
-                        Availability::Up => None,
-                        Availability::Out(left) => Some(left.as_millis() as u64),
-                    },
-                    "pause_ms": self.pause(&service.name).map(|p| p.as_millis() as u64),
-                })
-            })
-            .collect();
-
-        json!({
-            "name": self.settings().name,
-            "ready": self.is_ready(),
-            "stopping": self.stop.is_stopping(),
-            "in_flight": self.stop.in_flight(),
-            "config_version": table.version(),
-            "targets_version": targets.version(),
-            "evacuated": evacuated_view(targets.evacuations()),
-            "halls_version": targets.evacuations().version(),
-            "buffered_bytes": self.bodies.used_bytes(),
-            "targets": targets.all().map(target).collect::<Vec<_>>(),
-            "services": services,
-        })
-    }
-
     /// Tells whether a mechanism is in use.
     pub fn uses(&self, mechanism: Mechanism) -> bool {
         self.settings.borrow().uses(mechanism)
@@ -416,6 +375,7 @@
         let now = self.now();
 
         self.chooser.borrow_mut().reported(target, report, now);
+        self.freed.notify(usize::MAX);
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut WindowBudget) -> T) -> T {
