Rollout: what a leader does for an absent rank is told; parts of the tests' group in files of their own

A leader that begins to speak for a rank, or ends it, says so in the log and counts it. It calls on a rank that it has heard of itself when it stops, and asks nothing of a rank whose address it does not know.

--- a/grebedeck-experts/src/rollout/absent.rs
+++ b/grebedeck-experts/src/rollout/absent.rs
@@ -9,7 +9,7 @@
 
 use grebedeck_core::{Moment, Rank};
 
-use super::action::Action;
+use super::action::{Action, RankNote};
 use super::lead::{Lead, Plan};
 use super::message::Status;
 use super::node::Node;
@@ -26,6 +26,7 @@
 /// What was done for the absent rank.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Help {
+    rank: Option<Rank>,
     asked_at: Option<Moment>,
     prepared: Option<(PlacementNo, Moment)>,
 }
@@ -106,8 +107,18 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let Some(rank) = lead.absent(own, now, &options) else {
-            lead.help = Help::default();
+        // Without its address, nothing can be asked of it.
+        let absent = lead.absent(own, now, &options).filter(|r| self.roster.contains_key(r));
+
+        if lead.help.rank != absent {
+            let before =
+                std::mem::replace(&mut lead.help, Help { rank: absent, ..Help::default() });
+            let ends = before.rank.map(|rank| Action::Note(RankNote::ActsForNoMore { rank }));
+            let begins = absent.map(|rank| Action::Note(RankNote::ActsFor { rank }));
+            actions.extend(ends.into_iter().chain(begins));
+        }
+
+        let Some(rank) = absent else {
             return;
         };
 
--- a/grebedeck-experts/src/rollout/action.rs
+++ b/grebedeck-experts/src/rollout/action.rs
@@ -50,6 +50,16 @@
         /// The placement.
         placement_no: PlacementNo,
     },
+    /// It has a rank's engine read and prepared from afar, as its process is away.
+    ActsFor {
+        /// The rank.
+        rank: Rank,
+    },
+    /// It does so no more.
+    ActsForNoMore {
+        /// The rank.
+        rank: Rank,
+    },
     /// It follows a leader.
     Follows(Term),
     /// The group has formed anew; all plans are void.
--- a/grebedeck-experts/src/rollout/claim.rs
+++ b/grebedeck-experts/src/rollout/claim.rs
@@ -1,20 +1,45 @@
 //! Who leads: when a node takes the lead, hands it on, and gives way.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use grebedeck_core::{Moment, Rank};
+use grebedeck_core::{Expert, Moment, Rank};
 
 use super::action::{Action, RankNote};
-use super::lead::Lead;
+use super::lead::{Lead, Plan};
 use super::message::{Message, Stage, Term};
 use super::node::Node;
-use crate::engine::{PlacementNo, RankReport};
-use crate::placement::Placement;
+use super::options::NodeOptions;
+use crate::engine::{DEALT_PLACEMENT, PlacementNo, RankReport};
+use crate::placement::{Placement, RankChange};
 
 /// Doublings of the wait of a node that lost the lead again and again: the words of a leader that is heard badly then
 /// have four times as long to come through, and others of the group still claim before.
 const MAX_DOUBLINGS: u32 = 2;
 
+impl Lead {
+    /// Goes on with a placement that the leader before wanted, told as what differs from the first one.
+    fn carry_on(
+        &mut self,
+        placement_no: PlacementNo,
+        shape: (u16, Expert),
+        changes: Vec<RankChange>,
+        now: Moment,
+    ) {
+        let (base_no, changes) = (DEALT_PLACEMENT, Arc::new(changes));
+        self.set_plan(Plan::Prepare { placement_no, base_no, shape, changes }, now);
+    }
+
+    /// Gets the first other rank whose node was heard of lately.
+    fn first_heard(&self, own: &RankReport, now: Moment, options: &NodeOptions) -> Option<Rank> {
+        let is_heard = |(rank, at): &(&Rank, &Moment)| {
+            **rank != own.rank && now < **at + options.status_lifetime
+        };
+
+        self.heard_at.iter().find(is_heard).map(|(rank, _)| *rank)
+    }
+}
+
 impl<A: Clone + PartialEq> Node<A> {
     /// Gives the lead up, as the process is to stop, and calls on the next rank that is there.
     pub fn resign(&mut self, now: Moment) -> Vec<Action<A>> {
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -112,7 +112,8 @@
         }
     }
 
-    pub(super) fn forget_plan(&mut self) {
+    pub(super) fn forget_plan(&mut self, now: Moment) {
+        self.began_at = now;
         self.statuses.clear();
         self.heard_at.clear();
         self.revision += 1;
@@ -131,7 +132,7 @@
         self.statuses.insert(status.report.rank, (status, now));
     }
 
-    fn set_plan(&mut self, plan: Plan, now: Moment) {
+    pub(super) fn set_plan(&mut self, plan: Plan, now: Moment) {
         self.plan = plan;
         self.since = now;
         self.revision += 1;
@@ -217,32 +218,6 @@
         self.changes_due_at.is_none_or(|at| now >= at)
     }
 
-    /// Goes on with a placement that the leader before wanted, told as what differs from the first one.
-    pub(super) fn carry_on(
-        &mut self,
-        placement_no: PlacementNo,
-        shape: (u16, Expert),
-        changes: Vec<RankChange>,
-        now: Moment,
-    ) {
-        let (base_no, changes) = (DEALT_PLACEMENT, Arc::new(changes));
-        self.set_plan(Plan::Prepare { placement_no, base_no, shape, changes }, now);
-    }
-
-    /// Gets the first other rank whose node was heard of lately.
-    pub(super) fn first_heard(
-        &self,
-        own: &RankReport,
-        now: Moment,
-        options: &NodeOptions,
-    ) -> Option<Rank> {
-        let is_heard = |(rank, (_, at)): &(&Rank, &(Status, Moment))| {
-            **rank != own.rank && now < *at + options.status_lifetime
-        };
-
-        self.statuses.iter().find(is_heard).map(|(rank, _)| *rank)
-    }
-
     /// Tells whether few enough nodes do not know the placement in use to be told it one by one.
     fn is_base_known(&self) -> bool {
         let is_unknown = |(status, _): &&(Status, Moment)| !status.knows_placement;
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -64,8 +64,6 @@
     pub(super) asked_placement_at: Option<Moment>,
 }
 
-/// Placements that a node remembers: the one in use, the one before it, and one that was given up.
-const KEPT_PLACEMENTS: usize = 4;
 impl<A: Clone + PartialEq> Node<A> {
     /// Makes a node that knows nothing of its group; `life` is drawn for each start of the process.
     pub fn new(own_address: A, life: u64, now: Moment, options: NodeOptions) -> Self {
@@ -163,29 +161,6 @@
         self.placements.get(&self.report.as_ref()?.placement)
     }
 
-    /// Notes a placement, such as the one that engines start with.
-    pub fn keep_placement(&mut self, placement_no: PlacementNo, placement: Arc<Placement>) {
-        self.placements.insert(placement_no, placement);
-        let in_use = self.report.as_ref().map_or(0, |r| r.placement);
-
-        while self.placements.len() > KEPT_PLACEMENTS {
-            let may_go = |no: &&PlacementNo| **no != DEALT_PLACEMENT && **no != in_use;
-            let oldest = self.placements.keys().find(may_go).copied();
-
-            match oldest {
-                Some(oldest) => self.placements.remove(&oldest),
-                None => break,
-            };
-        }
-    }
-
-    /// Takes in which experts the own engine holds of a placement.
-    pub fn on_own_part(&mut self, placement_no: PlacementNo, part: RankPart) {
-        if let Some(rank) = self.report.as_ref().map(|r| r.rank) {
-            self.take_part(placement_no, rank, part);
-        }
-    }
-
     /// Takes in what a rank's engine says, the node's own or one that it asked.
     pub fn on_report(&mut self, report: RankReport, now: Moment) -> Vec<Action<A>> {
         let mut actions = Vec::new();
@@ -304,7 +279,7 @@
         }
 
         if is_new_epoch || !report.is_open {
-            self.forget_plans(&report, is_new_epoch, actions);
+            self.forget_plans(&report, is_new_epoch, now, actions);
         }
 
         if report.held.is_none() {
@@ -321,6 +296,7 @@
         &mut self,
         report: &RankReport,
         is_new_epoch: bool,
+        now: Moment,
         actions: &mut Vec<Action<A>>,
     ) {
         self.directive = None;
@@ -331,7 +307,7 @@
         self.ordered = None;
 
         if let Some(lead) = &mut self.lead {
-            lead.forget_plan();
+            lead.forget_plan(now);
         }
 
         if is_new_epoch {
--- a/grebedeck-experts/src/rollout/parts.rs
+++ b/grebedeck-experts/src/rollout/parts.rs
@@ -12,7 +12,33 @@
 use crate::engine::{DEALT_PLACEMENT, PlacementNo, RankReport};
 use crate::placement::{Placement, RankChange};
 
+/// Placements that a node remembers: the one in use, the one before it, and one that was given up.
+const KEPT_PLACEMENTS: usize = 4;
+
 impl<A: Clone + PartialEq> Node<A> {
+    /// Notes a placement, such as the one that engines start with.
+    pub fn keep_placement(&mut self, placement_no: PlacementNo, placement: Arc<Placement>) {
+        self.placements.insert(placement_no, placement);
+        let in_use = self.report.as_ref().map_or(0, |r| r.placement);
+
+        while self.placements.len() > KEPT_PLACEMENTS {
+            let may_go = |no: &&PlacementNo| **no != DEALT_PLACEMENT && **no != in_use;
+            let oldest = self.placements.keys().find(may_go).copied();
+
+            match oldest {
+                Some(oldest) => self.placements.remove(&oldest),
+                None => break,
+            };
+        }
+    }
+
+    /// Takes in which experts the own engine holds of a placement.
+    pub fn on_own_part(&mut self, placement_no: PlacementNo, part: RankPart) {
+        if let Some(rank) = self.report.as_ref().map(|r| r.rank) {
+            self.take_part(placement_no, rank, part);
+        }
+    }
+
     /// Notes the placement that engines start with.
     pub(super) fn keep_first_placement(&mut self, (sets, experts): (u16, Expert)) {
         let size = self.report.as_ref().map_or(0, |r| r.size);
--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -1,17 +1,20 @@
 //! A group in virtual time: engines that keep the platform's order rules, and nodes that are killed,
 //! frozen and cut off from one another.
 
+mod faults;
+mod links;
+
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use grebedeck_core::random::SeededSource;
 use grebedeck_core::{Moment, RandomSource, Rank};
 use grebedeck_experts::engine::{PassNo, PlacementNo};
-use grebedeck_experts::rollout::{Action, Message, Node, NodeOptions, RankNote, Stage};
-use grebedeck_experts::{OrderEnd, Placement, RankOrder, RankReport};
+use grebedeck_experts::rollout::{Action, Message, Node, NodeOptions, RankNote};
+use grebedeck_experts::{OrderEnd, RankOrder, RankReport};
 
 use crate::engine::Engine;
+use crate::shape::{SMALL_SHAPE, Shape};
 
 /// What goes wrong in a run.
 #[derive(Clone, Copy, Debug)]
@@ -32,37 +35,6 @@
     pub until: Moment,
 }
 
-/// What the engines' experts look like.
-#[derive(Clone, Copy, Debug)]
-pub struct Shape {
-    /// Sets of layers.
-    pub sets: u16,
-    /// Experts of a set that each rank starts with.
-    pub per_rank: u16,
-}
-
-/// One set, two experts a rank.
-pub const SMALL_SHAPE: Shape = Shape { sets: 1, per_rank: 2 };
-
-impl Shape {
-    fn dealt(self, size: usize) -> Arc<Placement> {
-        let experts = self.per_rank * size as u16;
-        Arc::new(Placement::dealt(size as Rank, usize::from(self.sets), experts))
-    }
-
-    /// Gets a placement with one more expert at each rank than it starts with.
-    fn shifted(self, size: Rank, shift: u16) -> Placement {
-        let experts = self.per_rank * size;
-        let held = |set: u16, rank: Rank| -> Vec<u16> {
-            let dealt = (0..self.per_rank).map(|turn| rank + turn * size);
-            dealt.chain([(rank + shift + set) % experts]).collect()
-        };
-        let set = |set| (0..size).map(|rank| held(set, rank)).collect();
-
-        Placement { sets: (0..self.sets).map(set).collect() }
-    }
-}
-
 /// A fault put into the group itself, which the check must notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Broken {
@@ -157,10 +129,6 @@
 const TICK: Duration = Duration::from_millis(1);
 /// Milliseconds between two moments that an engine tells other machines of: what they read is as old as this.
 const REPORT_LAG_MS: u128 = 200;
-/// Bytes of a datagram beside its message: the headers of the network, the sender and the group.
-const HEADER_BYTES: usize = 50;
-/// Bytes of a node's address, which stands as a number here.
-const ADDRESS_BYTES: usize = 8;
 /// Longest time that a datagram waits at a link before it is dropped.
 const LINK_QUEUE: Duration = Duration::from_millis(200);
 
@@ -243,56 +211,6 @@
         self.random.unit() < part
     }
 
-    fn inject(&mut self) {
-        let is_due = self.now.as_millis().is_multiple_of(100);
-
-        if !is_due || self.now >= self.faults.until {
-            return;
-        }
-
-        let Faults { kills, kills_all, freezes, cuts, .. } = self.faults;
-        let at = self.random.below(self.machines.len());
-
-        if self.chance(kills) {
-            self.kill(at);
-        }
-
-        if self.chance(kills_all) {
-            (0..self.machines.len()).for_each(|at| self.kill(at));
-        }
-
-        if self.chance(freezes) {
-            let length = ms(200 + self.random.below(4000) as u64);
-            self.machines[at].frozen_until = self.now + length;
-        }
-
-        // Without cuts, the runs of a seed stay as they are.
-        if cuts > 0.0 && self.chance(cuts) {
-            let length = ms(200 + self.random.below(4000) as u64);
-            self.machines[at].cut_until = self.now + length;
-        }
-    }
-
-    /// Kills all nodes, which start again together after this time.
-    pub fn kill_all_for(&mut self, pause: Duration) {
-        (0..self.machines.len()).for_each(|at| self.kill_for(at, pause));
-    }
-
-    /// Stops the leader's process in order; it starts again after this time.
-    pub fn stop_leader(&mut self, pause: Duration) {
-        let now = self.now;
-        let at = self.leader().expect("one leads");
-        let actions = self.machines[at].node.as_mut().map(|node| node.resign(now));
-        actions.into_iter().flatten().for_each(|action| self.act(at, action));
-        self.kill_for(at, pause);
-    }
-
-    /// Kills the leader's node, which starts again after this time.
-    pub fn kill_leader(&mut self, pause: Duration) {
-        let at = self.leader().expect("one leads");
-        self.kill_for(at, pause);
-    }
-
     /// Runs until the next placement is proposed.
     pub fn run_to_proposal(&mut self) {
         let before = self.proposed_at;
@@ -307,28 +225,6 @@
         self.now
     }
 
-    /// Kills a node, which starts again after this time.
-    pub fn kill_node(&mut self, at: usize, pause: Duration) {
-        self.kill_for(at, pause);
-    }
-
-    /// Lets no message reach a node, or leave it.
-    pub fn cut_node(&mut self, at: usize, length: Duration) {
-        self.machines[at].cut_until = self.now + length;
-    }
-
-    fn kill(&mut self, at: usize) {
-        let pause = ms(200 + self.random.below(1500) as u64);
-        self.kill_for(at, pause);
-    }
-
-    fn kill_for(&mut self, at: usize, pause: Duration) {
-        let machine = &mut self.machines[at];
-        machine.node = None;
-        machine.queue.clear();
-        machine.starts_at = self.now + pause;
-    }
-
     fn at(&mut self, after: Duration, timed: Timed) {
         self.sequence += 1;
         self.timed.insert((self.now + after, self.sequence), timed);
@@ -481,50 +377,6 @@
         }
     }
 
-    /// Gets how long a message is on its way over the links of both machines, or `None` where too much waits there.
-    fn wait_at_links(
-        &mut self,
-        from: usize,
-        to: usize,
-        message: &Message<usize>,
-    ) -> Option<Duration> {
-        let Some(bytes_per_s) = self.link_bytes_per_s else {
-            return Some(Duration::ZERO);
-        };
-        let encoded = bincode::serde::encode_to_vec(message, bincode::config::standard());
-        let names = match message {
-            Message::Lead { roster, .. } => roster.len(),
-            Message::Relay { to, .. } => to.len() + 1,
-            _ => 0,
-        };
-        let bytes =
-            encoded.expect("a message always encodes").len() + HEADER_BYTES + names * ADDRESS_BYTES;
-
-        for at in [from, to] {
-            *self.traffic.entry((at, kind(message))).or_default() += bytes as u64;
-        }
-
-        let takes = Duration::from_secs_f64(bytes as f64 / bytes_per_s);
-        let now = self.now;
-        let up = self.machines[from].link_free.up.max(now);
-        let down = self.machines[to].link_free.down.max(up + takes);
-
-        let is_dropped = up > now + self.link_queue || down > up + self.link_queue;
-
-        if is_dropped && !self.drops_take_time {
-            return None;
-        }
-
-        self.machines[from].link_free.up = up + takes;
-
-        if is_dropped {
-            return None;
-        }
-
-        self.machines[to].link_free.down = down + takes;
-        Some(down + takes - now)
-    }
-
     /// Gets the node that leads.
     pub fn leader(&self) -> Option<usize> {
         self.machines.iter().position(|m| m.node.as_ref().is_some_and(Node::is_leading))
@@ -622,19 +474,6 @@
     }
 }
 
-/// Gets what a page about links calls a message.
-fn kind(message: &Message<usize>) -> &'static str {
-    match message {
-        Message::Lead { roster, .. } if !roster.is_empty() => "names",
-        Message::Lead { directive, .. } if directive.stage == Stage::Idle => "idle word",
-        Message::Lead { .. } => "word on a plan",
-        Message::Relay { .. } => "plan, passed on",
-        Message::Status(_) => "status",
-        Message::Changeover(_) | Message::Answer(_) => "changeover",
-        _ => "placement asked for",
-    }
-}
-
 fn new_node(at: usize, size: usize, life: u64, now: Moment) -> Node<usize> {
     let mut node = Node::new(at, life, now, NodeOptions::default());
     node.set_others((0..size).filter(|other| *other != at).collect());
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -6,6 +6,7 @@
 mod group;
 mod lead;
 mod settles;
+mod shape;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/grebedeck-experts/tests/rollout/settles.rs
+++ b/grebedeck-experts/tests/rollout/settles.rs
@@ -4,7 +4,8 @@
 
 use grebedeck_core::Moment;
 
-use super::group::{Broken, Faults, Group, SMALL_SHAPE, Shape};
+use super::group::{Broken, Faults, Group};
+use super::shape::{SMALL_SHAPE, Shape};
 use super::{NO_FAULTS, secs};
 
 /// Links of 8 Mbit/s beside ranks.
--- a/grebedeck/src/rank/counters.rs
+++ b/grebedeck/src/rank/counters.rs
@@ -64,6 +64,8 @@
             RankNote::Follows(_) => "follows",
             RankNote::Resigns { .. } => "resigns",
             RankNote::CarriesOn { .. } => "carries_on",
+            RankNote::ActsFor { .. } => "acts_for",
+            RankNote::ActsForNoMore { .. } => "acts_for_no_more",
             RankNote::NewEpoch(_) => "group_formed",
             RankNote::Holding { .. } => "hold_wanted",
             RankNote::InUse { .. } => "placement_in_use",
--- a/grebedeck/src/rank/show.rs
+++ b/grebedeck/src/rank/show.rs
@@ -39,6 +39,8 @@
         RankNote::CarriesOn { placement_no } => {
             log::info!("goes on with a placement", kv: { placement_no });
         }
+        RankNote::ActsFor { rank } => log::warn!("acts for a silent rank", kv: { rank }),
+        RankNote::ActsForNoMore { rank } => log::info!("acts for a rank no more", kv: { rank }),
         RankNote::NewEpoch(epoch) => log::info!("group formed", kv: { epoch }),
         RankNote::Holding { placement_no, pass, holder } => {
             log::info!("pass to be held", kv: { placement_no, pass, holder });
