--- a/grebedeck/src/gateway/loads.rs
+++ b/grebedeck/src/gateway/loads.rs
@@ -15,7 +15,7 @@
 use crate::rank::message::{Body, Datagram, DatagramReader, MAX_DATAGRAM_BYTES};
 
 /// Takes loads in, and asks for them from time to time, until the task is dropped.
-pub async fn follow(gateway: Rc<Gateway>, socket: UdpSocket) {
+pub async fn follow(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut asked_at = None;
     let mut reader = DatagramReader::default();
@@ -35,8 +35,14 @@
                 if let Ok((length, _)) = received {
                     let datagram = reader.read(&buffer[..length], gateway.now());
 
-                    if let Some(Datagram { from, body: Body::Load(load), .. }) = datagram {
-                        gateway.note_rank(from, &load);
+                    match datagram {
+                        Some(Datagram { from, body: Body::Load(load), .. }) => {
+                            gateway.note_rank(from, &load);
+                        }
+                        Some(Datagram { from, body: Body::Demand(word), .. }) => {
+                            gateway.take_demand(from.ip(), word);
+                        }
+                        _ => {}
                     }
                 }
             }
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -23,6 +23,7 @@
 use super::attempt::Tried;
 use super::body::BodyBudget;
 use super::counters::Counters;
+use super::demand::DemandBoard;
 use super::halls::OperatorView;
 use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
@@ -81,6 +82,8 @@
     pub(super) cold: RefCell<ColdGate>,
     /// Lines on entries that cannot be read.
     pub(super) entry_lines: RefCell<LineBudget>,
+    /// What is asked of each service, here and at other gateways.
+    pub demand: DemandBoard,
     /// Requests that wait for a place.
     pub waiting: Waiting,
 }
@@ -121,6 +124,7 @@
             patience: RefCell::default(),
             cold: RefCell::default(),
             entry_lines: RefCell::new(LineBudget::new(ENTRY_LINES_PER_S)),
+            demand: DemandBoard::default(),
             waiting: Waiting::default(),
         };
         gateway.count_gateways();
