--- a/grebedeck-gateway/src/routes.rs
+++ b/grebedeck-gateway/src/routes.rs
@@ -148,6 +148,13 @@
         self.services.values()
     }
 
+    /// Tells whether some requests for a service are less urgent than that.
+    pub fn outranks_some(&self, service: &str, urgency: Urgency) -> bool {
+        let urgencies = self.urgencies.get(service);
+
+        urgencies.and_then(|urgencies| urgencies.last()).is_some_and(|last| urgency < *last)
+    }
+
     /// Gets the longest objective among the routes to a service that are as urgent as that or less.
     pub fn longest_objective(&self, service: &str, urgency: u8) -> Option<Duration> {
         let objectives = self.objectives.get(service)?;
--- a/grebedeck-gateway/tests/routes.rs
+++ b/grebedeck-gateway/tests/routes.rs
@@ -121,6 +121,7 @@
         table.rank("plain", admitted.urgency())
     };
     assert_eq!((rank("/u/"), rank("/a/")), (Some(0), Some(1)));
+    assert!(table.outranks_some("plain", (1, 0)) && !table.outranks_some("plain", (1, 3)));
 }
 
 #[test]
--- a/grebedeck/src/gateway/hold.rs
+++ b/grebedeck/src/gateway/hold.rs
@@ -7,7 +7,7 @@
 use grebedeck_gateway::{PatienceOptions, TargetId};
 
 use super::mechanism::Mechanism;
-use super::options::{HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD};
+use super::options::{HOLD_LIMIT, HOLD_MARGIN, MAX_HOLD, URGENT_WAIT_PART};
 use super::place::{self, NoPlace};
 use super::request::RoutedRequest;
 use super::service::Gateway;
@@ -38,18 +38,25 @@
     gateway.patience(&request.service, objective) > PatienceOptions::default().least
 }
 
-/// Gets until when a request waits at first: where requests differ in urgency at least as long as less urgent ones
-/// may. Callers with the shorter objective were refused before less urgent ones with the longer: on two days with three
-/// bursts over each other 93 in 100 of the streams that were refused were of the two urgencies that go first, and 84 in
-/// 100 of those that were asked.
+/// Gets until when a request waits at first. Where requests differ in urgency the more urgent stay in line longer than
+/// the least urgent, who are the first to be told: at least as long as less urgent ones may, and for
+/// [`URGENT_WAIT_PART`] of their objective where they are late anyhow. On a day with three bursts over each other all
+/// of them were given up after 20 ms, in which the order decides nothing: of those in line at three gateways 61 in 100
+/// of the most urgent and 54 in 100 of the least urgent were refused.
 pub fn give_up_at(gateway: &Gateway, request: &RoutedRequest, start_by: Moment) -> Moment {
+    let (service, rule) = (&request.service, &request.admitted.rule);
     let table = gateway.table();
-    let longest = table.longest_objective(&request.service, request.admitted.rule.priority);
-    let patience = longest
-        .filter(|_| gateway.is_ranked(&request.service))
-        .map(|objective| request.request.arrived + gateway.patience(&request.service, objective));
+    let outranks = table.outranks_some(service, request.admitted.urgency());
 
-    patience.map_or(start_by, |until| until.max(start_by).min(request.deadline))
+    if !gateway.is_ranked(service) || !outranks {
+        return start_by;
+    }
+
+    let longest = table.longest_objective(service, rule.priority).unwrap_or(rule.objective);
+    let late = rule.objective.mul_f64(URGENT_WAIT_PART);
+    let patience = gateway.patience(service, longest).max(late);
+
+    (request.request.arrived + patience).max(start_by).min(request.deadline)
 }
 
 /// Gets until when a request that has no place is held; none where it is to be given up now.
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -47,6 +47,9 @@
 pub const HOLD_LIMIT: Duration = Duration::from_millis(600);
 /// How much longer than expected a request is held.
 pub const HOLD_MARGIN: Duration = Duration::from_millis(800);
+/// Part of its objective that a request waits for although it is late anyhow, where less urgent ones are refused before
+/// it: callers lose little by a refusal that comes within it.
+pub const URGENT_WAIT_PART: f64 = 0.25;
 /// Longest time that a request is held for a service that is out: callers leave a stream that says nothing
 /// for two seconds.
 pub const MAX_HOLD: Duration = Duration::from_millis(1800);
