--- a/grebedeck-gateway/src/routes.rs
+++ b/grebedeck-gateway/src/routes.rs
@@ -196,7 +196,8 @@
     }
 }
 
-/// Gets the urgencies of each service's requests, by its routes and by the keys that may be used there.
+/// Gets the urgencies of the requests for each service whose routes differ in urgency, by the routes and by the keys that
+/// may be used there.
 fn urgencies(site: &Site) -> HashMap<ServiceName, Vec<Urgency>> {
     let mut urgencies: HashMap<&str, BTreeSet<Urgency>> = HashMap::new();
     let own: BTreeSet<Option<u8>> = site.organisations.iter().map(|o| o.priority).collect();
@@ -215,11 +216,17 @@
         }
     }
 
+    // Where operators have not told a service's routes apart, keys alone do not put anybody behind.
+    let is_ranked = |of_service: &BTreeSet<Urgency>| {
+        let routes: BTreeSet<u8> = of_service.iter().map(|(_, route)| *route).collect();
+        routes.len() > 1
+    };
+    let ranked = urgencies.into_iter().filter(|(_, of_service)| is_ranked(of_service));
     let listed = |(service, of_service): (&str, BTreeSet<Urgency>)| {
         (service.to_string(), of_service.into_iter().collect())
     };
 
-    urgencies.into_iter().map(listed).collect()
+    ranked.map(listed).collect()
 }
 
 /// Gets the longest objective of each service's routes of one urgency.
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -118,16 +118,17 @@
 
 impl InFlight {
     /// Takes a place on a target for a request.
-    pub fn new(
-        gateway: &Rc<Gateway>,
-        request: &RoutedRequest,
-        target: &Arc<TargetEntry>,
-    ) -> Self {
+    pub fn new(gateway: &Rc<Gateway>, request: &RoutedRequest, target: &Arc<TargetEntry>) -> Self {
         gateway.chooser.borrow_mut().sent_at(&target.id, target.born_ms);
 
         let counted = Counted::new(gateway, request, Stage::Running);
 
-        InFlight { gateway: gateway.clone(), target: target.clone(), success: None, _counted: counted }
+        InFlight {
+            gateway: gateway.clone(),
+            target: target.clone(),
+            success: None,
+            _counted: counted,
+        }
     }
 
     /// Notes what the request showed of the target's health.
--- a/grebedeck/src/gateway/demand.rs
+++ b/grebedeck/src/gateway/demand.rs
@@ -145,7 +145,8 @@
 
         let serving = self.serving(service).unwrap_or_default();
         let slots: f64 = serving.iter().map(|t| f64::from(t.slots)).sum();
-        let places = slots * self.allowed_load(service, &serving, now).min(self.settings().load.shared);
+        let places =
+            slots * self.allowed_load(service, &serving, now).min(self.settings().load.shared);
         let seen = slots * self.chooser.borrow().mean_load(&serving, now);
         let mut services = self.demand.services.borrow_mut();
         let known = services.entry(service.to_string()).or_default();
@@ -168,7 +169,8 @@
             known.fade(now);
             let slots: u32 = self.serving(name).unwrap_or_default().iter().map(|t| t.slots).sum();
             let is_told = known.others.wanted(&known.own) >= TELL_FROM * f64::from(slots)
-                || self.chooser.borrow().mean_load(&self.serving(name).unwrap_or_default(), now) > TELL_FROM;
+                || self.chooser.borrow().mean_load(&self.serving(name).unwrap_or_default(), now)
+                    > TELL_FROM;
             is_told.then(|| GatewayDemand {
                 service: digest(name.as_bytes()),
                 life: self.demand.life,
