--- a/grebedeck-gateway/src/cold.rs
+++ b/grebedeck-gateway/src/cold.rs
@@ -37,6 +37,8 @@
 /// How long a target's part is remembered after it was cold, so that one that is cold again at once does not get
 /// the same second's requests twice.
 const MEMORY: Duration = Duration::from_secs(5);
+/// Longest time for which a target's word that it is cold is believed; no start takes longer.
+const MAX_COLD: Duration = Duration::from_secs(3600);
 /// How long a new gateway waits after it has seen its own row: the others read the list each 10 s, and some
 /// of them a call late.
 const SETTLE: Duration = Duration::from_secs(15);
@@ -114,6 +116,8 @@
     /// Takes in a target's own word on how much longer it is cold, which outweighs what was taken for so before.
     /// It is counted from when it was heard, which errs late.
     pub fn note_word(&mut self, target: &str, remaining: Duration, now: Moment) {
+        let remaining = remaining.min(MAX_COLD);
+
         match self.cold.get_mut(target) {
             Some(cold) => cold.until = now + remaining,
             None if remaining.is_zero() => {}
