--- a/grebedeck-http/src/connection.rs
+++ b/grebedeck-http/src/connection.rs
@@ -1,13 +1,19 @@
 //! A TCP connection with the bytes that were read and not yet taken.
+//!
+//! An orderly close delivers what still waits on its way: a target that was frozen or cut off would read a request
+//! whose caller left seconds ago. So a connection with an exchange under way is reset when it is dropped, and also
+//! when the process ends: the system is told as the first exchange begins, and told otherwise before an orderly
+//! close. That takes no call for each exchange.
 
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::task::{Poll, ready};
 use std::time::Duration;
 
 use async_std::future::timeout;
-use async_std::net::TcpStream;
+use async_std::net::{TcpListener, TcpStream};
 use bytes::BytesMut;
 use futures::{AsyncRead, AsyncWriteExt, FutureExt};
 use rustix::net::sockopt;
@@ -20,6 +26,9 @@
 /// connections.
 const READ_BYTES: usize = 4096;
 
+/// Longest body that is copied behind its head, in bytes: below it, a copy is cheaper than another call.
+pub const JOINED_BYTES: usize = 16 << 10;
+
 /// How long bytes may stay without an acknowledgement, and a peer that sends nothing without a sign of life. A
 /// connection may go silent for good without a reset, or its peer's machine lose power; without this limit a
 /// request on it waits until its own time is over. Two lost packets in a row take some 0.6 s to be sent again, and
@@ -30,6 +39,18 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    closing: Closing,
+}
+
+/// How a connection ends when it is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Closing {
+    /// In order, as the system does without being told.
+    InOrder,
+    /// In order, and the system has to be told so.
+    InOrderAgain,
+    /// By a reset: an exchange is under way.
+    Reset,
 }
 
 impl Connection {
@@ -38,7 +59,7 @@
         // Without this, small writes wait for the peer's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
 
-        Connection { stream, buffer: BytesMut::new() }
+        Connection { stream, buffer: BytesMut::new(), closing: Closing::InOrder }
     }
 
     /// Connects to an address. The connection fails where the peer is silent for [`SILENCE_LIMIT`].
@@ -52,6 +73,23 @@
         Ok(Connection::new(stream))
     }
 
+    /// Notes that a request is about to be sent: from here on the connection is reset when it is dropped.
+    pub fn begin_exchange(&mut self) -> Result<()> {
+        if self.closing == Closing::InOrder {
+            set_reset(&self.stream, true).map_err(std::io::Error::from)?;
+        }
+
+        self.closing = Closing::Reset;
+        Ok(())
+    }
+
+    /// Notes that the answer was read whole: the connection is closed in order again.
+    pub fn end_exchange(&mut self) {
+        if self.closing == Closing::Reset {
+            self.closing = Closing::InOrderAgain;
+        }
+    }
+
     /// Gets the bytes that were read and not yet taken.
     pub fn buffer(&mut self) -> &mut BytesMut {
         &mut self.buffer
@@ -61,7 +99,7 @@
     ///
     /// Giving up while it waits loses nothing: bytes are in the buffer as soon as they are read.
     pub async fn read_more(&mut self) -> Result<usize> {
-        let Connection { stream, buffer } = self;
+        let Connection { stream, buffer, .. } = self;
 
         let read = poll_fn(|cx| {
             let mut bytes = [0; READ_BYTES];
@@ -149,6 +187,27 @@
         Ok(())
     }
 
+    /// Writes what the system takes at once, or waits until it takes something; gives the length of it.
+    pub async fn write_some(&self, bytes: &[u8]) -> Result<usize> {
+        Ok((&self.stream).write(bytes).await?)
+    }
+
+    /// Writes a head and its body. A short body goes in one packet with the head; a long one is not copied.
+    pub async fn write_message(&self, mut head: Vec<u8>, body: &[u8]) -> Result<()> {
+        if body.len() <= JOINED_BYTES {
+            head.extend_from_slice(body);
+            return self.write_all(&head).await;
+        }
+
+        self.write_all(&head).await?;
+        self.write_all(body).await
+    }
+
+    /// Limits what the system keeps for this side until it is read, in bytes; the peer is held up beyond it.
+    pub fn limit_unread(&self, bytes: usize) -> Result<()> {
+        limit_unread(&self.stream, bytes)
+    }
+
     /// Completes when the peer has closed the connection.
     ///
     /// Bytes that come meanwhile are kept for the next message. Beyond `max_bytes` of them nothing
@@ -175,6 +234,33 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.closing == Closing::InOrderAgain {
+            // It fails only where there is no connection any more, and then nothing is left to close.
+            let _ = set_reset(&self.stream, false);
+        }
+    }
+}
+
+/// Limits what the system keeps of a connection until this side reads it, in bytes.
+fn limit_unread(stream: impl AsFd, bytes: usize) -> Result<()> {
+    Ok(sockopt::set_socket_recv_buffer_size(stream, bytes).map_err(std::io::Error::from)?)
+}
+
+/// Limits what the system keeps of each connection that is accepted, until this side or the peer reads it, in
+/// bytes.
+pub fn limit_accepted(listener: &TcpListener, bytes: usize) -> Result<()> {
+    limit_unread(listener, bytes)?;
+
+    Ok(sockopt::set_socket_send_buffer_size(listener, bytes).map_err(std::io::Error::from)?)
+}
+
+/// Tells the system whether closing the stream resets it.
+fn set_reset(stream: &TcpStream, resets: bool) -> rustix::io::Result<()> {
+    sockopt::set_socket_linger(stream, resets.then_some(Duration::ZERO))
+}
+
 /// Has the system probe a peer that sends nothing, and give a connection up whose bytes are not acknowledged.
 fn limit_silence(stream: &TcpStream) -> rustix::io::Result<()> {
     sockopt::set_socket_keepalive(stream, true)?;
