--- a/grebedeck-admission/src/lib.rs
+++ b/grebedeck-admission/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each gateway decides for the requests that wait there. [`queue`] holds them in their order: by urgency, with a
 //! share for the less urgent ones from [`share`]; fair among organisations by [`fair`]; within an organisation by who
-//! can still be in time first. [`places`] divides the places of a service among the gateways that ask for them. [`flow`] follows how fast places are given, from which follows who waits for nothing;
+//! can still be in time first. [`flow`] follows how fast places are given, from which follows who waits for nothing;
 //! [`returns`] spreads those who are refused over the room to come. All of it is pure: time and randomness are passed
 //! in, and what it holds may be lost with the process, as callers come back.
 
@@ -10,11 +10,9 @@
 
 pub mod fair;
 pub mod flow;
-pub mod places;
 pub mod queue;
 pub mod returns;
 pub mod share;
 
-pub use places::{Asked, Demand, Places};
 pub use queue::{Order, Queue, QueueOptions, Ticket, Urgency, Waiter};
 pub use returns::{Returns, Schedule};
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -8,7 +8,6 @@
 pub mod caller;
 pub mod cold;
 pub mod counters;
-pub mod demand;
 pub mod dump;
 pub mod entering;
 pub mod halls;
@@ -94,9 +93,7 @@
     tasks.spawn(watch::follow_operator(gateway.clone(), store.clone())).detach();
     tasks.spawn(watch::follow_targets(gateway.clone(), store.clone())).detach();
     tasks.spawn(peers::follow_list(gateway.clone(), store)).detach();
-    let socket = Rc::new(socket);
-    tasks.spawn(loads::follow(gateway.clone(), socket.clone())).detach();
-    tasks.spawn(demand::tell(gateway.clone(), socket)).detach();
+    tasks.spawn(loads::follow(gateway.clone(), socket)).detach();
     tasks.spawn(peers::follow_peers(gateway.clone())).detach();
     serve_pages(&gateway, ready_listener, |gateway, _| {
         Page::empty(if gateway.is_ready() { 200 } else { 503 })
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -10,7 +10,6 @@
 use grebedeck_http::{BodyDecoder, Connection, Decoded, HttpError, ResponseHead, response_framing};
 use grebedeck_routing::LoadReport;
 
-use super::demand::{Counted, Stage};
 use super::opened::Opened;
 use super::options::{CONNECT_LIMIT, MAX_ANSWER_HEAD_BYTES, UNREAD_BYTES};
 use super::place::Place;
@@ -117,22 +116,14 @@
     gateway: Rc<Gateway>,
     target: Arc<TargetEntry>,
     success: Option<bool>,
-    _counted: Counted,
 }
 
 impl InFlight {
     /// Takes a place on a target for a request.
-    pub fn new(gateway: &Rc<Gateway>, request: &RoutedRequest, target: &Arc<TargetEntry>) -> Self {
+    pub fn new(gateway: &Rc<Gateway>, target: &Arc<TargetEntry>) -> Self {
         gateway.chooser.borrow_mut().sent_at(&target.id, target.born_ms);
 
-        let counted = Counted::new(gateway, request, Stage::Running);
-
-        InFlight {
-            gateway: gateway.clone(),
-            target: target.clone(),
-            success: None,
-            _counted: counted,
-        }
+        InFlight { gateway: gateway.clone(), target: target.clone(), success: None }
     }
 
     /// Notes what the request showed of the target's health.
--- a/grebedeck/src/gateway/loads.rs
+++ b/grebedeck/src/gateway/loads.rs
@@ -15,7 +15,7 @@
 use crate::rank::message::{Body, Datagram, DatagramReader, MAX_DATAGRAM_BYTES};
 
 /// Takes loads in, and asks for them from time to time, until the task is dropped.
-pub async fn follow(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+pub async fn follow(gateway: Rc<Gateway>, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut asked_at = None;
     let mut reader = DatagramReader::default();
@@ -35,14 +35,8 @@
                 if let Ok((length, _)) = received {
                     let datagram = reader.read(&buffer[..length], gateway.now());
 
-                    match datagram {
-                        Some(Datagram { from, body: Body::Load(load), .. }) => {
-                            gateway.note_rank(from, &load);
-                        }
-                        Some(Datagram { from, body: Body::Demand(word), .. }) => {
-                            gateway.take_demand(from.ip(), word);
-                        }
-                        _ => {}
+                    if let Some(Datagram { from, body: Body::Load(load), .. }) = datagram {
+                        gateway.note_rank(from, &load);
                     }
                 }
             }
--- a/grebedeck/src/gateway/mechanism.rs
+++ b/grebedeck/src/gateway/mechanism.rs
@@ -26,8 +26,6 @@
     Hold,
     /// Who waits for a place is served by urgency, where requests differ in it.
     UrgencyOrder,
-    /// Gateways divide a model's places among them.
-    SharedPlaces,
     /// Callers are told to come back at different times.
     ReturnSpread,
 }
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -190,16 +190,13 @@
     pub model: f64,
     /// For plain targets, where some may wait for a short while.
     pub plain: f64,
-    /// For a model's ranks together, where gateways divide the places among them. Loads that are told late spread, so
-    /// that some ranks have requests waiting while others have room.
-    pub shared: f64,
     /// Mean deviations that a model's pauses are kept below the longest wanted one by.
     pub pause_deviations: f64,
 }
 
 impl Default for LoadSettings {
     fn default() -> Self {
-        LoadSettings { model: 1.0, plain: 2.0, shared: 0.9, pause_deviations: 2.0 }
+        LoadSettings { model: 1.0, plain: 2.0, pause_deviations: 2.0 }
     }
 }
 
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -9,7 +9,6 @@
 
 use super::attempt::InFlight;
 use super::counters::urgency_word;
-use super::demand::{Counted, Stage};
 use super::entering::{self, Entered};
 use super::mechanism::Mechanism;
 use super::options::{
@@ -117,7 +116,6 @@
     tried: &[TargetId],
 ) -> Result<Place, NoPlace> {
     let began = gateway.now();
-    let _asked = Counted::new(gateway, request, Stage::Waiting);
     let found = match entering::enter(gateway, request, tried) {
         Ok(Entered::Placed(place)) => Ok(place),
         Ok(Entered::InLine(line)) => line.answer().await,
@@ -164,7 +162,7 @@
 ) -> Result<Place, NoPlace> {
     let target = look(gateway, request, tried, now)?;
 
-    Ok(Place { in_flight: InFlight::new(gateway, request, &target), target })
+    Ok(Place { in_flight: InFlight::new(gateway, &target), target })
 }
 
 fn look(
@@ -186,10 +184,6 @@
                 return Err(NoPlace::Paced(wait));
             }
 
-            if !goes_on(request, tried) && !gateway.may_start(&request.service, now) {
-                return Err(NoPlace::Full);
-            }
-
             choose(gateway, request, tried, now)
         }
     }
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -22,7 +22,6 @@
 use super::Tasks;
 use super::attempt::Tried;
 use super::counters::Counters;
-use super::demand::DemandBoard;
 use super::halls::OperatorView;
 use super::kept::SharedMemory;
 use super::mechanism::Mechanism;
@@ -81,8 +80,6 @@
     pub(super) cold: RefCell<ColdGate>,
     /// Lines on entries that cannot be read.
     pub(super) entry_lines: RefCell<LineBudget>,
-    /// What is asked of each service, here and at other gateways.
-    pub demand: DemandBoard,
     /// Requests that wait for a place.
     pub waiting: Waiting,
 }
@@ -123,7 +120,6 @@
             patience: RefCell::default(),
             cold: RefCell::default(),
             entry_lines: RefCell::new(LineBudget::new(ENTRY_LINES_PER_S)),
-            demand: DemandBoard::default(),
             waiting: Waiting::default(),
         };
         gateway.count_gateways();
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -10,8 +10,6 @@
 use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::demand::GatewayDemand;
-
 /// Largest datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -38,8 +36,6 @@
     Watch,
     /// To those that want it: the rank's load.
     Load(RankLoad),
-    /// Between gateways: what runs and waits there.
-    Demand(GatewayDemand),
 }
 
 /// A rank's load, as its engine says.
