Merge the queue of those who wait for a place

Cause: whoever woke first took the place, whatever was asked and by whom, and of those who were refused 93 in 100 were of the two urgencies that go first. Now one queue for each service: by the key's rank and the route's, organisations in turns, a share for the less urgent; refused at once who cannot be in time. On where the routes to a service differ in urgency.

--- a/grebedeck-gateway/src/routes.rs
+++ b/grebedeck-gateway/src/routes.rs
@@ -1,8 +1,10 @@
 //! The compiled form of a site: the route and the organisation of a request.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
+use grebedeck_admission::Urgency;
 use grebedeck_core::{OrganisationName, RandomSource, ServiceName};
 
 use crate::site::{ApiKey, CallerLimits, RouteRule, ServiceSpec, Site, SiteVersion};
@@ -51,6 +53,13 @@
     pub version: SiteVersion,
 }
 
+impl Admitted {
+    /// Gets its urgency: its rank, and within that its route's, as a key's rank often is the same for all routes.
+    pub fn urgency(&self) -> Urgency {
+        (self.priority, self.rule.priority)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct KeyHolder {
     name: OrganisationName,
@@ -68,6 +77,10 @@
     services: HashMap<ServiceName, Arc<ServiceSpec>>,
     limits: CallerLimits,
     needs_keys: bool,
+    /// Urgencies of each service's requests, the most urgent first.
+    urgencies: HashMap<ServiceName, Vec<Urgency>>,
+    /// Objectives of each service's routes, by the routes' urgency.
+    objectives: HashMap<ServiceName, Vec<(u8, Duration)>>,
 }
 
 impl RouteTable {
@@ -97,9 +110,24 @@
             services: services.collect(),
             limits: site.limits,
             needs_keys: !site.organisations.is_empty(),
+            urgencies: urgencies(site),
+            objectives: objectives(site),
         }
     }
 
+    /// Tells whether requests for a service differ in urgency.
+    pub fn ranks_requests(&self, service: &str) -> bool {
+        self.urgencies.get(service).is_some_and(|urgencies| urgencies.len() > 1)
+    }
+
+    /// Gets the rank of an urgency among those of a service's requests; none where they do not differ.
+    pub fn rank(&self, service: &str, urgency: Urgency) -> Option<u8> {
+        let urgencies = self.urgencies.get(service).filter(|urgencies| urgencies.len() > 1)?;
+        let before = urgencies.iter().filter(|other| **other < urgency).count();
+
+        u8::try_from(before).ok()
+    }
+
     /// Gets the version; 0 where there is no configuration yet.
     pub fn version(&self) -> SiteVersion {
         self.version
@@ -120,6 +148,21 @@
         self.services.values()
     }
 
+    /// Tells whether some requests for a service are less urgent than that.
+    pub fn outranks_some(&self, service: &str, urgency: Urgency) -> bool {
+        let urgencies = self.urgencies.get(service);
+
+        urgencies.and_then(|urgencies| urgencies.last()).is_some_and(|last| urgency < *last)
+    }
+
+    /// Gets the longest objective among the routes to a service that are as urgent as that or less.
+    pub fn longest_objective(&self, service: &str, urgency: u8) -> Option<Duration> {
+        let objectives = self.objectives.get(service)?;
+        let behind = objectives.iter().filter(|(other, _)| *other >= urgency);
+
+        behind.map(|(_, objective)| *objective).max()
+    }
+
     /// Finds a request's route and organisation. `host` may have a port; `key` is what the caller
     /// proves its organisation with.
     pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admitted, Denied> {
@@ -153,6 +196,58 @@
     }
 }
 
+/// Gets the urgencies of the requests for each service whose routes differ in urgency, by the routes and by the keys that
+/// may be used there.
+fn urgencies(site: &Site) -> HashMap<ServiceName, Vec<Urgency>> {
+    let mut urgencies: HashMap<&str, BTreeSet<Urgency>> = HashMap::new();
+    let own: BTreeSet<Option<u8>> = site.organisations.iter().map(|o| o.priority).collect();
+
+    for rule in &site.routes {
+        let keyless = rule.is_public || own.is_empty();
+        let holders = own.iter().map(|priority| (priority.unwrap_or(rule.priority), rule.priority));
+        let of_rule: BTreeSet<Urgency> = if keyless {
+            BTreeSet::from([(rule.priority, rule.priority)])
+        } else {
+            holders.collect()
+        };
+
+        for weighted in &rule.services {
+            urgencies.entry(&weighted.service).or_default().extend(&of_rule);
+        }
+    }
+
+    // Where operators have not told a service's routes apart, keys alone do not put anybody behind.
+    let is_ranked = |of_service: &BTreeSet<Urgency>| {
+        let routes: BTreeSet<u8> = of_service.iter().map(|(_, route)| *route).collect();
+        routes.len() > 1
+    };
+    let ranked = urgencies.into_iter().filter(|(_, of_service)| is_ranked(of_service));
+    let listed = |(service, of_service): (&str, BTreeSet<Urgency>)| {
+        (service.to_string(), of_service.into_iter().collect())
+    };
+
+    ranked.map(listed).collect()
+}
+
+/// Gets the longest objective of each service's routes of one urgency.
+fn objectives(site: &Site) -> HashMap<ServiceName, Vec<(u8, Duration)>> {
+    let mut longest: HashMap<&str, BTreeMap<u8, Duration>> = HashMap::new();
+
+    for rule in &site.routes {
+        for weighted in &rule.services {
+            let of_service = longest.entry(&weighted.service).or_default();
+            let objective = of_service.entry(rule.priority).or_default();
+            *objective = rule.objective.max(*objective);
+        }
+    }
+
+    let listed = |(service, of_service): (&str, BTreeMap<u8, Duration>)| {
+        (service.to_string(), of_service.into_iter().collect())
+    };
+
+    longest.into_iter().map(listed).collect()
+}
+
 /// Draws one of a route's services by weight.
 pub fn draw_service<'a>(rule: &'a RouteRule, random: &mut impl RandomSource) -> Option<&'a str> {
     let total: u64 = rule.services.iter().map(|s| u64::from(s.weight)).sum();
--- a/grebedeck/src/gateway/caller.rs
+++ b/grebedeck/src/gateway/caller.rs
@@ -14,6 +14,7 @@
 };
 
 use super::kept::Kept;
+use super::mechanism::Mechanism;
 use super::options::{NO_MEMORY_WAIT, READ_AHEAD_BYTES, SITE_WAIT};
 use super::request::{CallerRequest, RoutedRequest};
 use super::service::Gateway;
@@ -136,7 +137,9 @@
         return write_whole(gateway, connection, answer, after).await;
     };
     let service = service.to_string();
-    let routed = RoutedRequest::new(request, admitted, service, &gateway.names);
+    let by_urgency = gateway.uses(Mechanism::UrgencyOrder);
+    let rank = table.rank(&service, admitted.urgency()).filter(|_| by_urgency);
+    let routed = Rc::new(RoutedRequest::new(request, admitted, service, rank, &gateway.names));
 
     if routed.admitted.rule.kind.is_stream() {
         return stream::serve(gateway, &routed, connection, after).await;
@@ -148,7 +151,7 @@
 /// Serves a request whose answer is read whole before the caller gets it.
 async fn serve_whole(
     gateway: &Rc<Gateway>,
-    routed: &RoutedRequest,
+    routed: &Rc<RoutedRequest>,
     connection: &mut Connection,
     after: After,
 ) -> After {
@@ -178,7 +181,7 @@
 /// Notes how a request ends whose answer was written.
 fn note_written(
     gateway: &Gateway,
-    routed: &RoutedRequest,
+    routed: &Rc<RoutedRequest>,
     end: End,
     written: Written,
     is_late: bool,
--- a/grebedeck/src/gateway/story.rs
+++ b/grebedeck/src/gateway/story.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use grebedeck_admission::Urgency;
 use grebedeck_core::{Moment, RandomSource};
 use grebedeck_gateway::{Denied, RunState};
 use grebedeck_kernel::log;
@@ -60,6 +61,13 @@
         /// The last event that the caller has, where a stream goes on.
         last_event_id: Option<u64>,
     },
+    /// It got in line for a place.
+    InLine {
+        /// Its urgency.
+        urgency: Urgency,
+        /// Those who go before it, as far as that could be known.
+        ahead: usize,
+    },
     /// There was no place.
     NoPlace {
         /// Why.
@@ -70,6 +78,8 @@
         allowed: f64,
         /// Mean pause between events, if streams were seen lately.
         pause: Option<Duration>,
+        /// Urgency of the request.
+        urgency: Urgency,
         /// Targets that take work.
         targets: usize,
     },
@@ -243,13 +253,20 @@
                     last_event_id = optional(*last_event_id),
                 });
             }
-            Decision::NoPlace { reason, load, allowed, pause, targets } => {
+            Decision::InLine { urgency, ahead } => {
+                log::info!("in line", kv: {
+                    request, at_ms, urgency = urgency.1, key_urgency = urgency.0, ahead = *ahead,
+                });
+            }
+            Decision::NoPlace { reason, load, allowed, pause, urgency, targets } => {
                 log::info!("no place", kv: {
                     request, at_ms,
                     reason = reason.word(),
                     load = rounded(*load),
                     allowed_load = rounded(*allowed),
                     pause_ms = optional_ms(*pause),
+                    urgency = urgency.1,
+                    key_urgency = urgency.0,
                     targets = *targets,
                 });
             }
