Tests that fail: targets that ask for rest or say that they leave go on getting requests

Cause: no code reads what a target's refusal asks for, nor the header with which it says that it leaves.

Sight first: 'attempt failed' tells the status of a refusal and for how long the target wants nothing.

--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
-use grebedeck_gateway::wire::TargetLoad;
+use grebedeck_gateway::wire::{TargetLoad, parse_rest};
 use grebedeck_gateway::{RunState, TargetEntry, TargetId, Verdict, judge};
 use grebedeck_http::{BodyDecoder, Connection, Decoded, HttpError, ResponseHead, response_framing};
 use grebedeck_routing::LoadReport;
@@ -28,6 +28,17 @@
     pub run: RunState,
     /// What went wrong.
     pub cause: FailureCause,
+    /// The target's answer, where it refused the request.
+    pub refusal: Option<Refusal>,
+}
+
+/// A target's refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Its status.
+    pub status: u16,
+    /// How long the target wants to be left alone, if it says so.
+    pub asked: Option<Duration>,
 }
 
 /// What went wrong with an attempt.
@@ -70,12 +81,17 @@
 impl Failure {
     /// Makes the failure of an attempt that did not run.
     pub fn not_run(cause: FailureCause) -> Self {
-        Failure { run: RunState::NotRun, cause }
+        Failure { run: RunState::NotRun, cause, refusal: None }
+    }
+
+    /// Makes the failure of an attempt that the target refused.
+    pub fn refused(cause: FailureCause, refusal: Refusal) -> Self {
+        Failure { refusal: Some(refusal), ..Failure::not_run(cause) }
     }
 
     /// Makes the failure of an attempt that may have run.
     pub fn may_have_run(cause: FailureCause) -> Self {
-        Failure { run: RunState::MayHaveRun, cause }
+        Failure { run: RunState::MayHaveRun, cause, refusal: None }
     }
 }
 
@@ -171,9 +187,9 @@
     target: &TargetEntry,
     failure: &Failure,
 ) {
-    let Failure { run, cause } = *failure;
+    let Failure { cause, .. } = *failure;
     gateway.counters.attempts.add(cause.word());
-    let decision = Decision::Failed { target: target.id.clone(), cause, run };
+    let decision = Decision::Failed { target: target.id.clone(), failure: *failure };
     request.story.add(gateway.now(), decision);
 
     match cause {
@@ -322,6 +338,12 @@
     }
 }
 
+fn refusal(gateway: &Gateway, head: &ResponseHead) -> Refusal {
+    let asked = head.headers.all(gateway.names.retry_after).map(parse_rest).max();
+
+    Refusal { status: head.status, asked }
+}
+
 /// Closes a connection in order whose target has refused the request, where the refusal is here whole. It is not
 /// waited for.
 fn end_refused(connection: &mut Connection, decoder: &mut BodyDecoder) {
@@ -354,7 +376,9 @@
     }
 
     match verdict {
-        Verdict::Refused => return Err(Failure::not_run(refusal_cause(gateway, &head))),
+        Verdict::Refused => {
+            return Err(Failure::refused(refusal_cause(gateway, &head), refusal(gateway, &head)));
+        }
         Verdict::OtherTarget => {
             in_flight.judge(false);
             return Err(Failure::not_run(FailureCause::OtherTarget));
--- a/grebedeck/src/gateway/story.rs
+++ b/grebedeck/src/gateway/story.rs
@@ -13,7 +13,7 @@
 use grebedeck_gateway::{Denied, RunState};
 use grebedeck_kernel::log;
 
-use super::attempt::FailureCause;
+use super::attempt::Failure;
 use super::place::NoPlace;
 use super::writer::Written;
 use crate::random::ProcessRandom;
@@ -88,9 +88,7 @@
         /// The target.
         target: String,
         /// What went wrong.
-        cause: FailureCause,
-        /// Whether it may have run.
-        run: RunState,
+        failure: Failure,
     },
     /// The target answered with its own failure.
     TargetFailed {
@@ -270,12 +268,15 @@
                     targets = *targets,
                 });
             }
-            Decision::Failed { target, cause, run } => {
+            Decision::Failed { target, failure } => {
+                let refusal = failure.refusal;
                 log::info!("attempt failed", kv: {
                     request, at_ms,
                     target = target.as_str(),
-                    cause = cause.word(),
-                    may_have_run = *run == RunState::MayHaveRun,
+                    cause = failure.cause.word(),
+                    may_have_run = failure.run == RunState::MayHaveRun,
+                    status = optional(refusal.map(|r| r.status.into())),
+                    asked_rest_ms = optional_ms(refusal.and_then(|r| r.asked)),
                 });
             }
             Decision::TargetFailed { target, status } => {
--- a/grebedeck/src/gateway/whole.rs
+++ b/grebedeck/src/gateway/whole.rs
@@ -192,8 +192,7 @@
             }
             Err(cause) => {
                 let failure = Failure::may_have_run(cause);
-                let Failure { run, .. } = failure;
-                let decision = Decision::Failed { target: target.id.clone(), cause, run };
+                let decision = Decision::Failed { target: target.id.clone(), failure };
                 request.story.add(gateway.now(), decision);
                 Err(failure)
             }
--- a/grebedeck/tests/pace.rs
+++ b/grebedeck/tests/pace.rs
@@ -22,6 +22,7 @@
     target_id: "target-id",
     deadline_ms: "deadline-ms",
     retry_after: "retry-after",
+    leaving: "leaving",
     signature: "signature",
     cold_ms: "cold-ms",
     not_run: "not-run",
