--- a/grebedeck-gateway/src/leaving.rs
+++ b/grebedeck-gateway/src/leaving.rs
@@ -2,8 +2,12 @@
 //!
 //! The platform's list lags behind such a word, may never tell it, and may list the target again when the store comes
 //! back. So the word holds for the start of the target that it is about, however long ago it came.
+//!
+//! An answer does not tell which start it is of. A word that came while the list may already have lagged behind the
+//! next start is taken for that one's as well, for as long as targets take to leave.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use grebedeck_core::Moment;
 use grebedeck_routing::Birth;
@@ -13,30 +17,74 @@
 /// Starts of targets that are remembered: those of some days, in less than a megabyte. The oldest words go first, whose
 /// targets are gone.
 const MAX_REMEMBERED: usize = 4096;
+/// How long a start may run before its entry is in the store: a call that is tried again once.
+const ENTRY_LAG: Duration = Duration::from_secs(1);
+/// How long a word is believed that may be of an earlier start: targets end some seconds after they have said it, and
+/// one that did not mean it is missed for no longer.
+const DOUBTFUL_FOR: Duration = Duration::from_secs(20);
+
+/// A target's word that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Said {
+    at: Moment,
+    /// Until when it is believed, where it may be of another start.
+    until: Option<Moment>,
+}
+
+impl Said {
+    fn holds(&self, now: Moment) -> bool {
+        self.until.is_none_or(|until| now < until)
+    }
+}
 
 /// Starts of targets that said that they leave, and when they did.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingWords {
-    said: BTreeMap<(TargetId, Birth), Moment>,
+    said: BTreeMap<(TargetId, Birth), Said>,
 }
 
 impl LeavingWords {
     /// Notes that a start of a target says that it leaves; tells whether that is news.
     pub fn note(&mut self, target: &TargetEntry, now: Moment) -> bool {
+        let said = Said { at: now, until: None };
+        let before = self.said.insert((target.id.clone(), target.born_ms), said);
+        self.forget_oldest();
+
+        before.is_none_or(|before| !before.holds(now))
+    }
+
+    /// Notes that the list names another start of a target than before, which it may have lagged behind since it was
+    /// taken in last.
+    pub fn note_start(&mut self, target: &TargetEntry, listed_before: Moment, now: Moment) {
         let key = (target.id.clone(), target.born_ms);
+        let from = listed_before.saturating_sub(ENTRY_LAG);
+        let of_target = self.said.range((target.id.clone(), None)..);
+        let newest = of_target
+            .take_while(|((id, _), _)| *id == target.id)
+            .filter(|(_, said)| said.until.is_none())
+            .map(|(_, said)| said.at)
+            .max();
+
+        if let Some(at) = newest.filter(|at| *at >= from) {
+            self.said.entry(key).or_insert(Said { at, until: Some(now + DOUBTFUL_FOR) });
+        }
+    }
 
-        if self.said.contains_key(&key) {
+    /// Tells whether this start of a target said that it leaves.
+    pub fn has(&self, target: &TargetEntry, now: Moment) -> bool {
+        if self.said.is_empty() {
             return false;
         }
 
-        self.said.insert(key, now);
-        self.forget_oldest();
-        true
+        self.said.get(&(target.id.clone(), target.born_ms)).is_some_and(|said| said.holds(now))
     }
 
-    /// Tells whether this start of a target said that it leaves.
-    pub fn has(&self, target: &TargetEntry) -> bool {
-        !self.said.is_empty() && self.said.contains_key(&(target.id.clone(), target.born_ms))
+    /// Forgets words that are not believed any more; tells whether there were some.
+    pub fn forget_doubtful(&mut self, now: Moment) -> bool {
+        let before = self.said.len();
+        self.said.retain(|_, said| said.holds(now));
+
+        self.said.len() < before
     }
 
     fn forget_oldest(&mut self) {
@@ -44,7 +92,7 @@
             return;
         }
 
-        let oldest = self.said.iter().min_by_key(|(_, at)| **at).map(|(key, _)| key.clone());
+        let oldest = self.said.iter().min_by_key(|(_, said)| said.at).map(|(key, _)| key.clone());
 
         if let Some(key) = oldest {
             self.said.remove(&key);
--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod patience;
 pub mod reader;
 pub mod refusals;
+pub mod rest;
 pub mod retry;
 pub mod routes;
 pub mod site;
@@ -35,6 +36,7 @@
 pub use pacing::{Pacing, PacingOptions, PromptRate};
 pub use patience::{Patience, PatienceOptions};
 pub use refusals::Refusals;
+pub use rest::Rest;
 pub use retry::{WindowBudget, WindowOptions};
 pub use routes::{Admitted, Denied, RouteTable};
 pub use site::{
--- a/grebedeck-gateway/src/refusals.rs
+++ b/grebedeck-gateway/src/refusals.rs
@@ -15,10 +15,11 @@
 
 use grebedeck_core::{Moment, ServiceName};
 
+use crate::rest::Rest;
 use crate::targets::{TargetEntry, TargetId};
 
 /// Pause of a target that refused for the first time: some round trips, in which a place may become free.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause: callers wait no longer than that for the only target of a service to be tried again.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
 /// How long the outcome of a trial is waited for: longer than a target needs for the head of an answer. A trial may
@@ -36,7 +37,7 @@
 struct Refusing {
     service: ServiceName,
     /// Until when the target itself wants nothing.
-    rest_until: Moment,
+    rest: Rest,
     /// Until when it gets nothing, as it refused.
     pause_until: Moment,
     /// Pauses since it last took a request; none if nothing but its rest is known.
@@ -46,10 +47,6 @@
 }
 
 impl Refusing {
-    fn rests(&self, now: Moment) -> bool {
-        now < self.rest_until
-    }
-
     fn is_on_trial(&self) -> bool {
         self.pauses > 0
     }
@@ -79,8 +76,7 @@
 }
 
 impl Refusals {
-    /// Notes that a target refused a request; `asked` is for how long it wants nothing, if it says so. A shorter word
-    /// does not end a longer rest, as answers on different connections overtake each other.
+    /// Notes that a target refused a request; `asked` is for how long it wants nothing, if it says so.
     pub fn refused(
         &mut self,
         target: &TargetEntry,
@@ -89,15 +85,15 @@
     ) -> RefusalNews {
         let known = self.targets.entry(target.id.clone()).or_insert_with(|| Refusing {
             service: target.service.clone(),
-            rest_until: now,
+            rest: Rest::default(),
             pause_until: now,
             pauses: 0,
             trial_until: None,
         });
-        let rested = known.rests(now);
+        let rested = known.rest.holds(now);
         // Requests that were on their way together are refused together, and say no more than one of them.
         let is_first = now >= known.pause_until && !rested;
-        known.rest_until = known.rest_until.max(now + asked.unwrap_or_default());
+        known.rest.ask(asked.unwrap_or_default(), now);
         known.trial_until = None;
 
         if is_first {
@@ -106,7 +102,7 @@
             known.pause_until = now + pause;
         }
 
-        match known.rests(now) {
+        match known.rest.holds(now) {
             true if !rested => RefusalNews::Rests,
             false if is_first => RefusalNews::Paused(known.pause_until - now),
             _ => RefusalNews::None,
@@ -120,7 +116,7 @@
             return false;
         };
 
-        if known.rests(now) {
+        if known.rest.holds(now) {
             return false;
         }
 
@@ -156,9 +152,7 @@
 
     /// Gets how much longer a target rests.
     pub fn rest_left(&self, target: &str, now: Moment) -> Duration {
-        self.targets
-            .get(target)
-            .map_or(Duration::ZERO, |known| known.rest_until.saturating_sub(now))
+        self.targets.get(target).map_or(Duration::ZERO, |known| known.rest.left(now))
     }
 
     /// Gets after which time the first of some targets has rested, where all of them rest.
@@ -226,12 +220,12 @@
     /// Notes that a service's group says that it makes passes again: what its targets refused while it did not says
     /// nothing any more, but for the rest that they asked for.
     pub fn reopened(&mut self, service: &str, now: Moment) {
-        self.targets.retain(|_, known| known.service != service || known.rests(now));
+        self.targets.retain(|_, known| known.service != service || known.rest.holds(now));
     }
 
     /// Forgets targets that refused long ago.
     pub fn forget_old(&mut self, now: Moment) {
-        let last = |known: &Refusing| known.rest_until.max(known.pause_until);
+        let last = |known: &Refusing| known.rest.until().max(known.pause_until);
 
         self.targets.retain(|_, known| now < last(known) + MEMORY);
     }
--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -150,6 +150,8 @@
     evacuations: Evacuations,
     /// Targets that said in an answer that they leave, whatever the list says.
     leaving: LeavingWords,
+    /// When the list, or changes of it, were taken in last, and the time before that.
+    taken_at: (Moment, Moment),
     /// Services all of whose targets stand in evacuated halls.
     evacuated: HashSet<ServiceName>,
     /// The moment that the lists of targets that take work stand for.
@@ -228,6 +230,7 @@
             return Vec::new();
         }
 
+        self.indexed_at = now;
         self.index();
         vec![ListEvent::SaysLeaving(target.id.clone())]
     }
@@ -273,6 +276,7 @@
 
     fn note_return(&mut self, now: Moment) {
         self.indexed_at = now;
+        self.taken_at = (now, self.taken_at.0);
 
         if std::mem::take(&mut self.is_store_failing) {
             self.returned_at = Some(now);
@@ -286,8 +290,9 @@
             self.known.iter().filter(|(_, k)| is_over(k)).map(|(id, _)| id.clone()).collect();
 
         let since = std::mem::replace(&mut self.indexed_at, now);
+        let some_stay = self.leaving.forget_doubtful(now);
 
-        if over.is_empty() && !self.evacuations.moves_between(since, now) {
+        if over.is_empty() && !some_stay && !self.evacuations.moves_between(since, now) {
             return Vec::new();
         }
 
@@ -339,7 +344,7 @@
 
     /// Tells whether a start of a target said in an answer that it leaves.
     pub fn says_leaving(&self, target: &TargetEntry) -> bool {
-        self.leaving.has(target)
+        self.leaving.has(target, self.indexed_at)
     }
 
     /// Gets the target that has an address now.
@@ -398,6 +403,12 @@
 
         let is_heard = before.is_none_or(|k| k.version < version);
         let is_restart = before.is_some_and(|k| !k.entry.is_same_start(&entry));
+
+        if before.is_none_or(|k| !k.entry.is_same_start(&entry)) {
+            let (now, before) = self.taken_at;
+            self.leaving.note_start(&entry, before, now);
+        }
+
         let was_leaving =
             !is_restart && before.is_some_and(|k| k.entry.state == TargetState::Leaving);
         let was_unreadable = self.unreadable.remove(&entry.id).is_some();
@@ -508,7 +519,7 @@
             let is_newest = newest.get(&known.entry.address) == Some(&known.version);
 
             let is_leaving =
-                known.entry.state != TargetState::Serving || self.leaving.has(&known.entry);
+                known.entry.state != TargetState::Serving || self.says_leaving(&known.entry);
 
             if is_leaving || !is_newest {
                 continue;
--- a/grebedeck-gateway/src/wire.rs
+++ b/grebedeck-gateway/src/wire.rs
@@ -1,13 +1,5 @@
 //! Names of the headers that a platform gives a meaning, and what targets say in them.
 
-use std::time::Duration;
-
-/// Longest rest that a target gets. One that asks for longer is tried once each time this has passed, which finds a
-/// value that was never meant; targets that were seen to shed load ask for seconds.
-pub const MAX_REST: Duration = Duration::from_secs(300);
-/// Rest of a target that asks for one in words that cannot be read: what those ask for who can be.
-pub const UNREADABLE_REST: Duration = Duration::from_secs(3);
-
 /// Header names; each platform has its own.
 #[derive(Clone, Copy, Debug)]
 pub struct HeaderNames {
@@ -77,16 +69,3 @@
 pub fn says_leaving(value: &[u8]) -> bool {
     value.trim_ascii() != b"0"
 }
-
-/// Reads for how long a target that refuses wants to be left alone, in seconds and parts of them. What cannot be read
-/// still asks for rest, so none of it is taken for zero.
-pub fn parse_rest(value: &[u8]) -> Duration {
-    let seconds = std::str::from_utf8(value).ok().and_then(|text| text.trim().parse::<f64>().ok());
-
-    match seconds {
-        Some(seconds) if seconds >= MAX_REST.as_secs_f64() => MAX_REST,
-        Some(seconds) if seconds >= 0.0 => Duration::from_secs_f64(seconds),
-        // A date, a negative number, or no number at all.
-        _ => UNREADABLE_REST,
-    }
-}
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -6,7 +6,8 @@
 
 use async_std::future::timeout;
 use grebedeck_gateway::answer::MISDIRECTED;
-use grebedeck_gateway::wire::{TargetLoad, parse_rest};
+use grebedeck_gateway::rest::asked_rest;
+use grebedeck_gateway::wire::TargetLoad;
 use grebedeck_gateway::{TargetEntry, Verdict, judge};
 use grebedeck_http::{BodyDecoder, Connection, Decoded, HttpError, ResponseHead, response_framing};
 
@@ -19,8 +20,6 @@
 use super::story::Decision;
 use super::tried::{Failure, FailureCause, Refusal};
 
-/// Statuses with which a target may ask for rest.
-const ASK_FOR_REST: [u16; 2] = [429, 503];
 /// Answers of earlier requests that are read away before a connection is given up.
 const MAX_SURPLUS_ANSWERS: u32 = 2;
 
@@ -216,10 +215,8 @@
     }
 }
 
-/// Reads what an answer says as a refusal. Only 503 and 429 ask for rest; elsewhere the header means other things.
 fn refusal(gateway: &Gateway, head: &ResponseHead) -> Refusal {
-    let asked = head.headers.all(gateway.names.retry_after).map(parse_rest).max();
-    let asked = asked.filter(|_| ASK_FOR_REST.contains(&head.status));
+    let asked = asked_rest(head.status, head.headers.all(gateway.names.retry_after));
 
     Refusal { status: head.status, asked }
 }
@@ -242,11 +239,6 @@
     head: ResponseHead,
     mut in_flight: InFlight,
 ) -> Result<Opened, Failure> {
-    let Ok(framing) = response_framing(&head, &request.request.head.method) else {
-        in_flight.judge(false);
-        return Err(Failure::may_have_run(FailureCause::Unusable));
-    };
-    let mut decoder = BodyDecoder::new(framing);
     let is_signed = head.headers.get(gateway.names.signature).is_some();
     let says_not_run = head.headers.get(gateway.names.not_run).is_some();
     let verdict = judge(head.status, is_signed, says_not_run);
@@ -261,6 +253,12 @@
         }
     }
 
+    let Ok(framing) = response_framing(&head, &request.request.head.method) else {
+        in_flight.judge(false);
+        return Err(Failure::may_have_run(FailureCause::Unusable));
+    };
+    let mut decoder = BodyDecoder::new(framing);
+
     if matches!(verdict, Verdict::Refused | Verdict::OtherTarget) {
         end_refused(&mut connection, &mut decoder);
     }
