--- a/grebedeck-core/src/error.rs
+++ b/grebedeck-core/src/error.rs
@@ -1,5 +1,7 @@
 //! The error type of all crates, with short helpers that build its variants.
 
+use std::time::Duration;
+
 use thiserror::Error as ThisError;
 
 /// Result with the project's error type.
@@ -23,6 +25,9 @@
     /// Input was refused; each fault names its field.
     #[error("{0}")]
     Faults(Faults),
+    /// A peer turned a call away, and wants to be left alone for this time.
+    #[error("wants to be left alone for {0:?}")]
+    Resting(Duration),
     /// The platform could not be reached or gave an error.
     #[error("platform: {0}")]
     Platform(String),
--- a/grebedeck-experts/src/engine.rs
+++ b/grebedeck-experts/src/engine.rs
@@ -141,6 +141,6 @@
     /// Reads which experts it holds, by set, and of which placement.
     fn part(&self) -> impl Future<Output = Result<(PlacementNo, Vec<Vec<Expert>>)>>;
 
-    /// Gives an order.
-    fn order(&self, order: &RankOrder) -> impl Future<Output = OrderEnd>;
+    /// Gives an order. Fails where the engine has certainly not taken it, as it wants to be left alone.
+    fn order(&self, order: &RankOrder) -> impl Future<Output = Result<OrderEnd>>;
 }
--- a/grebedeck-lab/src/plain.rs
+++ b/grebedeck-lab/src/plain.rs
@@ -62,6 +62,13 @@
             pairs.filter(|(key, _)| key == name).find_map(|(_, value)| value.parse::<u64>().ok())
         };
 
+        if let Some(seconds) = number("rest_s") {
+            let mut response = Response::new(503);
+            response.insert_header("retry-after", seconds.to_string());
+            response.set_body(format!("{} rests", self.name));
+            return response;
+        }
+
         if let Some(events) = number("events") {
             return stream(events, number("every_ms").unwrap_or(10));
         }
--- a/grebedeck-lab/tests/path.rs
+++ b/grebedeck-lab/tests/path.rs
@@ -365,3 +365,32 @@
         site.stop().await;
     });
 }
+
+/// Gets the name of the target that answered.
+fn first_word(answer: &CallerAnswer) -> String {
+    answer.text().split(' ').next().unwrap_or_default().to_string()
+}
+
+/// Two of a service's three targets turn one request each away and ask for rest; by their load they are then the best.
+#[test]
+fn a_target_behind_an_agent_that_asks_for_rest_gets_nothing() {
+    block_on(async {
+        let site = site(0).await;
+        let caller = Caller::new(site.entry_addresses()[0], "northwind", "roster");
+        let mut resting = std::collections::BTreeSet::new();
+
+        for _ in 0..2 {
+            let answer = caller.get("/slots?rest_s=30").await.unwrap();
+            assert_eq!(answer.status, 503);
+            assert!(resting.insert(first_word(&answer)), "each target is asked once");
+        }
+
+        for _ in 0..40 {
+            let answer = caller.get("/slots").await.unwrap();
+            assert_eq!(answer.status, 200);
+            assert!(!resting.contains(&first_word(&answer)));
+        }
+
+        site.stop().await;
+    });
+}
--- a/grebedeck/src/agent/service.rs
+++ b/grebedeck/src/agent/service.rs
@@ -1,12 +1,16 @@
 //! The agent's state: the gate and the way to the target.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use grebedeck_core::time::unix_ms;
 use grebedeck_core::{AttemptId, Incarnation, Moment};
+use grebedeck_gateway::Rest;
+use grebedeck_gateway::rest::asked_rest;
 use grebedeck_kernel::{Clock, Counter, Metrics, Service, log};
 use grebedeck_net::http::HttpClient;
 use grebedeck_routing::{Gate, GateOptions, LoadReport, Start, StrikeAnswer, Verdict};
+use http_types::Response;
 use serde_json::{Value, json};
 
 use super::CONNECT_LIMIT_MS;
@@ -19,6 +23,8 @@
     pub(super) max_body_bytes: usize,
     pub(super) verdicts: Counter,
     gate: Mutex<Gate>,
+    /// Until when the target itself wants nothing.
+    rest: Mutex<Rest>,
 }
 
 /// Notes in the gate that an attempt ended, when it is dropped.
@@ -69,6 +75,7 @@
                 "verdict",
                 "Attempts by the gate's verdict",
             ),
+            rest: Mutex::default(),
             gate: Mutex::new(Gate::new(incarnation, unix_ms(), options)),
         }
     }
@@ -91,11 +98,38 @@
         self.gate().is_draining()
     }
 
-    /// Gets the target's load.
+    /// Gets the target's load. One that rests has nothing to do, and would look like the best one of all: its places are
+    /// told as taken.
     pub(super) fn load(&self) -> LoadReport {
         let gate = self.gate();
+        let places = gate.places() as u32;
+        let rested = if self.rest_left().is_some() { places } else { 0 };
 
-        LoadReport { in_flight: gate.in_flight() as u32, waiting: 0, places: gate.places() as u32 }
+        LoadReport { in_flight: rested.max(gate.in_flight() as u32), waiting: 0, places }
+    }
+
+    /// Gets how much longer the target rests, where it does.
+    pub(super) fn rest_left(&self) -> Option<Duration> {
+        let left = self.rest().left(self.now());
+
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Takes in whether the target turned a request away and asks for rest.
+    pub(super) fn note_rest(&self, response: &Response) {
+        let values = response.header("retry-after").into_iter().flatten();
+        let values = values.map(|value| value.as_str().as_bytes());
+        let now = self.now();
+
+        if let Some(asked) = asked_rest(response.status() as u16, values) {
+            let rest_ms = asked.as_millis() as u64;
+            log::info!("target rests", kv: { status = response.status() as u16, rest_ms });
+            self.rest().ask(asked, now);
+        }
+    }
+
+    fn rest(&self) -> MutexGuard<'_, Rest> {
+        self.rest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(super) fn now(&self) -> Moment {
--- a/grebedeck/src/agent/work.rs
+++ b/grebedeck/src/agent/work.rs
@@ -80,8 +80,14 @@
             return Err(WorkVerdict::Refused(Reason::BadRequest("method or path".into())));
         };
 
+        if let Some(left) = self.rest_left() {
+            running.not_sent();
+            return Err(WorkVerdict::Refused(Reason::Overloaded(left)));
+        }
+
         match self.target.send(http_request).await {
             Ok(answer) => {
+                self.note_rest(&answer.response);
                 let len_bytes = answer.response.len().map(|len| len as u64);
                 let head = AnswerHead {
                     attempt,
--- a/grebedeck/src/rank.rs
+++ b/grebedeck/src/rank.rs
@@ -14,6 +14,7 @@
 pub mod obstacle;
 pub mod options;
 pub mod planning;
+pub mod rested;
 pub mod show;
 
 use std::rc::Rc;
@@ -24,6 +25,7 @@
 use grebedeck_kernel::log;
 
 pub use options::RankSettings;
+use rested::Rested;
 
 /// Runs a rank process until it is told to stop.
 pub async fn run<S: SiteStore, E: RankEngine>(
@@ -37,5 +39,7 @@
         target_address = settings.target_address.to_string(),
     });
 
+    let engine = Rested::new(engine, settings.target_address);
+
     driver::Driver::try_new(tasks, settings, store, engine).await?.run().await
 }
--- a/grebedeck/src/rank/calls.rs
+++ b/grebedeck/src/rank/calls.rs
@@ -56,7 +56,7 @@
 
         self.tasks
             .spawn(async move {
-                let end = engine.order(&order).await;
+                let end = engine.order(&order).await.unwrap_or(OrderEnd::Refused);
                 let _ = outcomes.send(Outcome::Ordered { rank, order, end }).await;
             })
             .detach();
