A next start is taken for leaving only where the first word of it came within the list's lag; an outage stays one where no target may be tried

A target that is replaced as planned has said that it leaves long before its next start, so its next start is used at once; the case that cannot be told apart costs 10 s of one target.

In an outage a trial that finds all targets paused is told as the outage and no longer as full, which callers are held for more briefly. Pauses end when a service is back.

--- a/grebedeck-gateway/src/leaving.rs
+++ b/grebedeck-gateway/src/leaving.rs
@@ -3,8 +3,9 @@
 //! The platform's list lags behind such a word, may never tell it, and may list the target again when the store comes
 //! back. So the word holds for the start of the target that it is about, however long ago it came.
 //!
-//! An answer does not tell which start it is of. A word that came while the list may already have lagged behind the
-//! next start is taken for that one's as well, for as long as targets take to leave.
+//! An answer does not tell which start it is of. Where the first word came while the list may already have lagged behind
+//! the next start, it is taken for that one's as well, for as long as targets take to leave. A target that is replaced as
+//! planned has said it long before.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,11 +22,12 @@
 const ENTRY_LAG: Duration = Duration::from_secs(1);
 /// How long a word is believed that may be of an earlier start: targets end some seconds after they have said it, and
 /// one that did not mean it is missed for no longer.
-const DOUBTFUL_FOR: Duration = Duration::from_secs(20);
+const DOUBTFUL_FOR: Duration = Duration::from_secs(10);
 
 /// A target's word that it leaves.
 #[derive(Clone, Copy, Debug)]
 struct Said {
+    /// When it was heard first.
     at: Moment,
     /// Until when it is believed, where it may be of another start.
     until: Option<Moment>,
@@ -46,8 +48,10 @@
 impl LeavingWords {
     /// Notes that a start of a target says that it leaves; tells whether that is news.
     pub fn note(&mut self, target: &TargetEntry, now: Moment) -> bool {
-        let said = Said { at: now, until: None };
-        let before = self.said.insert((target.id.clone(), target.born_ms), said);
+        let key = (target.id.clone(), target.born_ms);
+        let before = self.said.get(&key).copied();
+        let at = before.map_or(now, |before| before.at);
+        self.said.insert(key, Said { at, until: None });
         self.forget_oldest();
 
         before.is_none_or(|before| !before.holds(now))
--- a/grebedeck-gateway/src/refusals.rs
+++ b/grebedeck-gateway/src/refusals.rs
@@ -157,6 +157,10 @@
 
     /// Gets after which time the first of some targets has rested, where all of them rest.
     pub fn all_rest(&self, targets: &[Arc<TargetEntry>], now: Moment) -> Option<Duration> {
+        if self.targets.is_empty() {
+            return None;
+        }
+
         let left = targets.iter().map(|target| self.rest_left(&target.id, now)).min()?;
 
         (!left.is_zero()).then_some(left)
@@ -217,8 +221,8 @@
         }
     }
 
-    /// Notes that a service's group says that it makes passes again: what its targets refused while it did not says
-    /// nothing any more, but for the rest that they asked for.
+    /// Notes that a service that was out is back: what its targets refused meanwhile says nothing any more, but for the
+    /// rest that they asked for.
     pub fn reopened(&mut self, service: &str, now: Moment) {
         self.targets.retain(|_, known| known.service != service || known.rest.holds(now));
     }
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -215,6 +215,26 @@
     }
 }
 
+/// Takes in what a target says of itself beside the answer. Where another one has its address, that one speaks.
+fn note_words(
+    gateway: &Gateway,
+    target: &TargetEntry,
+    head: &ResponseHead,
+    verdict: Verdict,
+    refusal: Refusal,
+    load: Option<TargetLoad>,
+) {
+    if verdict == Verdict::OtherTarget {
+        return;
+    }
+
+    gateway.note_load_word(target, head);
+
+    if verdict == Verdict::Refused || refusal.asked.is_some() {
+        gateway.note_refusal(target, refusal, load);
+    }
+}
+
 fn refusal(gateway: &Gateway, head: &ResponseHead) -> Refusal {
     let asked = asked_rest(head.status, head.headers.all(gateway.names.retry_after));
 
@@ -244,14 +264,7 @@
     let verdict = judge(head.status, is_signed, says_not_run);
     let load = head.headers.text(gateway.names.load).and_then(TargetLoad::parse);
     let refusal = refusal(gateway, &head);
-
-    if verdict != Verdict::OtherTarget {
-        gateway.note_load_word(target, &head);
-
-        if verdict == Verdict::Refused || refusal.asked.is_some() {
-            gateway.note_refusal(target, refusal, load);
-        }
-    }
+    note_words(gateway, target, &head, verdict, refusal, load);
 
     let Ok(framing) = response_framing(&head, &request.request.head.method) else {
         in_flight.judge(false);
@@ -264,9 +277,7 @@
     }
 
     match verdict {
-        Verdict::Refused => {
-            return Err(Failure::refused(refusal_cause(load), refusal));
-        }
+        Verdict::Refused => return Err(Failure::refused(refusal_cause(load), refusal)),
         Verdict::OtherTarget => {
             in_flight.judge(false);
             return Err(Failure::not_run(FailureCause::OtherTarget));
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -149,6 +149,7 @@
 
         if self.with_outage(service, |outage| outage.succeeded(now)) {
             log::info!("service back", kv: { service });
+            self.refusals.borrow_mut().reopened(service, now);
             self.freed.notify(usize::MAX);
         }
     }
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -49,18 +49,19 @@
 impl NoPlace {
     /// Gets why a request that is given up after its attempts has no place now.
     pub fn after_attempts(gateway: &Gateway, service: &str) -> Self {
-        if gateway.is_evacuated(service) {
-            return NoPlace::Evacuated;
-        }
-
-        if let Some(left) = gateway.all_rest(service) {
-            return NoPlace::Resting(left);
-        }
-
-        match gateway.availability(service) {
+        NoPlace::for_all(gateway, service).unwrap_or_else(|| match gateway.availability(service) {
             Availability::Out(left) => NoPlace::Out(left),
             Availability::Up => NoPlace::Full,
+        })
+    }
+
+    /// Gets why no request may be sent to any target of a service, where that is so.
+    fn for_all(gateway: &Gateway, service: &str) -> Option<Self> {
+        if gateway.is_evacuated(service) {
+            return Some(NoPlace::Evacuated);
         }
+
+        gateway.all_rest(service).map(NoPlace::Resting)
     }
 
     /// Tells whether there is no use in waiting until `give_up`: the service is expected back later than that, and has
@@ -179,26 +180,37 @@
     tried: &[TargetId],
     now: Moment,
 ) -> Result<Arc<TargetEntry>, NoPlace> {
-    if gateway.is_evacuated(&request.service) {
-        return Err(NoPlace::Evacuated);
-    }
-
-    if let Some(left) = gateway.all_rest(&request.service) {
-        return Err(NoPlace::Resting(left));
+    if let Some(reason) = NoPlace::for_all(gateway, &request.service) {
+        return Err(reason);
     }
 
     match gateway.availability(&request.service) {
         Availability::Out(left) if !gateway.take_trial(&request.service) => Err(NoPlace::Out(left)),
-        Availability::Out(_) | Availability::Up => {
-            let wait = gateway.prompt_wait(&request.service, now);
+        // That no target may be tried just now does not make the outage shorter.
+        Availability::Out(left) => {
+            begin(gateway, request, tried, now).map_err(|reason| match reason {
+                NoPlace::Full => NoPlace::Out(left),
+                reason => reason,
+            })
+        }
+        Availability::Up => begin(gateway, request, tried, now),
+    }
+}
 
-            if !wait.is_zero() && !goes_on(request, tried) {
-                return Err(NoPlace::Paced(wait));
-            }
+/// Chooses a target for a request whose prompt may begin now.
+fn begin(
+    gateway: &Gateway,
+    request: &RoutedRequest,
+    tried: &[TargetId],
+    now: Moment,
+) -> Result<Arc<TargetEntry>, NoPlace> {
+    let wait = gateway.prompt_wait(&request.service, now);
 
-            choose(gateway, request, tried, now)
-        }
+    if !wait.is_zero() && !goes_on(request, tried) {
+        return Err(NoPlace::Paced(wait));
     }
+
+    choose(gateway, request, tried, now)
 }
 
 /// Gets the targets that a request may go to, and the load that each of them may have.
