Tests: a target that asked for rest or left since it was chosen gets nothing

The recheck behind the connection has a test of its own, with a gateway without a network and a listener that counts bytes: 0 reach the target, and the request keeps its tries. Tests of such a gateway share its settings.

--- a/grebedeck/src/gateway/refusing.rs
+++ b/grebedeck/src/gateway/refusing.rs
@@ -48,12 +48,7 @@
     }
 
     /// Takes in a target's refusal. Of one that says that it is full its load tells enough, unless it asks for rest.
-    pub(super) fn note_refusal(
-        &self,
-        target: &TargetEntry,
-        refusal: Refusal,
-        load: Option<TargetLoad>,
-    ) {
+    pub fn note_refusal(&self, target: &TargetEntry, refusal: Refusal, load: Option<TargetLoad>) {
         if refusal.asked.is_none() && load.is_some_and(|load| !load.has_room()) {
             return;
         }
--- /dev/null
+++ b/grebedeck/tests/withdrawn.rs
@@ -0,0 +1,97 @@
+//! A target that takes no more work once it was chosen gets nothing: a connection may have to be made in between, and
+//! the request may have been handed its place while others were served.
+
+mod lone;
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use grebedeck::gateway::Tasks;
+use grebedeck::gateway::attempt::{InFlight, open};
+use grebedeck::gateway::kept::Kept;
+use grebedeck::gateway::place::Place;
+use grebedeck::gateway::request::{CallerRequest, RoutedRequest};
+use grebedeck::gateway::service::Gateway;
+use grebedeck::gateway::tried::{FailureCause, Refusal, Tried};
+use grebedeck_gateway::{Admitted, ListedTarget, RunState, TargetEntry, TargetState};
+use grebedeck_http::{Headers, RequestHead};
+use lone::{NAMES, rule, settings};
+
+fn target(address: SocketAddr) -> TargetEntry {
+    TargetEntry {
+        id: "i-0".to_string(),
+        service: "notes".to_string(),
+        address,
+        hall: "north".to_string(),
+        slots: 4,
+        state: TargetState::Serving,
+        born_ms: Some(1),
+        cold: Duration::ZERO,
+    }
+}
+
+fn request(gateway: &Gateway) -> RoutedRequest {
+    let head = RequestHead {
+        method: "GET".to_string(),
+        target: "/x".to_string(),
+        minor_version: 1,
+        headers: Headers::default(),
+    };
+    let body = Kept::new(&gateway.bodies);
+    let caller = CallerRequest { head, body, arrived: gateway.now() };
+    let admitted = Admitted { rule: Arc::new(rule()), organisation: None, priority: 1, version: 1 };
+
+    RoutedRequest::new(caller, admitted, "notes".to_string(), None, &NAMES)
+}
+
+/// Chooses a target, lets something happen to it, and sends; gets the cause, and what reached the target.
+fn send_after(happens: impl Fn(&Gateway, &TargetEntry)) -> (FailureCause, usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let entry = target(listener.local_addr().expect("its address"));
+    let gateway = Rc::new(Gateway::new(settings(), NAMES, Tasks::default()));
+    let listed = vec![ListedTarget { version: 1, entry: entry.clone() }];
+    gateway.change_targets(|targets, now| targets.take_snapshot(1, listed, now));
+    let request = request(&gateway);
+    let chosen = Arc::new(entry.clone());
+    let place = Place { in_flight: InFlight::new(&gateway, &chosen), target: chosen };
+    let mut tried = Tried::default();
+    tried.begin(&entry);
+    happens(&gateway, &entry);
+
+    let opened = async_std::task::block_on(open(&gateway, &request, place));
+    let failure = opened.err().expect("no answer");
+    assert_eq!(failure.run, RunState::NotRun);
+    assert!(!tried.failed(&failure) && tried.targets().is_empty(), "it counts as no try");
+    drop(gateway);
+    let mut bytes = Vec::new();
+    let (mut stream, _) = listener.accept().expect("a connection was made");
+    let _ = stream.read_to_end(&mut bytes);
+
+    (failure.cause, bytes.len())
+}
+
+#[test]
+fn a_target_that_asked_for_rest_since_it_was_chosen_gets_nothing() {
+    let rests = |gateway: &Gateway, target: &TargetEntry| {
+        let refusal = Refusal { status: 503, asked: Some(Duration::from_secs(3)) };
+        gateway.note_refusal(target, refusal, None);
+    };
+
+    assert_eq!(send_after(rests), (FailureCause::Withdrawn, 0));
+}
+
+#[test]
+fn a_target_that_left_since_it_was_chosen_gets_nothing() {
+    let leaves = |gateway: &Gateway, target: &TargetEntry| {
+        gateway.change_targets(|targets, now| targets.note_leaving(target, now));
+    };
+    let is_gone = |gateway: &Gateway, _: &TargetEntry| {
+        gateway.change_targets(|targets, now| targets.take_snapshot(2, vec![], now));
+    };
+
+    assert_eq!(send_after(leaves), (FailureCause::Withdrawn, 0));
+    assert_eq!(send_after(is_gone), (FailureCause::Withdrawn, 0));
+}
