Lines on targets that refuse are bounded; a full target is no outcome of a trial

A trial that finds the target full by its own load may be made again at once, where it waited for a second. Found by reading.

--- a/grebedeck-gateway/src/refusals.rs
+++ b/grebedeck-gateway/src/refusals.rs
@@ -109,6 +109,13 @@
         }
     }
 
+    /// Notes that a target refused a request as it is full, which its load says: that is no outcome of a trial.
+    pub fn full(&mut self, target: &str) {
+        if let Some(known) = self.targets.get_mut(target) {
+            known.trial_until = None;
+        }
+    }
+
     /// Notes that a target took a request; tells whether it had refused before. While it rests that says nothing: the
     /// request was sent before.
     pub fn took(&mut self, target: &TargetEntry, now: Moment) -> bool {
--- a/grebedeck-gateway/tests/refusals.rs
+++ b/grebedeck-gateway/tests/refusals.rs
@@ -74,6 +74,18 @@
     assert_eq!(open(&refusals, &all, true, 2003), ["t0", "t1"]);
 }
 
+#[test]
+fn a_trial_that_finds_a_full_target_may_be_made_again_at_once() {
+    let all = targets(2);
+    let mut refusals = Refusals::default();
+    refusals.refused(&all[0], Some(MS * 1000), at(0));
+    refusals.sent(&all[0], at(1000));
+    refusals.full("t0");
+    refusals.full("t1");
+    assert_eq!(open(&refusals, &all, true, 1001), ["t0", "t1"]);
+    assert_eq!(open(&refusals, &all, false, 1001), ["t1"], "it has taken nothing yet");
+}
+
 #[test]
 fn pauses_double_and_requests_that_are_refused_together_count_as_one() {
     let all = targets(1);
--- a/grebedeck/src/agent/service.rs
+++ b/grebedeck/src/agent/service.rs
@@ -7,6 +7,7 @@
 use grebedeck_core::{AttemptId, Incarnation, Moment};
 use grebedeck_gateway::Rest;
 use grebedeck_gateway::rest::asked_rest;
+use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Counter, Metrics, Service, log};
 use grebedeck_net::http::HttpClient;
 use grebedeck_routing::{Gate, GateOptions, LoadReport, Start, StrikeAnswer, Verdict};
@@ -16,6 +17,9 @@
 use super::CONNECT_LIMIT_MS;
 use crate::settings::{AgentSettings, millis};
 
+/// Lines a second on a target that wants rest; its answers to requests under way may all say so.
+const LINES_PER_S: f64 = 1.0;
+
 /// The agent's service.
 pub struct AgentService {
     pub(super) clock: Clock,
@@ -23,8 +27,13 @@
     pub(super) max_body_bytes: usize,
     pub(super) verdicts: Counter,
     gate: Mutex<Gate>,
-    /// Until when the target itself wants nothing.
-    rest: Mutex<Rest>,
+    rest: Mutex<TargetRest>,
+}
+
+/// Until when the target itself wants nothing, and the lines on that.
+struct TargetRest {
+    rest: Rest,
+    lines: LineBudget,
 }
 
 /// Notes in the gate that an attempt ended, when it is dropped.
@@ -75,7 +84,10 @@
                 "verdict",
                 "Attempts by the gate's verdict",
             ),
-            rest: Mutex::default(),
+            rest: Mutex::new(TargetRest {
+                rest: Rest::default(),
+                lines: LineBudget::new(LINES_PER_S),
+            }),
             gate: Mutex::new(Gate::new(incarnation, unix_ms(), options)),
         }
     }
@@ -110,7 +122,7 @@
 
     /// Gets how much longer the target rests, where it does.
     pub(super) fn rest_left(&self) -> Option<Duration> {
-        let left = self.rest().left(self.now());
+        let left = self.rest().rest.left(self.now());
 
         (!left.is_zero()).then_some(left)
     }
@@ -123,12 +135,18 @@
 
         if let Some(asked) = asked_rest(response.status() as u16, values) {
             let rest_ms = asked.as_millis() as u64;
-            log::info!("target rests", kv: { status = response.status() as u16, rest_ms });
-            self.rest().ask(asked, now);
+            let mut known = self.rest();
+            known.rest.ask(asked, now);
+
+            if known.lines.take(now) {
+                let left_out = known.lines.take_left_out();
+                let status = response.status() as u16;
+                log::info!("target rests", kv: { status, rest_ms, left_out });
+            }
         }
     }
 
-    fn rest(&self) -> MutexGuard<'_, Rest> {
+    fn rest(&self) -> MutexGuard<'_, TargetRest> {
         self.rest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/grebedeck/src/gateway/refusing.rs
+++ b/grebedeck/src/gateway/refusing.rs
@@ -15,6 +15,10 @@
 use super::tried::{FailureCause, Refusal};
 use crate::settings::millis;
 
+/// Lines a second on targets that refuse: each of some tens of targets begins and ends, and a target that refuses every
+/// other request would write two lines for each.
+pub const REFUSING_LINES_PER_S: f64 = 20.0;
+
 impl Gateway {
     /// Takes in that a target leaves, if the head of an answer says so. It holds whichever request the answer is to.
     pub(super) fn note_leaving_word(&self, target: &TargetEntry, head: &ResponseHead) {
@@ -50,7 +54,7 @@
     /// Takes in a target's refusal. Of one that says that it is full its load tells enough, unless it asks for rest.
     pub fn note_refusal(&self, target: &TargetEntry, refusal: Refusal, load: Option<TargetLoad>) {
         if refusal.asked.is_none() && load.is_some_and(|load| !load.has_room()) {
-            return;
+            return self.refusals.borrow_mut().full(&target.id);
         }
 
         let now = self.now();
@@ -62,23 +66,45 @@
             RefusalNews::Rests => {
                 let rest_ms = self.rest_left(id, now).as_millis() as u64;
                 self.counters.refusing.add("rests");
-                log::info!("target rests", kv: { target = id, status, rest_ms });
+
+                if let Some(left_out) = self.take_refusing_line(now) {
+                    log::info!("target rests", kv: { target = id, status, rest_ms, left_out });
+                }
             }
             RefusalNews::Paused(pause) => {
                 let pause_ms = pause.as_millis() as u64;
                 self.counters.refusing.add("paused");
-                log::info!("target paused", kv: { target = id, status, pause_ms });
+
+                if let Some(left_out) = self.take_refusing_line(now) {
+                    log::info!("target paused", kv: { target = id, status, pause_ms, left_out });
+                }
             }
         }
     }
 
     /// Notes that a target took a request.
     pub(super) fn note_target_took(&self, target: &TargetEntry) {
-        if self.refusals.borrow_mut().took(target, self.now()) {
-            self.counters.refusing.add("took");
-            log::info!("target takes requests again", kv: { target = target.id.as_str() });
-            self.freed.notify(usize::MAX);
+        let now = self.now();
+
+        if !self.refusals.borrow_mut().took(target, now) {
+            return;
         }
+
+        self.counters.refusing.add("took");
+
+        if let Some(left_out) = self.take_refusing_line(now) {
+            let target = target.id.as_str();
+            log::info!("target takes requests again", kv: { target, left_out });
+        }
+
+        self.freed.notify(usize::MAX);
+    }
+
+    /// Takes a line on targets that refuse, where there is one left; gives how many were left out before it.
+    fn take_refusing_line(&self, now: Moment) -> Option<u64> {
+        let mut lines = self.refusing_lines.borrow_mut();
+
+        lines.take(now).then(|| lines.take_left_out())
     }
 
     /// Notes that a request goes to a target, which may be on trial.
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -26,6 +26,7 @@
 use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
+use super::refusing::REFUSING_LINES_PER_S;
 use super::request::RoutedRequest;
 use super::starts::ENTRY_LINES_PER_S;
 use super::stop::StopState;
@@ -80,6 +81,8 @@
     pub(super) cold: RefCell<ColdGate>,
     /// Targets that refuse requests or want rest.
     pub(super) refusals: RefCell<Refusals>,
+    /// Lines on targets that refuse.
+    pub(super) refusing_lines: RefCell<LineBudget>,
     /// Lines on entries that cannot be read.
     pub(super) entry_lines: RefCell<LineBudget>,
     /// Requests that wait for a place.
@@ -122,6 +125,7 @@
             patience: RefCell::default(),
             cold: RefCell::default(),
             refusals: RefCell::default(),
+            refusing_lines: RefCell::new(LineBudget::new(REFUSING_LINES_PER_S)),
             entry_lines: RefCell::new(LineBudget::new(ENTRY_LINES_PER_S)),
             waiting: Waiting::default(),
         };
--- a/grebedeck/src/rank/rested.rs
+++ b/grebedeck/src/rank/rested.rs
@@ -12,13 +12,17 @@
 use grebedeck_experts::engine::PlacementNo;
 use grebedeck_experts::{OrderEnd, RankAction, RankCounts, RankEngine, RankOrder, RankReport};
 use grebedeck_gateway::Rest;
+use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, log};
 
 /// Engines whose rest is remembered: more than the ranks of a group.
 const MAX_REMEMBERED: usize = 1024;
 
+/// Lines a second on engines that rest: one that asks for none of it may be asked fifty times.
+const LINES_PER_S: f64 = 2.0;
+
 /// Rests that engines have asked for, by address.
-type Rests = Rc<RefCell<BTreeMap<SocketAddr, Rest>>>;
+type Rests = BTreeMap<SocketAddr, Rest>;
 
 /// An engine that is not called in the rest that it asks for.
 #[derive(Clone)]
@@ -26,13 +30,16 @@
     engine: E,
     address: SocketAddr,
     clock: Clock,
-    rests: Rests,
+    rests: Rc<RefCell<Rests>>,
+    lines: Rc<RefCell<LineBudget>>,
 }
 
 impl<E: RankEngine> Rested<E> {
     /// Takes the engine at an address, of which nothing is known yet.
     pub fn new(engine: E, address: SocketAddr) -> Self {
-        Rested { engine, address, clock: Clock::default(), rests: Rests::default() }
+        let lines = Rc::new(RefCell::new(LineBudget::new(LINES_PER_S)));
+
+        Rested { engine, address, clock: Clock::default(), rests: Rc::default(), lines }
     }
 
     /// Fails where the engine rests.
@@ -59,7 +66,7 @@
 
         let rest = rests.entry(self.address).or_default();
 
-        if !rest.holds(now) {
+        if !rest.holds(now) && self.lines.borrow_mut().take(now) {
             let rest_ms = asked.as_millis() as u64;
             log::warn!("engine rests", kv: { address = self.address.to_string(), rest_ms });
         }
