--- a/grebedeck-lab/src/losses.rs
+++ b/grebedeck-lab/src/losses.rs
@@ -50,6 +50,8 @@
     RefusedOut,
     /// Refused, as all targets stood in evacuated halls.
     RefusedEvacuated,
+    /// Refused, as all targets had asked for rest.
+    RefusedResting,
     /// Refused for another reason.
     RefusedOther,
     /// The time was over.
@@ -229,6 +231,7 @@
         ("refused", Some("paced")) => Some(Cause::RefusedPaced),
         ("refused", Some("out")) => Some(Cause::RefusedOut),
         ("refused", Some("evacuated")) => Some(Cause::RefusedEvacuated),
+        ("refused", Some("resting")) => Some(Cause::RefusedResting),
         ("refused", _) => Some(Cause::RefusedOther),
         ("timed_out", _) => Some(Cause::TimedOut),
         ("cut", _) => Some(Cause::Cut),
--- a/grebedeck-lab/tests/losses.rs
+++ b/grebedeck-lab/tests/losses.rs
@@ -64,13 +64,17 @@
 }
 
 #[test]
-fn refusals_because_of_an_evacuation_have_their_own_cause() {
-    let lines = [
-        line(2, "no place", json!({ "request": "a", "at_ms": 0, "reason": "evacuated" })),
-        line(3, "request ended", json!({ "request": "a", "at_ms": 0, "end": "refused" })),
-    ];
+fn refusals_that_concern_all_targets_have_causes_of_their_own() {
+    for (reason, cause) in
+        [("evacuated", Cause::RefusedEvacuated), ("resting", Cause::RefusedResting)]
+    {
+        let lines = [
+            line(2, "no place", json!({ "request": "a", "at_ms": 0, "reason": reason })),
+            line(3, "request ended", json!({ "request": "a", "at_ms": 0, "end": "refused" })),
+        ];
 
-    assert_eq!(causes(&lines), [Cause::RefusedEvacuated]);
+        assert_eq!(causes(&lines), [cause]);
+    }
 }
 
 #[test]
