--- a/grebedeck-gateway/src/wire.rs
+++ b/grebedeck-gateway/src/wire.rs
@@ -58,9 +58,14 @@
         Some(TargetLoad { running, waiting, slots })
     }
 
+    /// Gets the requests that run or wait.
+    pub fn in_flight(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+
     /// Tells whether the target has a place free.
     pub fn has_room(self) -> bool {
-        self.running.saturating_add(self.waiting) < self.slots
+        self.in_flight() < self.slots
     }
 }
 
--- a/grebedeck-gateway/tests/refusals.rs
+++ b/grebedeck-gateway/tests/refusals.rs
@@ -7,7 +7,7 @@
 use grebedeck_core::{Moment, RandomSource};
 use grebedeck_gateway::refusals::{RefusalNews, Refusals};
 use grebedeck_gateway::rest::{MAX_REST, UNREADABLE_REST, asked_rest, parse_rest};
-use grebedeck_gateway::wire::says_leaving;
+use grebedeck_gateway::wire::{TargetLoad, says_leaving};
 use grebedeck_gateway::{TargetEntry, TargetState};
 use proptest::prelude::*;
 
@@ -175,6 +175,13 @@
     }
 }
 
+#[test]
+fn a_load_beyond_all_numbers_is_no_free_place() {
+    let load = TargetLoad::parse("4294967295,1,8").expect("three numbers");
+    assert_eq!(load.in_flight(), u32::MAX);
+    assert!(!load.has_room());
+}
+
 #[test]
 fn only_a_plain_no_says_that_a_target_does_not_leave() {
     assert!(!says_leaving(b"0"));
--- a/grebedeck/src/gateway/refusing.rs
+++ b/grebedeck/src/gateway/refusing.rs
@@ -43,7 +43,7 @@
 
         if let Some(load) = text.and_then(TargetLoad::parse) {
             let report = LoadReport {
-                in_flight: load.running + load.waiting,
+                in_flight: load.in_flight(),
                 waiting: load.waiting,
                 places: load.slots,
             };
