One piece for a line and what was left out before it; a target's load is read once for each answer

The pair take and take_left_out stood in four places and is LineBudget::take_line now; the load header was parsed twice for each answer on the way of a request; the trials that may be made were changed by two pieces of code, one of which looked the service up three times. Behaviour is as before.

--- a/grebedeck-gateway/src/refusals.rs
+++ b/grebedeck-gateway/src/refusals.rs
@@ -128,8 +128,7 @@
         }
 
         if known.trial_until.is_some() {
-            let saved = self.saved.entry(target.service.clone()).or_insert(MAX_SAVED);
-            *saved = (*saved + 1.0).min(MAX_SAVED);
+            self.change_saved(&target.service, 1.0);
         }
 
         self.targets.remove(&target.id);
@@ -145,18 +144,22 @@
             known.trial_until = Some(now + TRIAL_LIMIT);
         }
 
-        if !self.saved.contains_key(&target.service) {
-            self.saved.insert(target.service.clone(), MAX_SAVED);
-        }
-
-        if let Some(saved) = self.saved.get_mut(&target.service) {
-            let change = if is_trial { -1.0 } else { TRIAL_PART };
-            *saved = (*saved + change).clamp(0.0, MAX_SAVED);
-        }
+        self.change_saved(&target.service, if is_trial { -1.0 } else { TRIAL_PART });
 
         is_trial
     }
 
+    /// Adds to the trials of a service that may be made. It is done for each request, so a known service's name is not
+    /// copied.
+    fn change_saved(&mut self, service: &str, change: f64) {
+        let changed = |saved: f64| (saved + change).clamp(0.0, MAX_SAVED);
+
+        match self.saved.get_mut(service) {
+            Some(saved) => *saved = changed(*saved),
+            None => drop(self.saved.insert(service.to_string(), changed(MAX_SAVED))),
+        }
+    }
+
     /// Gets how much longer a target rests.
     pub fn rest_left(&self, target: &str, now: Moment) -> Duration {
         self.targets.get(target).map_or(Duration::ZERO, |known| known.rest.left(now))
--- a/grebedeck-kernel/src/log.rs
+++ b/grebedeck-kernel/src/log.rs
@@ -171,6 +171,11 @@
         true
     }
 
+    /// Takes one, where there is one left; gives how many were not let through before it.
+    pub fn take_line(&mut self, now: Duration) -> Option<u64> {
+        self.take(now).then(|| self.take_left_out())
+    }
+
     /// Gets how many were not let through since this was asked last.
     pub fn take_left_out(&mut self) -> u64 {
         std::mem::take(&mut self.left_out)
--- a/grebedeck/src/agent/service.rs
+++ b/grebedeck/src/agent/service.rs
@@ -138,8 +138,7 @@
             let mut known = self.rest();
             known.rest.ask(asked, now);
 
-            if known.lines.take(now) {
-                let left_out = known.lines.take_left_out();
+            if let Some(left_out) = known.lines.take_line(now) {
                 let status = response.status() as u16;
                 log::info!("target rests", kv: { status, rest_ms, left_out });
             }
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -228,7 +228,7 @@
         return;
     }
 
-    gateway.note_load_word(target, head);
+    gateway.note_load_word(target, head, load);
 
     if verdict == Verdict::Refused || refusal.asked.is_some() {
         gateway.note_refusal(target, refusal, load);
--- a/grebedeck/src/gateway/refusing.rs
+++ b/grebedeck/src/gateway/refusing.rs
@@ -28,7 +28,12 @@
     }
 
     /// Takes in what the head of an answer says of the target's load.
-    pub(super) fn note_load_word(&self, target: &TargetEntry, head: &ResponseHead) {
+    pub(super) fn note_load_word(
+        &self,
+        target: &TargetEntry,
+        head: &ResponseHead,
+        load: Option<TargetLoad>,
+    ) {
         if self.is_earlier_start(target) {
             return;
         }
@@ -39,9 +44,7 @@
             self.note_cold(&target.id, millis(cold_ms));
         }
 
-        let text = head.headers.text(self.names.load);
-
-        if let Some(load) = text.and_then(TargetLoad::parse) {
+        if let Some(load) = load {
             let report = LoadReport {
                 in_flight: load.in_flight(),
                 waiting: load.waiting,
@@ -67,7 +70,7 @@
                 let rest_ms = self.rest_left(id, now).as_millis() as u64;
                 self.counters.refusing.add("rests");
 
-                if let Some(left_out) = self.take_refusing_line(now) {
+                if let Some(left_out) = self.refusing_lines.borrow_mut().take_line(now) {
                     log::info!("target rests", kv: { target = id, status, rest_ms, left_out });
                 }
             }
@@ -75,7 +78,7 @@
                 let pause_ms = pause.as_millis() as u64;
                 self.counters.refusing.add("paused");
 
-                if let Some(left_out) = self.take_refusing_line(now) {
+                if let Some(left_out) = self.refusing_lines.borrow_mut().take_line(now) {
                     log::info!("target paused", kv: { target = id, status, pause_ms, left_out });
                 }
             }
@@ -92,7 +95,7 @@
 
         self.counters.refusing.add("took");
 
-        if let Some(left_out) = self.take_refusing_line(now) {
+        if let Some(left_out) = self.refusing_lines.borrow_mut().take_line(now) {
             let target = target.id.as_str();
             log::info!("target takes requests again", kv: { target, left_out });
         }
@@ -100,13 +103,6 @@
         self.freed.notify(usize::MAX);
     }
 
-    /// Takes a line on targets that refuse, where there is one left; gives how many were left out before it.
-    fn take_refusing_line(&self, now: Moment) -> Option<u64> {
-        let mut lines = self.refusing_lines.borrow_mut();
-
-        lines.take(now).then(|| lines.take_left_out())
-    }
-
     /// Notes that a request goes to a target, which may be on trial.
     pub(super) fn note_sent(&self, target: &TargetEntry, now: Moment) {
         if self.refusals.borrow_mut().sent(target, now) {
--- a/grebedeck/src/gateway/starts.rs
+++ b/grebedeck/src/gateway/starts.rs
@@ -32,10 +32,9 @@
     /// Tells of an entry that cannot be read.
     pub(super) fn note_unreadable(&self, id: &str, reason: &str) {
         self.counters.starts.add("unreadable");
-        let mut lines = self.entry_lines.borrow_mut();
+        let line = self.entry_lines.borrow_mut().take_line(self.now());
 
-        if lines.take(self.now()) {
-            let left_out = lines.take_left_out();
+        if let Some(left_out) = line {
             log::warn!("entry not readable", kv: { target = id, reason, left_out });
         }
     }
