--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -85,8 +85,7 @@
     }
 
     fn note_unread(&mut self, length_bytes: usize, error: &Error, now: Moment) {
-        if self.lines.take(now) {
-            let left_out = self.lines.take_left_out();
+        if let Some(left_out) = self.lines.take_line(now) {
             log::warn!("datagram not understood", kv: {
                 length_bytes, left_out, error = error.to_string(),
             });
