Gateways find the target of a load by its address, and take waiting datagrams in without a timer for each

Cause: each load that a rank tells was looked up by a walk over all targets, so a gateway's work grew with ranks x targets: some 3,000 loads a second x 788 entries in a fleet of 980 instances. Each datagram also made and dropped a timer of the ask for loads.

Change: an index by address, made with the other indices when the list changes; one task takes datagrams, all that have come in one go, and another asks for loads.

Cost: a lookup is one hash, whatever the number of targets; the index is one pass over the targets for each answer of the store, as the others are.

--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -136,6 +136,8 @@
 pub struct TargetList {
     known: BTreeMap<TargetId, Known>,
     serving: HashMap<ServiceName, Arc<[Arc<TargetEntry>]>>,
+    /// The newest target at each address, as every load that is told of is looked up by it.
+    by_address: HashMap<SocketAddr, (StoreVersion, Arc<TargetEntry>)>,
     version: StoreVersion,
     /// Ids whose newest entries cannot be read, with the store's version of it and what is wrong.
     unreadable: BTreeMap<TargetId, (StoreVersion, String)>,
@@ -349,9 +351,7 @@
 
     /// Gets the target that has an address now.
     pub fn newest_at(&self, address: SocketAddr) -> Option<Arc<TargetEntry>> {
-        let there = self.known.values().filter(|k| k.entry.address == address);
-
-        there.max_by_key(|k| k.version).map(|k| k.entry.clone())
+        self.by_address.get(&address).map(|(_, entry)| entry.clone())
     }
 
     /// Gets a target.
@@ -504,6 +504,7 @@
     }
 
     fn index(&mut self) {
+        self.index_addresses();
         let mut by_service: HashMap<ServiceName, Vec<Arc<TargetEntry>>> = HashMap::new();
         let mut newest: HashMap<SocketAddr, StoreVersion> = HashMap::new();
 
@@ -540,4 +541,17 @@
         self.evacuated = stopped.iter().filter(is_left).map(|s| (*s).clone()).collect();
         self.serving = by_service.into_iter().map(|(name, list)| (name, list.into())).collect();
     }
+
+    fn index_addresses(&mut self) {
+        self.by_address.clear();
+
+        for known in self.known.values() {
+            let found = (known.version, known.entry.clone());
+            let newest = self.by_address.entry(known.entry.address).or_insert(found.clone());
+
+            if found.0 >= newest.0 {
+                *newest = found;
+            }
+        }
+    }
 }
--- a/grebedeck-gateway/tests/targets.rs
+++ b/grebedeck-gateway/tests/targets.rs
@@ -364,3 +364,18 @@
     list.tick(MS(20_000));
     assert_eq!(serving(&list), ["a", "b"]);
 }
+
+#[test]
+fn a_target_is_found_by_its_address_and_the_newest_one_there() {
+    let mut list = TargetList::default();
+    list.take_snapshot(10, vec![listed(8, "a", 1), listed(10, "b", 1), listed(9, "c", 2)], MS(0));
+    let found = |list: &TargetList, port: u16| {
+        list.newest_at(([127, 0, 0, 1], port).into()).map(|target| target.id.clone())
+    };
+
+    assert_eq!(found(&list, 1), Some("b".into()));
+    assert_eq!(found(&list, 2), Some("c".into()));
+    assert_eq!(found(&list, 3), None);
+    list.take_changes(11, vec![removed(11, "b")], MS(10));
+    assert_eq!(found(&list, 1), Some("a".into()));
+}
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -98,7 +98,8 @@
     tasks.spawn(watch::follow_targets(gateway.clone(), store.clone())).detach();
     tasks.spawn(gossip::keep(gateway.clone(), store.clone())).detach();
     tasks.spawn(peers::follow_list(gateway.clone(), store)).detach();
-    tasks.spawn(loads::follow(gateway.clone(), socket.clone())).detach();
+    tasks.spawn(loads::receive(gateway.clone(), socket.clone())).detach();
+    tasks.spawn(loads::subscribe(gateway.clone(), socket.clone())).detach();
     tasks.spawn(gossip::follow(gateway.clone(), socket)).detach();
     tasks.spawn(peers::follow_peers(gateway.clone())).detach();
     serve_pages(&gateway, ready_listener, |gateway, _| {
--- a/grebedeck/src/gateway/loads.rs
+++ b/grebedeck/src/gateway/loads.rs
@@ -15,44 +15,56 @@
 use super::service::Gateway;
 use crate::rank::message::{Body, Datagram, DatagramReader, MAX_DATAGRAM_BYTES};
 
-/// Takes datagrams in, and asks for loads from time to time, until the task is dropped.
-pub async fn follow(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+/// Datagrams that are taken in before other tasks get their turn: some milliseconds' worth of work.
+const MAX_AT_ONCE: usize = 64;
+
+/// Takes datagrams in until the task is dropped.
+pub async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut asked_at = None;
     let mut reader = DatagramReader::default();
 
     loop {
-        let now = gateway.now();
-
-        let period = if gateway.hears_ranks() { WATCH_PERIOD } else { FIRST_WATCH_PERIOD };
-
-        if asked_at.is_none_or(|at| now >= at + period) {
-            asked_at = Some(now);
-            ask(&gateway, &socket).await;
+        if let Ok((length, _)) = socket.recv_from(&mut buffer).await {
+            receive_one(&gateway, &socket, &mut reader, &buffer[..length]).await;
         }
 
-        futures::select! {
-            received = socket.recv_from(&mut buffer).fuse() => {
-                if let Ok((length, _)) = received {
-                    let datagram = reader.read(&buffer[..length], gateway.now());
-
-                    match datagram {
-                        Some(Datagram { from, body: Body::Load(load), .. }) => {
-                            gateway.note_rank(from, &load);
-                        }
-                        Some(Datagram { from, body: Body::Suspects(message), .. }) => {
-                            gossip::take(&gateway, &socket, from, message).await;
-                        }
-                        // Between ranks.
-                        _ => {}
-                    }
+        // Those that have come already are taken in without waiting for the socket once more for each.
+        for _ in 1..MAX_AT_ONCE {
+            match socket.recv_from(&mut buffer).now_or_never() {
+                Some(Ok((length, _))) => {
+                    receive_one(&gateway, &socket, &mut reader, &buffer[..length]).await;
                 }
+                _ => break,
             }
-            () = async_std::task::sleep(period).fuse() => {}
         }
     }
 }
 
+async fn receive_one(
+    gateway: &Rc<Gateway>,
+    socket: &UdpSocket,
+    reader: &mut DatagramReader,
+    bytes: &[u8],
+) {
+    match reader.read(bytes, gateway.now()) {
+        Some(Datagram { from, body: Body::Load(load), .. }) => gateway.note_rank(from, &load),
+        Some(Datagram { from, body: Body::Suspects(message), .. }) => {
+            gossip::take(gateway, socket, from, message).await;
+        }
+        // Between ranks.
+        _ => {}
+    }
+}
+
+/// Asks for loads from time to time until the task is dropped.
+pub async fn subscribe(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    loop {
+        ask(&gateway, &socket).await;
+        let period = if gateway.hears_ranks() { WATCH_PERIOD } else { FIRST_WATCH_PERIOD };
+        async_std::task::sleep(period).await;
+    }
+}
+
 /// Asks the processes beside all targets of models.
 async fn ask(gateway: &Gateway, socket: &UdpSocket) {
     let settings = gateway.settings();
