Gateways hear and choose among a subset of each service's targets

Cause: each gateway asked each rank process each second to go on telling its load, and each rank told each gateway: 768 x 212 pairs, a datagram for each five times a second, most of them across halls. That grows with gateways x ranks. A gateway with 1.5 requests a second uses a handful of those loads.

Change: a gateway deals with 64 targets of a service, 16 of them in other halls, by rendezvous of its name with the targets' (the entries' subset, now for both). It hears their loads and chooses among them; shares of prompts are shares of what is sent to them. Where none of them takes requests (rest, closed groups, refusals) all targets are looked at; where they are full they are not, as of the others no load is known. Services with up to 64 targets are dealt with as before.

Cost: a gateway hears 64 targets and looks at 64 for a request, whatever the fleet; a rank is heard by gateways x 64 / targets, which stays as both grow. What remains is one pass over the list for each change of it. Tested by size at 53 to 424 gateways and 192 to 1,536 targets.

--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use grebedeck_core::{HallName, Moment, ServiceName};
+use grebedeck_routing::subset::{SubsetOptions, subset};
 use grebedeck_routing::{Birth, Candidate};
 use serde::{Deserialize, Serialize};
 
@@ -131,11 +132,26 @@
     },
 }
 
+/// The process whose subset of each service's targets is wanted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubsetView {
+    /// The process's name.
+    pub process: String,
+    /// The hall that it stands in.
+    pub hall: HallName,
+    /// Settings of the subset.
+    pub options: SubsetOptions,
+}
+
 /// All targets that are known.
 #[derive(Clone, Debug, Default)]
 pub struct TargetList {
     known: BTreeMap<TargetId, Known>,
     serving: HashMap<ServiceName, Arc<[Arc<TargetEntry>]>>,
+    /// Those of them that this process deals with.
+    candidates: HashMap<ServiceName, Arc<[Arc<TargetEntry>]>>,
+    /// Who deals with which part of a service's targets; with all of them while that is not set.
+    view: Option<SubsetView>,
     /// The newest target at each address, as every load that is told of is looked up by it.
     by_address: HashMap<SocketAddr, (StoreVersion, Arc<TargetEntry>)>,
     version: StoreVersion,
@@ -334,6 +350,23 @@
         self.index();
     }
 
+    /// Sets whose subset of each service's targets [`TargetList::candidates`] gives.
+    pub fn set_view(&mut self, view: SubsetView) {
+        self.view = Some(view);
+        self.index();
+    }
+
+    /// Gets the targets of a service that take work and that this process deals with: it hears their loads, and
+    /// chooses among them.
+    pub fn candidates(&self, service: &str) -> Option<&Arc<[Arc<TargetEntry>]>> {
+        self.candidates.get(service)
+    }
+
+    /// Gets all targets that this process deals with, with their services.
+    pub fn all_candidates(&self) -> impl Iterator<Item = &Arc<TargetEntry>> {
+        self.candidates.values().flat_map(|targets| targets.iter())
+    }
+
     /// Gets the targets of a service that take work.
     pub fn serving(&self, service: &str) -> Option<&Arc<[Arc<TargetEntry>]>> {
         self.serving.get(service)
@@ -540,6 +573,19 @@
         let is_left = |service: &&&ServiceName| !by_service.contains_key(**service);
         self.evacuated = stopped.iter().filter(is_left).map(|s| (*s).clone()).collect();
         self.serving = by_service.into_iter().map(|(name, list)| (name, list.into())).collect();
+        self.index_candidates();
+    }
+
+    fn index_candidates(&mut self) {
+        let of_service = |serving: &Arc<[Arc<TargetEntry>]>| match &self.view {
+            Some(view) if serving.len() > view.options.size => {
+                subset(serving, &view.process, &view.hall, view.options).into()
+            }
+            _ => serving.clone(),
+        };
+
+        self.candidates =
+            self.serving.iter().map(|(name, list)| (name.clone(), of_service(list))).collect();
     }
 
     fn index_addresses(&mut self) {
--- a/grebedeck-gateway/tests/targets.rs
+++ b/grebedeck-gateway/tests/targets.rs
@@ -1,12 +1,14 @@
 //! The list of targets: late, lapsed and replaced entries.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use grebedeck_gateway::targets::ListEvent;
+use grebedeck_gateway::targets::{ListEvent, SubsetView};
 use grebedeck_gateway::{
     ListedTarget, TargetChange, TargetEntry, TargetList, TargetListing, TargetState,
 };
+use grebedeck_routing::subset::SubsetOptions;
 use proptest::prelude::*;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -28,6 +30,12 @@
     ListedTarget { version, entry: entry(id, port, TargetState::Serving) }
 }
 
+fn in_hall(at: usize, hall: &str) -> ListedTarget {
+    let target = entry(&format!("t-{at}"), at as u16 + 1, TargetState::Serving);
+
+    ListedTarget { version: 1, entry: TargetEntry { hall: hall.into(), ..target } }
+}
+
 fn leaving(version: u64, id: &str, port: u16) -> TargetChange {
     TargetChange::Set(ListedTarget { version, entry: entry(id, port, TargetState::Leaving) })
 }
@@ -365,6 +373,36 @@
     assert_eq!(serving(&list), ["a", "b"]);
 }
 
+/// Load: a fleet of four sizes. What a gateway hears follows from the size of its subset, and each target is heard by
+/// about as many gateways, as both grow.
+#[test]
+fn the_targets_that_a_gateway_deals_with_do_not_grow_with_the_fleet() {
+    const SIZE: usize = 64;
+
+    for (gateways, targets) in [(53, 192), (106, 384), (212, 768), (424, 1536)] {
+        let listed: Vec<ListedTarget> =
+            (0..targets).map(|at| in_hall(at, &format!("hall-{}", at % 5))).collect();
+        let mut heard_by: HashMap<String, usize> = HashMap::new();
+
+        for gateway in 0..gateways {
+            let mut list = TargetList::default();
+            let options = SubsetOptions { size: SIZE, elsewhere: 16 };
+            let (process, hall) = (format!("gateway-{gateway}"), format!("hall-{}", gateway % 5));
+            list.set_view(SubsetView { process, hall: hall.clone(), options });
+            list.take_snapshot(1, listed.clone(), MS(0));
+            let candidates = list.candidates("plain").expect("the service has targets");
+            assert_eq!(candidates.len(), SIZE);
+            let elsewhere = candidates.iter().filter(|t| t.hall != hall).count();
+            assert!(elsewhere >= 16, "{elsewhere} in other halls");
+            candidates.iter().for_each(|t| *heard_by.entry(t.id.clone()).or_default() += 1);
+        }
+
+        let most = heard_by.values().max().copied().unwrap_or(0);
+        assert_eq!(heard_by.len(), targets, "each target is heard by somebody");
+        assert!(most <= 40, "{targets} targets: one is heard by {most} gateways");
+    }
+}
+
 #[test]
 fn a_target_is_found_by_its_address_and_the_newest_one_there() {
     let mut list = TargetList::default();
--- a/grebedeck-routing/tests/decisions.rs
+++ b/grebedeck-routing/tests/decisions.rs
@@ -8,10 +8,11 @@
 use grebedeck_core::random::SeededSource;
 use grebedeck_core::{Outcome, Reason};
 use grebedeck_routing::attempt::MAX_ATTEMPTS;
+use grebedeck_routing::subset::{SubsetOptions, subset};
 use grebedeck_routing::{
     Admission, AdmissionOptions, AllowedSince, AttemptEnd, AttemptTracker, Chooser, ChooserOptions,
     Health, HealthOptions, Key, LoadReport, Next, RequestTraits, RetryBudget, RetryOptions,
-    find_home, subset,
+    find_home,
 };
 
 fn routes(count: usize) -> Vec<Arc<Route>> {
@@ -244,7 +245,8 @@
     let mut used: HashMap<String, u32> = HashMap::new();
 
     for entry in 0..400 {
-        let part = subset::subset(&all, &format!("entry-{entry}"), "hall-1", 12);
+        let options = SubsetOptions { size: 12, elsewhere: 6 };
+        let part = subset(&all, &format!("entry-{entry}"), "hall-1", options);
         assert_eq!(part.len(), 12);
         assert_eq!(part.iter().filter(|r| r.hall == "hall-1").count(), 6);
         part.iter().for_each(|r| *used.entry(r.name.clone()).or_insert(0) += 1);
--- a/grebedeck/src/entry/service.rs
+++ b/grebedeck/src/entry/service.rs
@@ -6,8 +6,9 @@
 use grebedeck_config::{Route, Routes};
 use grebedeck_core::{Moment, OrganisationName, Outcome, Reason};
 use grebedeck_kernel::{Clock, Counter, Kernel, Metrics, Service};
+use grebedeck_routing::subset::{SubsetOptions, subset};
 use grebedeck_routing::{
-    Admission, AdmissionOptions, Chooser, ChooserOptions, RetryBudget, RetryOptions, subset,
+    Admission, AdmissionOptions, Chooser, ChooserOptions, RetryBudget, RetryOptions,
 };
 use http_types::{Request, Response};
 use serde_json::{Value, json};
@@ -167,7 +168,10 @@
 
     /// Gets the allowed targets that this entry spreads its requests over.
     fn part_of(&self, allowed: &[Arc<Route>]) -> Vec<Arc<Route>> {
-        subset::subset(allowed, &self.name, &self.hall, self.subset_targets)
+        let size = self.subset_targets;
+        let options = SubsetOptions { size, elsewhere: size / 2 };
+
+        subset(allowed, &self.name, &self.hall, options)
     }
 
     /// Drops the views of targets that the configuration no longer has, now and then, until the task
--- a/grebedeck/src/gateway/health.rs
+++ b/grebedeck/src/gateway/health.rs
@@ -78,11 +78,11 @@
             return false;
         }
 
-        let serving = self.serving(&target.service).unwrap_or_default();
+        let candidates = self.candidates(&target.service);
         let chooser = self.chooser.borrow();
-        let steady = chooser.without_slow(&serving, now);
+        let steady = chooser.without_slow(&candidates, now);
 
-        serving.iter().any(|t| t.id == target.id) && steady.iter().all(|t| t.id != target.id)
+        candidates.iter().any(|t| t.id == target.id) && steady.iter().all(|t| t.id != target.id)
     }
 
     /// Notes how slow a rank says that it is.
--- a/grebedeck/src/gateway/loads.rs
+++ b/grebedeck/src/gateway/loads.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// Asks the processes beside all targets of models.
+/// Asks the processes beside the targets of models that this gateway deals with.
 async fn ask(gateway: &Gateway, socket: &UdpSocket) {
     let settings = gateway.settings();
     let own = SocketAddr::new(settings.ip, settings.group_port);
@@ -75,7 +75,7 @@
     let table = gateway.table();
     let is_model = |service: &str| table.service(service).is_some_and(|s| s.engine.is_some());
     let addresses: Vec<SocketAddr> = gateway.with_targets(|targets| {
-        targets.all().filter(|t| is_model(&t.service)).map(|t| t.address).collect()
+        targets.all_candidates().filter(|t| is_model(&t.service)).map(|t| t.address).collect()
     });
 
     for address in addresses {
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -5,7 +5,9 @@
 
 use grebedeck_core::Faults;
 use grebedeck_gateway::chooser_options;
+use grebedeck_gateway::targets::SubsetView;
 use grebedeck_routing::ChooserOptions;
+use grebedeck_routing::subset::SubsetOptions;
 use serde::{Deserialize, Serialize};
 
 use super::mechanism::Mechanism;
@@ -75,6 +77,9 @@
 pub const PROMPT_PART: f64 = 0.15;
 /// Time's worth of prompts that may begin at once, so that usual arrivals do not wait for each other.
 pub const PROMPT_BURST: Duration = Duration::from_millis(100);
+/// Targets of a service that a gateway deals with. It has some of each group of ranks that is a twelfth of the service
+/// among them, and knows whether that is open; three are drawn for each request.
+const SUBSET: SubsetOptions = SubsetOptions { size: 64, elsewhere: 16 };
 /// How often ranks are asked to tell their load.
 pub const WATCH_PERIOD: Duration = Duration::from_millis(1000);
 /// The same while no rank has told anything yet, such as at the start.
@@ -228,6 +233,11 @@
         !self.without.contains(&mechanism)
     }
 
+    /// Gets which part of each service's targets the gateway deals with.
+    pub fn subset_view(&self) -> SubsetView {
+        SubsetView { process: self.name.clone(), hall: self.hall.clone(), options: SUBSET }
+    }
+
     /// Gets how targets are chosen.
     pub fn chooser_options(&self) -> ChooserOptions {
         let mut options = chooser_options();
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -159,16 +159,15 @@
 }
 
 fn no_place(gateway: &Gateway, request: &RoutedRequest, reason: NoPlace, now: Moment) -> Decision {
-    let serving = gateway.serving(&request.service).unwrap_or_default();
-    let serving = gateway.without_cold(&serving, now);
+    let candidates = gateway.without_cold(&gateway.candidates(&request.service), now);
 
     Decision::NoPlace {
         reason,
-        load: gateway.chooser.borrow().mean_load(&serving, now),
-        allowed: gateway.allowed_load(&request.service, &serving, now),
+        load: gateway.chooser.borrow().mean_load(&candidates, now),
+        allowed: gateway.allowed_load(&request.service, &candidates, now),
         pause: gateway.pause(&request.service),
         urgency: request.admitted.urgency(),
-        targets: serving.len(),
+        targets: candidates.len(),
     }
 }
 
@@ -231,20 +230,40 @@
     now: Moment,
 ) -> Result<(Vec<Arc<TargetEntry>>, f64), NoPlace> {
     let serving = gateway.serving(&request.service).ok_or(NoPlace::NoTargets)?;
-    let bearing = gateway.without_cold(&serving, now);
+    let candidates = gateway.candidates(&request.service);
+    let bearing = gateway.without_cold(&candidates, now);
     // A stream that goes on elsewhere has given up a place for it.
     let per_place = match goes_on(request, tried) {
         true => gateway.settings().load.model,
         false => gateway.allowed_load(&request.service, &bearing, now),
     };
-    let serving = gateway.without_held_back(&gateway.without_resting(&serving, now), now);
+    let mut taking = taking(gateway, &candidates, tried, now);
+
+    // Of the others no load is heard, so they serve where none of the own ones can, and not where those are full.
+    if taking.is_empty() && candidates.len() < serving.len() {
+        taking = self::taking(gateway, &serving, tried, now);
+    }
+
+    let chooser = gateway.chooser.borrow();
+    taking.retain(|target| chooser.has_room(&target.id, per_place, now));
+
+    Ok((taking, per_place))
+}
+
+/// Gets those of some targets that take requests now, whatever their load.
+fn taking(
+    gateway: &Gateway,
+    targets: &Arc<[Arc<TargetEntry>]>,
+    tried: &[TargetId],
+    now: Moment,
+) -> Vec<Arc<TargetEntry>> {
+    let targets = gateway.without_held_back(&gateway.without_resting(targets, now), now);
     let chooser = gateway.chooser.borrow();
-    let has_room = |t: &&Arc<TargetEntry>| chooser.has_room(&t.id, per_place, now);
     let is_closed = |t: &&Arc<TargetEntry>| gateway.is_group_closed(t, now);
-    let steady = chooser.without_slow(&serving, now).into_iter().filter(|t| !is_closed(t));
+    let steady = chooser.without_slow(&targets, now).into_iter().filter(|t| !is_closed(t));
     let taking = gateway.refusals.borrow().to_send_to(steady.collect(), tried.is_empty(), now);
 
-    Ok((taking.into_iter().filter(has_room).cloned().collect(), per_place))
+    taking.into_iter().cloned().collect()
 }
 
 /// Tells whether a request is a stream that has begun at another target.
--- a/grebedeck/src/gateway/prompts.rs
+++ b/grebedeck/src/gateway/prompts.rs
@@ -25,13 +25,15 @@
         self.prompts.borrow().get(service).map_or(Duration::ZERO, |rate| rate.wait(now))
     }
 
-    /// Gets this gateway's share of the requests for some targets: what it has in flight itself, and at
-    /// least an equal part.
-    fn share(&self, targets: &[Arc<TargetEntry>], now: Moment) -> f64 {
+    /// Gets this gateway's share of the requests for the targets that it deals with: what it has in flight itself, and
+    /// at least an equal part of what the gateways have that deal with a target.
+    fn share(&self, service: &str, targets: &[Arc<TargetEntry>], now: Moment) -> f64 {
         let chooser = self.chooser.borrow();
+        let serving = self.serving(service).map_or(0, |all| all.len());
         let own: f64 = targets.iter().map(|t| f64::from(chooser.own_in_flight(&t.id))).sum();
         let all: f64 = targets.iter().map(|t| chooser.load_view(&t.id, now).in_flight).sum();
-        let equal = 1.0 / self.gateways() as f64;
+        let sharing = self.gateways() as f64 * targets.len() as f64 / serving.max(1) as f64;
+        let equal = 1.0 / sharing.max(1.0);
 
         (own / all.max(1.0)).clamp(equal, 1.0)
     }
@@ -43,9 +45,9 @@
         let Some(engine) = table.service(service).and_then(|s| s.engine.as_ref()) else {
             return;
         };
-        let serving = self.without_cold(&self.serving(service).unwrap_or_default(), now);
-        let group_tokens_per_s = serving.len() as f64 * engine.read_tokens_per_s * PROMPT_PART;
-        let tokens_per_s = group_tokens_per_s * self.share(&serving, now);
+        let targets = self.without_cold(&self.candidates(service), now);
+        let all_tokens_per_s = targets.len() as f64 * engine.read_tokens_per_s * PROMPT_PART;
+        let tokens_per_s = all_tokens_per_s * self.share(service, &targets, now);
         let tokens = request.request.prompt_tokens(&self.names).unwrap_or(engine.usual_prompt);
         let mut prompts = self.prompts.borrow_mut();
         let first = PromptRate::new(tokens_per_s, PROMPT_BURST);
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -144,6 +144,7 @@
         };
         gateway.count_gateways();
         gateway.set_evacuation_bound();
+        gateway.targets.borrow_mut().set_view(gateway.settings().subset_view());
 
         gateway
     }
@@ -274,6 +275,12 @@
             && !self.stop.is_stopping()
     }
 
+    /// Gets the targets of a service that take work and that this gateway hears the loads of.
+    pub fn candidates(&self, service: &str) -> Arc<[Arc<TargetEntry>]> {
+        self.refresh_halls();
+        self.targets.borrow().candidates(service).cloned().unwrap_or_default()
+    }
+
     /// Notes the first attempt of a request for a service.
     pub fn earn_repeat(&self, service: &str) {
         let now = self.now();
