Two gateways of a hall read the store, and the others follow them

Cause: each gateway watched what operators write and the list of targets by itself, each 4 s and each 1.25 s, and read the list of gateways each 10 s: calls to the store, and the bytes of its answers, grew with gateways x time. A gateway that the store turned away asked three others for all that they know, each 0.4 s.

Change: grebedeck-gateway/relay decides whom a gateway follows, from the list of gateways that all read: the first two of the hall, by their links and a hash, read the store; the others follow one of them through long polls in the store's own versions (grebedeck-gateway/feed), so that any source can go on where another stopped. A relay whose call has failed says so at once; the next in the order takes its place; who is asked becomes a relay; who is cut from the store follows others; halls of up to six gateways read the store as before. What a follower takes for current is dated by its relay's last answer, and what may have been missed is read whole, so that evacuations keep their bound.

Cost: calls for what the store holds are 2 x halls x time, whatever the gateways; each gateway adds two reads and one write of the list at its start. A relay has half of its hall's gateways as followers, one answer for each change; a configuration goes to each of them whole, which is why relays are the gateways with the largest links. Tested by size at 20, 40, 80 and 160 gateways a hall, and with ten gateways before a store that both relays, or all, are cut from.

--- /dev/null
+++ b/grebedeck-gateway/src/relay.rs
@@ -0,0 +1,156 @@
+//! Whom a gateway follows for what the store holds: the store itself, or another gateway that reads it.
+//!
+//! The load that this answers: hundreds of gateways that each watch one store by themselves. Its calls and bytes then
+//! grow with the gateways, and so does what its return after an outage costs.
+//!
+//! In each hall a few gateways, the relays, read the store, and the others follow one of them. All derive the relays
+//! alike, from the list of gateways, so nothing has to be agreed: they are the first of the hall, by their links and then by
+//! a hash. A new configuration goes to all followers at once, which a small link bears at the cost of callers' streams.
+//! A relay that fails its followers is passed over for a while, and the next in the order takes its place. Where lists
+//! or experiences differ, a gateway may be asked that takes itself for no relay; it becomes one for as long as it is
+//! asked. A gateway that comes to itself in the order reads the store, so nobody waits for somebody who waits for it.
+//!
+//! Whoever does not get through to the store itself follows others, wherever it stands in the order.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use grebedeck_core::Moment;
+use grebedeck_core::digest::{digest, rendezvous};
+
+/// Settings of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayOptions {
+    /// Relays of a hall: one that fails leaves another that is fresh.
+    pub per_hall: usize,
+    /// Gateways of a hall up to which each reads the store: a relay would save next to nothing.
+    pub direct_up_to: usize,
+    /// How long a relay that failed is passed over.
+    pub pass_over: Duration,
+    /// How long a gateway that was asked goes on as a relay.
+    pub asked_lifetime: Duration,
+    /// How long others are followed after the store has failed this gateway.
+    pub store_pause: Duration,
+}
+
+impl Default for RelayOptions {
+    fn default() -> Self {
+        RelayOptions {
+            per_hall: 2,
+            direct_up_to: 6,
+            pass_over: Duration::from_secs(10),
+            asked_lifetime: Duration::from_secs(10),
+            store_pause: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What a gateway follows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source<A> {
+    /// The store itself.
+    Store,
+    /// A gateway that reads it.
+    Relay(A),
+}
+
+/// The gateways of one hall, and which of them to follow.
+#[derive(Clone, Debug)]
+pub struct Relays<A> {
+    options: RelayOptions,
+    own: A,
+    own_weight: u64,
+    /// The hall's gateways in the order in which they are taken as relays.
+    order: Vec<A>,
+    passed_over: HashMap<A, Moment>,
+    asked_at: Option<Moment>,
+    store_failed_at: Option<Moment>,
+}
+
+impl<A: Clone + Eq + std::hash::Hash + ToString> Relays<A> {
+    /// Makes the choice of a gateway that knows no other.
+    pub fn new(own: A, options: RelayOptions) -> Self {
+        Relays {
+            options,
+            own_weight: digest(own.to_string().as_bytes()),
+            own,
+            order: Vec::new(),
+            passed_over: HashMap::new(),
+            asked_at: None,
+            store_failed_at: None,
+        }
+    }
+
+    /// Sets the gateways of the own hall, with the rates of their links in megabits a second.
+    pub fn set_gateways(&mut self, hall: &str, gateways: impl IntoIterator<Item = (A, u32)>) {
+        let key = digest(hall.as_bytes());
+        let mut ranked: Vec<(A, u32)> = gateways.into_iter().collect();
+        // Equal weights are told apart by the names, the same way everywhere.
+        ranked.sort_by_cached_key(|(gateway, link_mbps)| {
+            let name = gateway.to_string();
+            (Reverse(*link_mbps), Reverse(rendezvous(key, &name)), name)
+        });
+        self.order = ranked.into_iter().map(|(gateway, _)| gateway).collect();
+        let order = &self.order;
+        self.passed_over.retain(|gateway, _| order.contains(gateway));
+    }
+
+    /// Gets what to follow now.
+    pub fn source(&self, now: Moment) -> Source<A> {
+        if self.order.len() <= self.options.direct_up_to {
+            return Source::Store;
+        }
+
+        let is_cut_off = self.is_cut_off(now);
+
+        if !is_cut_off && self.is_recent(self.asked_at, self.options.asked_lifetime, now) {
+            return Source::Store;
+        }
+
+        let is_passed_over =
+            |gateway: &&A| self.passed_over.get(gateway).is_some_and(|until| now < *until);
+        let relays = self.order.iter().filter(|gateway| !is_passed_over(gateway));
+        let relays: Vec<&A> = relays.take(self.options.per_hall).collect();
+
+        if !is_cut_off && relays.contains(&&self.own) {
+            return Source::Store;
+        }
+
+        let others: Vec<&A> = relays.into_iter().filter(|gateway| **gateway != self.own).collect();
+
+        match others.is_empty() {
+            true => Source::Store,
+            false => Source::Relay(others[self.own_weight as usize % others.len()].clone()),
+        }
+    }
+
+    /// Tells whether the store has failed this gateway lately.
+    pub fn is_cut_off(&self, now: Moment) -> bool {
+        self.is_recent(self.store_failed_at, self.options.store_pause, now)
+    }
+
+    /// Tells whether others may follow this gateway, as there are relays in its hall.
+    pub fn has_followers(&self) -> bool {
+        self.order.len() > self.options.direct_up_to
+    }
+
+    /// Notes that another gateway asked this one.
+    pub fn note_asked(&mut self, now: Moment) {
+        self.asked_at = Some(now);
+    }
+
+    /// Notes that a relay did not answer, or is not fresh itself.
+    pub fn note_relay_failed(&mut self, relay: &A, now: Moment) {
+        self.passed_over.insert(relay.clone(), now + self.options.pass_over);
+    }
+
+    /// Notes that the store did not answer this gateway as it should.
+    pub fn note_store_failed(&mut self, now: Moment) {
+        self.store_failed_at = Some(now);
+    }
+
+    fn is_recent(&self, at: Option<Moment>, lifetime: Duration, now: Moment) -> bool {
+        at.is_some_and(|at| now < at + lifetime)
+    }
+}
--- a/grebedeck-gateway/src/source.rs
+++ b/grebedeck-gateway/src/source.rs
@@ -16,7 +16,7 @@
 pub type StoreVersion = u64;
 
 /// What the store held at one moment.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot<T> {
     /// The store's version at that moment.
     pub version: StoreVersion,
@@ -25,7 +25,7 @@
 }
 
 /// What became of a watch.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Watched<T> {
     /// These changes came, in order, up to a version.
     Changed {
@@ -64,7 +64,7 @@
 }
 
 /// The gateways that were published.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayListing {
     /// Those whose rows can be read.
     pub gateways: Vec<GatewayEntry>,
@@ -73,7 +73,7 @@
 }
 
 /// What operators have written.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OperatorState {
     /// The newest configuration, where there is one that can be read.
     pub site: Option<Site>,
@@ -84,7 +84,7 @@
 }
 
 /// A change of what operators have written.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OperatorChange {
     /// A newer configuration.
     Site(Site),
@@ -107,7 +107,7 @@
 }
 
 /// A key of the operators' that cannot be read.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unreadable {
     /// The store's version of it.
     pub version: StoreVersion,
@@ -143,10 +143,13 @@
     pub peer_address: SocketAddr,
     /// The hall that it stands in.
     pub hall: String,
+    /// Rate of its link, in megabits a second; 0 where it does not say.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 /// A request that is not sent any more, as it crashes its targets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineEntry {
     /// The request.
     pub request: Fingerprint,
@@ -157,7 +160,7 @@
 }
 
 /// The requests that are in quarantine.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineListing {
     /// Them.
     pub entries: Vec<QuarantineEntry>,
--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -84,6 +84,14 @@
     pub unreadable: Vec<(TargetId, StoreVersion, String)>,
 }
 
+impl TargetListing {
+    /// Removes the entry of an id, whether it can be read or not.
+    pub(crate) fn remove(&mut self, id: &str) {
+        self.targets.retain(|listed| listed.entry.id != id);
+        self.unreadable.retain(|(other, ..)| other != id);
+    }
+}
+
 impl From<Vec<ListedTarget>> for TargetListing {
     fn from(targets: Vec<ListedTarget>) -> Self {
         TargetListing { targets, unreadable: Vec::new() }
--- /dev/null
+++ b/grebedeck-gateway/tests/relay.rs
@@ -0,0 +1,235 @@
+//! Whom gateways follow for what the store holds, and what they answer those that follow them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use grebedeck_gateway::{
+    Feed, FeedState, ListedTarget, RelayOptions, Relays, Snapshot, Source, TargetChange,
+    TargetEntry, TargetListing, TargetState, Watched,
+};
+use proptest::prelude::*;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+const HALLS: usize = 5;
+
+/// All gateways of a hall, each with the same list.
+fn hall_of(size: usize) -> Vec<Relays<String>> {
+    hall_with_links(size, |_| 100)
+}
+
+fn hall_with_links(size: usize, link_mbps: impl Fn(usize) -> u32) -> Vec<Relays<String>> {
+    let names: Vec<String> = (0..size).map(name).collect();
+
+    let gateway = |own: &String| {
+        let mut relays = Relays::new(own.clone(), RelayOptions::default());
+        let links = names.iter().enumerate().map(|(at, name)| (name.clone(), link_mbps(at)));
+        relays.set_gateways("north", links);
+        relays
+    };
+
+    names.iter().map(gateway).collect()
+}
+
+fn name(at: usize) -> String {
+    format!("gateway-{at}")
+}
+
+fn readers(hall: &[Relays<String>], now: Duration) -> Vec<usize> {
+    let reads = |at: &usize| hall[*at].source(now) == Source::Store;
+
+    (0..hall.len()).filter(reads).collect()
+}
+
+/// Gets the followers of each relay.
+fn followers(hall: &[Relays<String>], now: Duration) -> HashMap<String, usize> {
+    let mut followers = HashMap::new();
+
+    for relays in hall {
+        if let Source::Relay(relay) = relays.source(now) {
+            *followers.entry(relay).or_default() += 1;
+        }
+    }
+
+    followers
+}
+
+/// Load: four sizes of a fleet in five halls. What reads the store must not grow with the gateways.
+#[test]
+fn those_that_read_the_store_do_not_grow_with_the_gateways() {
+    let counts = [20, 40, 80, 160].map(|size| {
+        let hall = hall_of(size);
+        let readers = readers(&hall, MS(0)).len();
+        let followers = followers(&hall, MS(0));
+        let most = followers.values().max().copied().unwrap_or(0);
+
+        assert!(most <= size * 7 / 10, "{size} gateways: one relay has {most} followers");
+        assert_eq!(followers.values().sum::<usize>(), size - readers);
+        readers * HALLS
+    });
+
+    assert_eq!(counts, [10; 4]);
+}
+
+/// Load: a configuration that goes to all followers of a relay at once, and streams that pass the same link.
+#[test]
+fn gateways_with_the_largest_links_are_the_relays() {
+    let hall = hall_with_links(40, |at| if at % 10 == 3 { 1000 } else { 40 });
+
+    assert!(readers(&hall, MS(0)).iter().all(|at| at % 10 == 3));
+    assert_eq!(readers(&hall, MS(0)).len(), 2);
+}
+
+#[test]
+fn the_gateways_of_a_small_hall_read_the_store_themselves() {
+    let hall = hall_of(4);
+
+    assert_eq!(readers(&hall, MS(0)).len(), 4);
+    assert!(!hall[0].has_followers());
+}
+
+#[test]
+fn the_next_gateway_takes_the_place_of_a_relay_that_is_gone() {
+    let mut hall = hall_of(20);
+    let gone = readers(&hall, MS(0));
+
+    for gateway in &mut hall {
+        for relay in &gone {
+            gateway.note_relay_failed(&name(*relay), MS(0));
+        }
+    }
+
+    let staying: Vec<usize> = (0..hall.len()).filter(|at| !gone.contains(at)).collect();
+    let sources = staying.iter().map(|at| hall[*at].source(MS(1)));
+    let next: Vec<Source<String>> = sources.filter(|s| *s != Source::Store).collect();
+
+    assert_eq!(next.len(), staying.len() - 2, "two others read the store");
+    assert!(next.iter().all(|s| gone.iter().all(|at| *s != Source::Relay(name(*at)))));
+    // It is tried again later.
+    let is_gone = |s: &Source<String>| gone.iter().any(|at| *s == Source::Relay(name(*at)));
+    assert!(staying.iter().map(|at| hall[*at].source(MS(11_000))).all(|s| is_gone(&s)));
+}
+
+#[test]
+fn a_gateway_that_is_asked_reads_the_store_for_a_while() {
+    let mut hall = hall_of(20);
+    let readers = readers(&hall, MS(0));
+    let asked = (0..20).find(|at| !readers.contains(at)).expect("a follower");
+    hall[asked].note_asked(MS(100));
+
+    assert_eq!(hall[asked].source(MS(5_000)), Source::Store);
+    assert_ne!(hall[asked].source(MS(10_200)), Source::Store);
+}
+
+/// One failure: the store turns some gateways away, relays among them, and serves the others.
+#[test]
+fn a_gateway_that_the_store_turns_away_follows_one_that_it_serves() {
+    let mut hall = hall_of(20);
+    let relay = readers(&hall, MS(0))[0];
+    hall[relay].note_store_failed(MS(0));
+
+    assert!(matches!(hall[relay].source(MS(1)), Source::Relay(other) if other != name(relay)));
+    assert!(hall[relay].is_cut_off(MS(1)));
+    assert_eq!(hall[relay].source(MS(2_500)), Source::Store, "it tries the store again");
+}
+
+proptest! {
+    /// Whatever each has seen fail, nobody follows itself, and who is alone reads the store.
+    #[test]
+    fn nobody_follows_itself(size in 1..30usize, failed in prop::collection::vec(0..30usize, 0..40)) {
+        let mut hall = hall_of(size);
+
+        for (step, failed) in failed.iter().enumerate() {
+            let at = step % size;
+            hall[at].note_relay_failed(&name(*failed), MS(0));
+            hall[at].note_store_failed(MS(0));
+            let source = hall[at].source(MS(1));
+            prop_assert_ne!(source, Source::Relay(name(at)));
+        }
+    }
+}
+
+fn entry(id: u8, slots: u32) -> TargetEntry {
+    TargetEntry {
+        id: format!("t-{id}"),
+        service: "plain".into(),
+        address: ([127, 0, 0, 1], u16::from(id) + 1).into(),
+        hall: "north".into(),
+        slots,
+        state: TargetState::Serving,
+        born_ms: None,
+        cold: MS(0),
+    }
+}
+
+fn set(version: u64, id: u8, slots: u32) -> TargetChange {
+    TargetChange::Set(ListedTarget { version, entry: entry(id, slots) })
+}
+
+fn removed(version: u64, id: u8) -> TargetChange {
+    TargetChange::Removed { version, id: format!("t-{id}") }
+}
+
+fn first(version: u64) -> Snapshot<TargetListing> {
+    Snapshot { version, value: TargetListing::default() }
+}
+
+fn changed(version: u64, changes: Vec<TargetChange>) -> Watched<TargetChange> {
+    Watched::Changed { version, changes }
+}
+
+#[test]
+fn a_feed_tells_what_changed_after_any_version_since_it_was_read() {
+    let mut feed: Feed<TargetListing> = Feed::default();
+    assert_eq!(feed.since(0), Watched::HistoryGone, "nothing was read");
+
+    feed.replace(first(10), MS(0));
+    feed.extend(&changed(12, vec![set(11, 1, 4), set(12, 2, 4)]), MS(5));
+    feed.extend(&changed(14, vec![removed(14, 1)]), MS(9));
+
+    assert_eq!(feed.since(9), Watched::HistoryGone);
+    let all = vec![set(11, 1, 4), set(12, 2, 4), removed(14, 1)];
+    assert_eq!(feed.since(10), changed(14, all));
+    assert_eq!(feed.since(12), changed(14, vec![removed(14, 1)]));
+    assert_eq!(feed.since(14), Watched::Quiet);
+    // A relay that is behind its follower has nothing to tell.
+    assert_eq!(feed.since(20), Watched::Quiet);
+    assert_eq!(feed.age(MS(20)), MS(11));
+}
+
+#[test]
+fn a_feed_whose_store_has_failed_says_so_until_it_is_read_again() {
+    let mut feed: Feed<TargetListing> = Feed::default();
+    assert_eq!(feed.state(), FeedState::Empty);
+    feed.replace(first(1), MS(0));
+    assert_eq!(feed.state(), FeedState::Fresh);
+    feed.fail();
+    assert_eq!(feed.state(), FeedState::Stale);
+    feed.extend(&Watched::Quiet, MS(30));
+    assert_eq!((feed.state(), feed.age(MS(30))), (FeedState::Fresh, MS(0)));
+}
+
+proptest! {
+    /// Whoever reads and then follows has what the store has, wherever the feed stands and however much it keeps.
+    #[test]
+    fn a_feed_is_what_the_store_has(steps in prop::collection::vec((0..6u8, 0..4u32), 1..200)) {
+        let mut feed: Feed<TargetListing> = Feed::default();
+        feed.replace(first(0), MS(0));
+        let mut store: HashMap<String, u32> = HashMap::new();
+
+        for (step, (id, slots)) in steps.into_iter().enumerate() {
+            let version = step as u64 + 1;
+            let change = if slots == 0 { removed(version, id) } else { set(version, id, slots) };
+
+            match slots {
+                0 => drop(store.remove(&format!("t-{id}"))),
+                _ => drop(store.insert(format!("t-{id}"), slots)),
+            }
+
+            feed.extend(&changed(version, vec![change]), MS(0));
+        }
+
+        let read = feed.read().expect("it was read");
+        let listed = read.value.targets.iter().map(|t| (t.entry.id.clone(), t.entry.slots));
+        prop_assert_eq!(listed.collect::<HashMap<_, _>>(), store);
+    }
+}
--- a/grebedeck-lab/src/cost/probes/routing.rs
+++ b/grebedeck-lab/src/cost/probes/routing.rs
@@ -7,9 +7,9 @@
 use grebedeck_core::random::SeededSource;
 use grebedeck_core::{AttemptId, RandomSource};
 use grebedeck_net::encode;
+use grebedeck_routing::subset::{SubsetOptions, subset};
 use grebedeck_routing::{
-    Admission, AdmissionOptions, Chooser, ChooserOptions, Gate, GateOptions, Key, LoadReport,
-    Start, subset,
+    Admission, AdmissionOptions, Chooser, ChooserOptions, Gate, GateOptions, Key, LoadReport, Start,
 };
 
 use super::config::all_routes;
@@ -35,6 +35,9 @@
         / ROUNDS as f64
 }
 
+/// The subset of an entry, as its settings have it.
+const SUBSET: SubsetOptions = SubsetOptions { size: 24, elsewhere: 12 };
+
 /// One subset.
 pub fn subset_us(targets: usize) -> f64 {
     let allowed = all_routes(targets);
@@ -42,7 +45,7 @@
 
     least_s(5, || {
         for _ in 0..ROUNDS {
-            black_box(subset::subset(&allowed, "entry-17", "hall-0", 24));
+            black_box(subset(&allowed, "entry-17", "hall-0", SUBSET));
         }
     }) * 1e6
         / ROUNDS as f64
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod pool;
 pub mod prompts;
 pub mod refusing;
+pub mod relay;
 pub mod reload;
 pub mod request;
 pub mod service;
@@ -54,6 +55,7 @@
 use crate::pages::{self, ACCEPT_PAUSE, Page};
 use crate::process;
 pub use options::GatewaySettings;
+use relay::RelayedStore;
 
 pub use service::Gateway;
 
@@ -94,6 +96,7 @@
         hall = gateway.settings().hall.as_str(),
         caller_address = gateway.settings().caller_address.to_string(),
     });
+    let store = RelayedStore::new(gateway.clone(), store);
     tasks.spawn(watch::follow_operator(gateway.clone(), store.clone())).detach();
     tasks.spawn(watch::follow_targets(gateway.clone(), store.clone())).detach();
     tasks.spawn(gossip::keep(gateway.clone(), store.clone())).detach();
@@ -102,11 +105,11 @@
     tasks.spawn(loads::subscribe(gateway.clone(), socket.clone())).detach();
     tasks.spawn(gossip::follow(gateway.clone(), socket)).detach();
     tasks.spawn(peers::follow_peers(gateway.clone())).detach();
-    serve_pages(&gateway, ready_listener, |gateway, _| {
+    serve_pages(&gateway, ready_listener, async |gateway, _| {
         Page::empty(if gateway.is_ready() { 200 } else { 503 })
     });
     serve_pages(&gateway, peer_listener, peers::answer);
-    serve_pages(&gateway, metrics_listener, |gateway, request| match request.path() {
+    serve_pages(&gateway, metrics_listener, async |gateway, request| match request.path() {
         "/metrics" => Page::text(gateway.metrics.text()),
         "/dump" => Page::json(&gateway.dump()),
         _ => Page::empty(404),
@@ -121,10 +124,10 @@
 fn serve_pages(
     gateway: &Rc<Gateway>,
     listener: TcpListener,
-    answer: impl Fn(&Gateway, &RequestHead) -> Page + Clone + 'static,
+    answer: impl AsyncFn(&Gateway, &RequestHead) -> Page + Clone + 'static,
 ) {
     let shared = gateway.clone();
-    let answer = move |request: &RequestHead| answer(&shared, request);
+    let answer = async move |request: &RequestHead| answer(&shared, request).await;
 
     gateway.tasks.spawn(pages::serve(gateway.tasks.clone(), listener, answer)).detach();
 }
--- a/grebedeck/src/gateway/counters.rs
+++ b/grebedeck/src/gateway/counters.rs
@@ -62,6 +62,8 @@
     pub repeats: Counter,
     /// Calls to the store by what they were for and how they ended.
     pub store_calls: Counter,
+    /// Calls for what the store holds, by whom they went to.
+    pub sources: Counter,
     /// What other gateways answered while the store was away.
     pub peer_answers: Counter,
     /// News on evacuated halls, by what they say.
@@ -139,6 +141,11 @@
                 "end",
                 "Calls to the platform's store",
             ),
+            sources: counter(
+                "grebedeck_gateway_sources",
+                "source",
+                "Calls for what the store holds, by whom they went to",
+            ),
             peer_answers: counter(
                 "grebedeck_gateway_peer_answers",
                 "end",
--- a/grebedeck/src/gateway/gossip.rs
+++ b/grebedeck/src/gateway/gossip.rs
@@ -131,7 +131,9 @@
 
 /// Reads what is in quarantine from the store, and keeps it there, until the task is dropped.
 pub async fn keep<S: SiteStore>(gateway: Rc<Gateway>, store: S) {
+    gateway.relay.wait_for_list().await;
     restore(&gateway, &store).await;
+    gateway.relay.set_quarantine_known();
     let mut open: VecDeque<Lasting> = VecDeque::new();
     let mut pause = RETRY_PAUSE;
 
--- a/grebedeck/src/gateway/halls.rs
+++ b/grebedeck/src/gateway/halls.rs
@@ -65,7 +65,8 @@
         asked_at: Moment,
     ) -> Result<()> {
         let Snapshot { version, value: OperatorState { site, evacuated, unreadable } } = snapshot;
-        let since = self.operator.current_at.replace(Some(asked_at));
+        let known_at = asked_at.saturating_sub(self.relay.operator_age());
+        let since = self.operator.current_at.replace(Some(known_at));
         self.take_halls("store", |halls, now| halls.take_snapshot(version, &evacuated, since, now));
         self.operator.knows_halls.set(true);
         unreadable.iter().for_each(|what| self.note_unreadable_key(what));
@@ -107,7 +108,8 @@
 
     /// Notes that nothing that operators have written is unknown.
     pub fn note_operator_quiet(&self) {
-        self.operator.current_at.set(Some(self.now()));
+        let known_at = self.now().saturating_sub(self.relay.operator_age());
+        self.operator.current_at.set(Some(known_at));
     }
 
     /// Gets what is known of halls, for other gateways.
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -77,8 +77,8 @@
 pub const PROMPT_PART: f64 = 0.15;
 /// Time's worth of prompts that may begin at once, so that usual arrivals do not wait for each other.
 pub const PROMPT_BURST: Duration = Duration::from_millis(100);
-/// Targets of a service that a gateway deals with. It has some of each group of ranks that is a twelfth of the service
-/// among them, and knows whether that is open; three are drawn for each request.
+/// Targets of a service that a gateway deals with. Of a group of ranks that is a twelfth of the service it has some in
+/// its subset, so it knows whether the group is open; three are drawn for each request.
 const SUBSET: SubsetOptions = SubsetOptions { size: 64, elsewhere: 16 };
 /// How often ranks are asked to tell their load.
 pub const WATCH_PERIOD: Duration = Duration::from_millis(1000);
@@ -157,6 +157,10 @@
     pub engine_stall_ms: u64,
     /// Memory that the process may use, in megabytes.
     pub memory_mb: usize,
+    /// Rate of the instance's link, in megabits a second; 0 where that is not known. Gateways with large links read the
+    /// store for others.
+    #[serde(default)]
+    pub link_mbps: f64,
     /// Parts of it for what is kept until it is read.
     #[serde(default)]
     pub kept: KeptSettings,
@@ -269,6 +273,7 @@
             ("store_address", self.store_address != others.store_address),
             ("store_limit_ms", self.store_limit_ms != others.store_limit_ms),
             ("memory_mb", self.memory_mb != others.memory_mb),
+            ("link_mbps", self.link_mbps != others.link_mbps),
             ("kept", self.kept != others.kept),
             ("max_callers", self.max_callers != others.max_callers),
             ("without", self.without != others.without),
@@ -291,6 +296,23 @@
         millis(self.catch_up_ms) * 2 / 3
     }
 
+    /// Gets how long a relay lets its followers wait for what operators write, and waits for the store itself: a relay
+    /// that the store has stopped answering is noticed, and another one asked, within half of the time to catch up.
+    pub fn operator_relay_wait(&self) -> Duration {
+        millis(self.catch_up_ms) / 3
+    }
+
+    /// Gets the same for the list of targets. With the pause between two reads that is half of the time that a target
+    /// goes on after it has said that it leaves.
+    pub fn targets_relay_wait(&self) -> Duration {
+        millis(self.leaving_ms) / 4
+    }
+
+    /// Gets the age from which a relay does not pass on what it has, as its next call to the store should have ended.
+    pub fn relay_age_limit(&self) -> Duration {
+        self.store_wait() + self.targets_pause() + STORE_GRACE
+    }
+
     /// Gets the pause between two reads of the list of targets, which heartbeats change all the time. A target
     /// that leaves is known within a quarter of the time that it goes on; no more is needed, and each
     /// gateway's calls add up: 53 to 71 of them made 4,865 calls in 34 s with 0.4 s, 3,295 with 1 s.
@@ -325,6 +347,10 @@
             faults.add("name", "", "a name");
         }
 
+        if self.link_mbps.is_nan() || self.link_mbps < 0.0 {
+            faults.add("link_mbps", self.link_mbps.to_string(), "a number not below 0");
+        }
+
         if self.load.pause_deviations.is_nan() || self.load.pause_deviations < 0.0 {
             let value = self.load.pause_deviations.to_string();
             faults.add("load.pause_deviations", value, "a number not below 0");
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use async_std::task::sleep;
-use grebedeck_core::{Error, RandomSource, Result};
+use grebedeck_core::time::unix_ms;
+use grebedeck_core::{Error, Moment, RandomSource, Result};
 use grebedeck_gateway::{
     GatewayEntry, GatewayInfo, GatewayListing, HallWords, Site, SiteStore, StoreVersion,
     TargetListing,
@@ -20,6 +21,7 @@
 use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
 use serde::{Deserialize, Serialize};
 
+use super::relay;
 use super::service::Gateway;
 use crate::pages::Page;
 use crate::random::ProcessRandom;
@@ -36,6 +38,10 @@
 const ASK_LIMIT: Duration = Duration::from_millis(300);
 /// How often the gateways that were published are read, to know whom to ask.
 const LIST_PERIOD: Duration = Duration::from_secs(10);
+/// The same where relays read them for others, as each of the two steps adds its own period.
+const RELAYED_LIST_PERIOD: Duration = Duration::from_secs(5);
+/// How soon the own row is written again where a list does not have it; a relay's list may be that much older.
+const REPUBLISH_PERIOD: Duration = Duration::from_secs(15);
 /// How soon they are read again after the own row was written: others that start at the same time have written
 /// theirs by then.
 const FIRST_LIST_PERIOD: Duration = Duration::from_secs(1);
@@ -52,7 +58,11 @@
 }
 
 /// Answers another gateway.
-pub fn answer(gateway: &Gateway, request: &RequestHead) -> Page {
+pub async fn answer(gateway: &Gateway, request: &RequestHead) -> Page {
+    if let Some(page) = relay::answer(gateway, request, unix_ms()).await {
+        return page;
+    }
+
     if request.path() != STATE_PATH {
         return Page::empty(404);
     }
@@ -62,11 +72,7 @@
     let state = PeerState { site: gateway.site(), halls, targets_version, targets };
 
     match encode(&state) {
-        Ok(bytes) => Page {
-            status: 200,
-            content_type: "application/octet-stream",
-            body: bytes[PREFIX_BYTES..].to_vec(),
-        },
+        Ok(bytes) => Page::bytes(bytes[PREFIX_BYTES..].to_vec()),
         Err(error) => {
             log::error!("state not told", kv: { error = error.to_string() });
             Page::empty(500)
@@ -77,22 +83,33 @@
 /// Publishes this gateway and reads the others from time to time.
 pub async fn follow_list<S: SiteStore>(gateway: Rc<Gateway>, store: S) {
     let settings = gateway.settings();
-    let info = GatewayInfo { peer_address: settings.peer_address, hall: settings.hall.clone() };
+    let info = GatewayInfo {
+        peer_address: settings.peer_address,
+        hall: settings.hall.clone(),
+        link_mbps: settings.link_mbps as u32,
+    };
     let own = GatewayEntry { name: settings.name.clone(), info };
     let mut told = BTreeSet::new();
-    let mut is_first = true;
+    let mut published_at: Option<Moment> = None;
 
     loop {
         // Read before it is published: a gateway whose row was there before is known to all others.
-        match store.read_gateways().await {
+        let read = store.read_gateways().await;
+        gateway.relay.set_gateways(&settings.hall, read.as_ref().ok());
+        let is_first = published_at.is_none();
+
+        match read {
             Ok(listing) => {
                 note_unreadable(&listing, &mut told);
                 take_gateways(&gateway, &listing);
+                let now = gateway.now();
+                let is_due = published_at.is_none_or(|at| now >= at + REPUBLISH_PERIOD);
 
-                if !listing.gateways.contains(&own) {
+                if is_due && !listing.gateways.contains(&own) {
+                    published_at = Some(now);
                     publish(&store, &own).await;
 
-                    if std::mem::take(&mut is_first) {
+                    if is_first {
                         sleep(FIRST_LIST_PERIOD).await;
                         continue;
                     }
@@ -103,7 +120,8 @@
             }
         }
 
-        sleep(LIST_PERIOD).await;
+        let is_relayed = gateway.relay.has_followers();
+        sleep(if is_relayed { RELAYED_LIST_PERIOD } else { LIST_PERIOD }).await;
     }
 }
 
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -27,6 +27,7 @@
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
 use super::refusing::REFUSING_LINES_PER_S;
+use super::relay::RelayState;
 use super::request::RoutedRequest;
 use super::starts::ENTRY_LINES_PER_S;
 use super::stop::StopState;
@@ -68,6 +69,8 @@
     pub(super) hears_ranks: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, WindowBudget>>,
     site: RefCell<Option<Site>>,
+    /// Whom this gateway follows, and what it has for those that follow it.
+    pub(super) relay: RelayState,
     peers: RefCell<BTreeSet<SocketAddr>>,
     /// Gateways that are known, this one included.
     gateways: Cell<usize>,
@@ -104,6 +107,7 @@
         let metrics = Metrics::default();
 
         let gateway = Gateway {
+            relay: RelayState::new(settings.peer_address),
             chooser: RefCell::new(Chooser::new(&settings.hall, settings.chooser_options())),
             bodies: SharedMemory::new(settings.memory_bytes(settings.kept.bodies)),
             answers: SharedMemory::new(settings.memory_bytes(settings.kept.answers)),
--- a/grebedeck/src/gateway/watch.rs
+++ b/grebedeck/src/gateway/watch.rs
@@ -50,6 +50,7 @@
 
 /// Follows what operators write until the task is dropped.
 pub async fn follow_operator<S: SiteStore>(gateway: Rc<Gateway>, store: S) {
+    gateway.relay.wait_for_list().await;
     let mut backoff = Backoff::new("configuration");
     let mut after = None;
 
@@ -106,6 +107,7 @@
 
 /// Follows the list of targets until the task is dropped.
 pub async fn follow_targets<S: SiteStore>(gateway: Rc<Gateway>, store: S) {
+    gateway.relay.wait_for_list().await;
     let mut backoff = Backoff::new("targets");
     let mut after = None;
 
@@ -115,7 +117,11 @@
                 backoff.succeeded();
                 gateway.counters.store_calls.add("answered");
                 after = next;
-                sleep(gateway.settings().targets_pause()).await;
+
+                // A relay has paused already.
+                if !gateway.relay.follows_relay() {
+                    sleep(gateway.settings().targets_pause()).await;
+                }
             }
             Err(error) => {
                 after = None;
--- a/grebedeck/src/pages.rs
+++ b/grebedeck/src/pages.rs
@@ -35,6 +35,11 @@
         Page { status, content_type: "text/plain", body: Vec::new() }
     }
 
+    /// Makes an answer with bytes.
+    pub fn bytes(body: Vec<u8>) -> Self {
+        Page { status: 200, content_type: "application/octet-stream", body }
+    }
+
     /// Makes an answer with JSON.
     pub fn json(value: &serde_json::Value) -> Self {
         let body = value.to_string().into_bytes();
@@ -67,7 +72,7 @@
 pub async fn serve(
     tasks: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
-    answer: impl Fn(&RequestHead) -> Page + Clone + 'static,
+    answer: impl AsyncFn(&RequestHead) -> Page + Clone + 'static,
 ) {
     loop {
         match listener.accept().await {
@@ -80,7 +85,7 @@
     }
 }
 
-async fn serve_one(stream: TcpStream, answer: impl Fn(&RequestHead) -> Page) {
+async fn serve_one(stream: TcpStream, answer: impl AsyncFn(&RequestHead) -> Page) {
     let mut connection = Connection::new(stream);
 
     loop {
@@ -88,7 +93,7 @@
         let Ok(Ok(request)) = read else {
             return;
         };
-        let bytes = answer(&request).into_bytes(request.keeps_alive());
+        let bytes = answer(&request).await.into_bytes(request.keeps_alive());
         let written = timeout(WRITE_LIMIT, connection.write_all(&bytes)).await;
 
         if !matches!(written, Ok(Ok(()))) || !request.keeps_alive() {
--- a/grebedeck/src/rank/show.rs
+++ b/grebedeck/src/rank/show.rs
@@ -19,7 +19,7 @@
     metrics: Metrics,
     state: Rc<RefCell<Value>>,
 ) {
-    let answer = move |request: &RequestHead| match request.path() {
+    let answer = async move |request: &RequestHead| match request.path() {
         "/metrics" => Page::text(metrics.text()),
         "/dump" => Page::json(&state.borrow()),
         _ => Page::empty(404),
