One gateway of a hall reads the store; lists of a start of all are not acted on

A second relay a hall doubles calls and bytes, and is fresh only for its own followers: those of a relay that is cut from the store wait for its watch to end either way.

Change: one relay a hall, the next in the order when it fails; a gateway whose own row is not in the first list that it reads waits for the next one, a second later, where there are relays; who is asked is a relay for four seconds.

Cost: 1 x halls x time, and three calls of each gateway at its start.

--- a/grebedeck-gateway/src/relay.rs
+++ b/grebedeck-gateway/src/relay.rs
@@ -3,9 +3,9 @@
 //! The load that this answers: hundreds of gateways that each watch one store by themselves. Its calls and bytes then
 //! grow with the gateways, and so does what its return after an outage costs.
 //!
-//! In each hall a few gateways, the relays, read the store, and the others follow one of them. All derive the relays
-//! alike, from the list of gateways, so nothing has to be agreed: they are the first of the hall, by their links and then by
-//! a hash. A new configuration goes to all followers at once, which a small link bears at the cost of callers' streams.
+//! In each hall one gateway, the relay, reads the store, and the others follow it. All derive the relay alike, from the
+//! list of gateways, so nothing has to be agreed: it is the first of the hall, by its link and then by a hash. A new
+//! configuration goes to all followers at once, which a small link bears at the cost of callers' streams.
 //! A relay that fails its followers is passed over for a while, and the next in the order takes its place. Where lists
 //! or experiences differ, a gateway may be asked that takes itself for no relay; it becomes one for as long as it is
 //! asked. A gateway that comes to itself in the order reads the store, so nobody waits for somebody who waits for it.
@@ -22,13 +22,11 @@
 /// Settings of the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayOptions {
-    /// Relays of a hall: one that fails leaves another that is fresh.
-    pub per_hall: usize,
     /// Gateways of a hall up to which each reads the store: a relay would save next to nothing.
     pub direct_up_to: usize,
     /// How long a relay that failed is passed over.
     pub pass_over: Duration,
-    /// How long a gateway that was asked goes on as a relay.
+    /// How long a gateway that was asked goes on as a relay: followers ask again within half of that.
     pub asked_lifetime: Duration,
     /// How long others are followed after the store has failed this gateway.
     pub store_pause: Duration,
@@ -37,10 +35,9 @@
 impl Default for RelayOptions {
     fn default() -> Self {
         RelayOptions {
-            per_hall: 2,
             direct_up_to: 6,
             pass_over: Duration::from_secs(10),
-            asked_lifetime: Duration::from_secs(10),
+            asked_lifetime: Duration::from_secs(4),
             store_pause: Duration::from_secs(2),
         }
     }
@@ -60,7 +57,6 @@
 pub struct Relays<A> {
     options: RelayOptions,
     own: A,
-    own_weight: u64,
     /// The hall's gateways in the order in which they are taken as relays.
     order: Vec<A>,
     passed_over: HashMap<A, Moment>,
@@ -73,7 +69,6 @@
     pub fn new(own: A, options: RelayOptions) -> Self {
         Relays {
             options,
-            own_weight: digest(own.to_string().as_bytes()),
             own,
             order: Vec::new(),
             passed_over: HashMap::new(),
@@ -110,18 +105,16 @@
 
         let is_passed_over =
             |gateway: &&A| self.passed_over.get(gateway).is_some_and(|until| now < *until);
-        let relays = self.order.iter().filter(|gateway| !is_passed_over(gateway));
-        let relays: Vec<&A> = relays.take(self.options.per_hall).collect();
-
-        if !is_cut_off && relays.contains(&&self.own) {
-            return Source::Store;
-        }
-
-        let others: Vec<&A> = relays.into_iter().filter(|gateway| **gateway != self.own).collect();
-
-        match others.is_empty() {
-            true => Source::Store,
-            false => Source::Relay(others[self.own_weight as usize % others.len()].clone()),
+        let mut relays = self.order.iter().filter(|gateway| !is_passed_over(gateway));
+        let is_own = |gateway: &&A| **gateway == self.own;
+
+        match relays.next() {
+            Some(relay) if !is_own(&relay) => Source::Relay(relay.clone()),
+            Some(_) if is_cut_off => relays
+                .find(|gateway| !is_own(gateway))
+                .cloned()
+                .map_or(Source::Store, Source::Relay),
+            _ => Source::Store,
         }
     }
 
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -157,7 +157,7 @@
     pub engine_stall_ms: u64,
     /// Memory that the process may use, in megabytes.
     pub memory_mb: usize,
-    /// Rate of the instance's link, in megabits a second; 0 where that is not known. Gateways with large links read the
+    /// Rate of the instance's link, in megabits a second; 0 where that is not known. A gateway with a large link reads the
     /// store for others.
     #[serde(default)]
     pub link_mbps: f64,
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -95,8 +95,8 @@
     loop {
         // Read before it is published: a gateway whose row was there before is known to all others.
         let read = store.read_gateways().await;
-        gateway.relay.set_gateways(&settings.hall, read.as_ref().ok());
         let is_first = published_at.is_none();
+        gateway.relay.set_gateways(&own, read.as_ref().ok(), !is_first);
 
         match read {
             Ok(listing) => {
--- a/grebedeck/src/gateway/relay.rs
+++ b/grebedeck/src/gateway/relay.rs
@@ -41,13 +41,13 @@
 /// How long a connection to a relay may take to be made, how long an answer that has begun may pause, and how much later
 /// than asked for it may begin.
 const RELAY_LIMIT: Duration = Duration::from_millis(400);
-/// How long a relay that has read nothing yet lets others wait for it: longer than the store takes to answer, or to be
-/// given up.
-const READ_WAIT: Duration = Duration::from_millis(500);
+/// How long a relay that has read nothing yet lets others wait for it: longer than a slow store takes to answer, or to
+/// be given up.
+const READ_WAIT: Duration = Duration::from_millis(800);
 /// Relays that are asked before the store is: what was missed has to be known soon.
 const MAX_RELAYS_ASKED: usize = 2;
 /// How long a gateway waits at its start until it knows which others there are.
-const FIRST_LIST_LIMIT: Duration = Duration::from_millis(500);
+const FIRST_LIST_LIMIT: Duration = Duration::from_millis(1500);
 /// Status of an answer that there is nothing newer.
 const UNCHANGED: u16 = 204;
 
@@ -128,12 +128,24 @@
         }
     }
 
-    /// Takes in the list of gateways as it was read, where it could be.
-    pub fn set_gateways(&self, hall: &str, listing: Option<&GatewayListing>) {
+    /// Takes in the list of gateways as it was read, where it could be. A list that lacks the gateway itself and is not
+    /// the last one that it reads at its start may be one of a start of all: each would see other relays in it, so where
+    /// there are any the next list is waited for.
+    pub fn set_gateways(
+        &self,
+        own: &GatewayEntry,
+        listing: Option<&GatewayListing>,
+        is_last: bool,
+    ) {
         if let Some(listing) = listing {
-            let of_hall = listing.gateways.iter().filter(|gateway| gateway.info.hall == hall);
-            let links = of_hall.map(|gateway| (gateway.info.peer_address, gateway.info.link_mbps));
-            self.relays.borrow_mut().set_gateways(hall, links);
+            let of_hall = listing.gateways.iter().filter(|other| other.info.hall == own.info.hall);
+            let links = of_hall.map(|other| (other.info.peer_address, other.info.link_mbps));
+            self.relays.borrow_mut().set_gateways(&own.info.hall, links);
+
+            if !is_last && self.has_followers() && !listing.gateways.contains(own) {
+                self.relays.borrow_mut().set_gateways(&own.info.hall, []);
+                return;
+            }
         }
 
         self.is_listed.set(true);
