A lead is heard of by its own group only, and none is taken before it is known whom to tell; writes wait for their turn

Cause: a leader that does not know each of its group's nodes tells all nodes of the service, five times a second, for as long as one rank's process is away: with four groups of 192, 576 nodes that have nothing to do with it. Its own nodes heard of it late and took the lead in their turn, each with a read of the whole list (250 KB) and before it had come. So leads changed hands without any fault, in proportion to the service and not to the group. Gateways that publish themselves together exceed what one part of a table takes in a second: 52 of 212 were refused, others gave up early.

Change: a node that a leader of another group tells answers with its own group, and is left out for five seconds; ranks take no lead before the others are set; the first eight ask for them at once, the others wait a second longer at their process's start, and for all but the first the time grows with the nodes that a leader has to tell. The figures of the engine are read by those that may plan. A write waits for its turn for a second, and is tried again at a random moment where it is refused. Gateways ask others for all that they know only once they know whom to follow.

Cost: words of a leader grow with its group (and once with the service, at a start); reads of the list are eight for a group's start. Tested by size with 1 to 16 groups of 192 and one rank away.

--- a/grebedeck-experts/src/rollout/absent.rs
+++ b/grebedeck-experts/src/rollout/absent.rs
@@ -76,7 +76,7 @@
     }
 }
 
-impl<A: Clone + PartialEq> Node<A> {
+impl<A: Clone + Ord> Node<A> {
     /// Gets the rank whose node is away, where the node leads.
     pub(super) fn absent(&self, now: Moment) -> Option<Rank> {
         let (lead, own) = (self.lead.as_ref()?, self.report.as_ref()?);
--- a/grebedeck-experts/src/rollout/bulk.rs
+++ b/grebedeck-experts/src/rollout/bulk.rs
@@ -86,7 +86,7 @@
     }
 }
 
-impl<A: Clone + PartialEq> Node<A> {
+impl<A: Clone + Ord> Node<A> {
     /// Sends what waits, as far as the link has time.
     pub(super) fn send_bulk(&mut self, now: Moment, actions: &mut Vec<Action<A>>) {
         if self.bulk.is_empty() {
--- a/grebedeck-experts/src/rollout/claim.rs
+++ b/grebedeck-experts/src/rollout/claim.rs
@@ -10,6 +10,7 @@
 use super::message::{Message, Stage, Term};
 use super::node::Node;
 use super::options::NodeOptions;
+use super::tell::NAMED_RANKS;
 use crate::engine::{DEALT_PLACEMENT, PlacementNo, RankReport};
 use crate::placement::{Placement, RankChange};
 
@@ -40,7 +41,7 @@
     }
 }
 
-impl<A: Clone + PartialEq> Node<A> {
+impl<A: Clone + Ord> Node<A> {
     /// Gives the lead up, as the process is to stop, and calls on the next rank that is there.
     pub fn resign(&mut self, now: Moment) -> Vec<Action<A>> {
         let (Some(lead), Some(own)) = (self.lead.take(), &self.report) else {
@@ -76,9 +77,19 @@
         self.lead.is_none() && (self.is_called || now >= self.heard_at + self.claim_wait(rank))
     }
 
+    /// Tells whether nobody would hear of the node's lead.
+    fn lacks_others(&self, report: &RankReport) -> bool {
+        self.awaits_others && report.size > 1 && self.roster.len() <= 1
+    }
+
     fn claim_wait(&self, rank: Rank) -> Duration {
         let doublings = (f64::from(rank) + 1.0).log2();
         let wait = self.options.claim_after + self.options.claim_per_doubling.mul_f64(doublings);
+        // A leader that does not know its group's nodes yet tells all of the service, and the first has the time for that.
+        let to_tell = self.others.len().max(self.roster.len());
+        let wait = if rank == 0 { wait } else { wait + self.options.per_rank * to_tell as u32 };
+        let is_unnamed = rank >= NAMED_RANKS && self.awaits_others;
+        let wait = if is_unnamed { wait + self.options.claim_unnamed } else { wait };
         // A single loss is no reason: so does each leader lose that was cut off or frozen.
         let backoff = self.lost_leads.saturating_sub(1).min(MAX_DOUBLINGS);
 
@@ -87,7 +98,7 @@
 
     /// Takes the lead where no leader has been heard of for long enough.
     pub(super) fn claim(&mut self, report: &RankReport, now: Moment, actions: &mut Vec<Action<A>>) {
-        if !self.may_claim(report.rank, now) {
+        if !self.may_claim(report.rank, now) || self.lacks_others(report) {
             return;
         }
 
--- a/grebedeck-experts/src/rollout/engaged.rs
+++ b/grebedeck-experts/src/rollout/engaged.rs
@@ -23,7 +23,7 @@
 /// for before an order that was just given.
 const REPORTS_BEFORE_ANSWER: u8 = 2;
 
-impl<A: Clone + PartialEq> Node<A> {
+impl<A: Clone + Ord> Node<A> {
     pub(super) fn take_changeover(
         &mut self,
         from: A,
--- a/grebedeck-experts/src/rollout/holder.rs
+++ b/grebedeck-experts/src/rollout/holder.rs
@@ -10,7 +10,7 @@
 use super::node::Node;
 use crate::engine::RankReport;
 
-impl<A: Clone + PartialEq> Node<A> {
+impl<A: Clone + Ord> Node<A> {
     pub(super) fn take_answer(
         &mut self,
         from: A,
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -277,7 +277,7 @@
     }
 }
 
-impl<A: Clone + PartialEq> Node<A> {
+impl<A: Clone + Ord> Node<A> {
     /// Tells whether the node leads, and nothing keeps it from a new plan.
     pub fn can_plan(&self, now: Moment) -> bool {
         self.is_leading() && self.plan_block(now).is_none()
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -1,6 +1,6 @@
 //! One node of a group: follows its leader and keeps its own rank's engine in step.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use grebedeck_core::{Moment, Rank};
@@ -14,6 +14,7 @@
 use super::message::{Directive, Message, RankPart, Stage, Status, Term};
 use super::options::NodeOptions;
 use super::passes::PassClock;
+use super::tell::NAMED_RANKS;
 use crate::engine::{
     DEALT_PLACEMENT, OrderEnd, PassNo, PlacementNo, RankAction, RankOrder, RankReport,
 };
@@ -30,7 +31,11 @@
     pub(super) promised: Term,
     pub(super) roster: BTreeMap<Rank, A>,
     pub(super) lead: Option<Lead>,
-    pub(super) others: Vec<A>,
+    pub(super) others: BTreeSet<A>,
+    /// Whether the others are yet to be set, and no lead is taken before.
+    pub(super) awaits_others: bool,
+    /// Those of them that are known to be of other groups, and since when.
+    pub(super) elsewhere: BTreeMap<A, Moment>,
     pub(super) leader: Option<A>,
     pub(super) heard_at: Moment,
     /// Whether the leader that stops has called on this node to follow it.
@@ -64,7 +69,7 @@
     pub(super) asked_placement_at: Option<Moment>,
 }
 
-impl<A: Clone + PartialEq> Node<A> {
+impl<A: Clone + Ord> Node<A> {
     /// Makes a node that knows nothing of its group; `life` is drawn for each start of the process.
     pub fn new(own_address: A, life: u64, now: Moment, options: NodeOptions) -> Self {
         Node {
@@ -76,7 +81,9 @@
             promised: Term::default(),
             roster: BTreeMap::new(),
             lead: None,
-            others: Vec::new(),
+            others: BTreeSet::new(),
+            awaits_others: false,
+            elsewhere: BTreeMap::new(),
             leader: None,
             heard_at: now,
             is_called: false,
@@ -103,11 +110,23 @@
         }
     }
 
+    /// Has the node take no lead before [`Node::set_others`]: one that nobody hears of only sets off others.
+    pub fn await_others(&mut self) {
+        self.awaits_others = true;
+    }
+
     /// Sets the other nodes of the group, whatever their ranks.
-    pub fn set_others(&mut self, others: Vec<A>) {
+    pub fn set_others(&mut self, others: BTreeSet<A>) {
+        self.awaits_others = false;
+        self.elsewhere.retain(|other, _| others.contains(other));
         self.others = others;
     }
 
+    /// Notes that another node is of another group of the same service.
+    pub fn note_elsewhere(&mut self, other: A, now: Moment) {
+        self.elsewhere.insert(other, now);
+    }
+
     /// Gets the address of a rank's node.
     pub fn address_of(&self, rank: Rank) -> Option<&A> {
         self.roster.get(&rank)
@@ -133,14 +152,21 @@
         self.is_leading() || self.report.as_ref().is_some_and(|r| self.may_claim(r.rank, soon))
     }
 
+    /// Tells whether the node is one of the first to take the lead, which a leader names all nodes to.
+    pub fn is_named(&self) -> bool {
+        self.report.as_ref().is_some_and(|r| r.rank < NAMED_RANKS)
+    }
+
     /// Tells whether the node needs the other nodes to take the lead, and does not know them.
     pub fn wants_others(&self, now: Moment) -> bool {
         let Some(report) = &self.report else {
             return false;
         };
         let knows_all = self.roster.len() == usize::from(report.size);
+        // Those that are first to take the lead have to know whom to tell by then, and reading the list takes a while.
+        let is_early = self.awaits_others && self.is_named();
 
-        !knows_all && self.may_lead_soon(now)
+        !knows_all && (is_early || self.may_lead_soon(now))
     }
 
     /// Gets what the node's own engine said last.
@@ -181,6 +207,7 @@
     /// Takes in a message of another node.
     pub fn on_message(&mut self, from: A, message: Message<A>, now: Moment) -> Vec<Action<A>> {
         let mut actions = Vec::new();
+        self.elsewhere.remove(&from);
 
         match message {
             Message::Lead { directive, roster } => {
@@ -276,6 +303,10 @@
             self.lost_leads = 0;
         }
 
+        if before.as_ref().is_some_and(|b| b.group != report.group) {
+            self.elsewhere.clear();
+        }
+
         if before.is_none() {
             // Whoever leads had no way to tell before.
             self.heard_at = now;
--- a/grebedeck-experts/src/rollout/options.rs
+++ b/grebedeck-experts/src/rollout/options.rs
@@ -14,6 +14,9 @@
     /// What each doubling of the rank's number adds to that, so that rarely two of the first ones claim at
     /// once, and the last of 192 waits for 0.9 s and not for 23 s.
     pub claim_per_doubling: Duration,
+    /// What ranks wait for beyond that which the leader has not named all nodes to: each of them would have to ask the
+    /// store for the nodes, and there are hundreds.
+    pub claim_unnamed: Duration,
     /// How long before it would take the lead a node asks for the other nodes: a call to the store.
     pub ask_ahead: Duration,
     /// How often a leader tells what it wants, and a node its status, where nothing changes.
@@ -50,6 +53,7 @@
         NodeOptions {
             claim_after: Duration::from_millis(450),
             claim_per_doubling: Duration::from_millis(120),
+            claim_unnamed: Duration::from_secs(1),
             ask_ahead: Duration::from_millis(200),
             period: Duration::from_millis(200),
             status_lifetime: Duration::from_millis(700),
--- a/grebedeck-experts/src/rollout/parts.rs
+++ b/grebedeck-experts/src/rollout/parts.rs
@@ -15,7 +15,7 @@
 /// Placements that a node remembers: the one in use, the one before it, and one that was given up.
 const KEPT_PLACEMENTS: usize = 4;
 
-impl<A: Clone + PartialEq> Node<A> {
+impl<A: Clone + Ord> Node<A> {
     /// Notes a placement, such as the one that engines start with.
     pub fn keep_placement(&mut self, placement_no: PlacementNo, placement: Arc<Placement>) {
         self.placements.insert(placement_no, placement);
--- a/grebedeck-experts/src/rollout/tell.rs
+++ b/grebedeck-experts/src/rollout/tell.rs
@@ -5,6 +5,7 @@
 //! plan changes is passed on by some nodes, each to a part of the group. A node that does not say that it has
 //! them is told again.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use grebedeck_core::{Moment, Rank};
@@ -18,14 +19,17 @@
 /// eight is there also while a sixth of all processes is away and the store cannot be asked. With names in each word
 /// to each of 192 ranks, words came later than others claim the lead, and it went from hand to hand 72 times in 31
 /// calm seconds; no placement was ever changed.
-const NAMED_RANKS: Rank = 8;
+pub(super) const NAMED_RANKS: Rank = 8;
+/// How long a node is taken for one of another group after it has said so. Groups form anew, but seldom with ranks of
+/// others.
+const ELSEWHERE_LIFETIME: Duration = Duration::from_secs(5);
 /// Nodes that one node tells what a plan changes, before others pass it on: at 7 KB, as with 650 ranks, they take 75 ms
 /// of a link of 6 Mbit/s, and three steps reach 512.
 pub(super) const FAN_OUT: usize = 8;
 /// Least number of them, however long what is passed on: steps then grow faster in number than they get shorter.
 const LEAST_FAN_OUT: usize = 3;
 
-impl<A: Clone + PartialEq> Node<A> {
+impl<A: Clone + Ord> Node<A> {
     /// Sends the leader's word to all nodes, and takes it itself.
     pub(super) fn broadcast(
         &mut self,
@@ -38,7 +42,7 @@
             actions.push(Action::Send { to: to.clone(), message });
         }
 
-        for to in self.unknown_others() {
+        for to in self.unknown_others(now) {
             let message = Message::Lead { directive: directive.clone(), roster: Vec::new() };
             actions.push(Action::Send { to: to.clone(), message });
         }
@@ -155,16 +159,21 @@
     }
 
     /// Gets the nodes that may belong to the group. Once each rank's node is known, the others are those of
-    /// other groups, and telling them would fill the leader's link.
-    fn unknown_others(&self) -> Vec<&A> {
+    /// other groups. While one is missing, as its process is away, those that have told that they are of another group
+    /// are left out: telling them all would fill the leader's link, in proportion to the whole service.
+    fn unknown_others(&self, now: Moment) -> Vec<&A> {
         let size = self.report.as_ref().map_or(0, |r| usize::from(r.size));
 
         if self.roster.len() >= size {
             return Vec::new();
         }
 
-        let is_known = |a: &&A| self.roster.values().any(|r| r == *a);
-        self.others.iter().filter(|a| !is_known(a)).collect()
+        let known: BTreeSet<&A> = self.roster.values().collect();
+        let is_elsewhere = |other: &&A| {
+            self.elsewhere.get(*other).is_some_and(|since| now < *since + ELSEWHERE_LIFETIME)
+        };
+
+        self.others.iter().filter(|other| !known.contains(other) && !is_elsewhere(other)).collect()
     }
 }
 
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -294,6 +294,67 @@
     assert_eq!(told(&node.tick(secs(4))), 9);
 }
 
+/// Load: one rank of a group of 192 is away, so its node is not known, and the service has one to sixteen groups. The
+/// leader told all nodes of the others five times a second.
+#[test]
+fn what_a_leader_tells_does_not_grow_with_the_other_groups() {
+    const SIZE: u16 = 192;
+    let own_report = |rank| RankReport { size: SIZE, ..report(rank, None) };
+
+    for groups in [1, 2, 4, 16] {
+        let mut node = Node::new(0u16, 1, secs(0), NodeOptions::default());
+        node.set_others((1..SIZE * groups).collect());
+        node.on_report(own_report(0), secs(0));
+        let told = |actions: &[Action<u16>]| {
+            let is_lead =
+                |a: &&Action<u16>| matches!(a, Action::Send { message: Message::Lead { .. }, .. });
+            actions.iter().filter(is_lead).count()
+        };
+        assert_eq!(
+            told(&node.tick(secs(2))),
+            usize::from(SIZE * groups) - 1,
+            "each may belong to it"
+        );
+
+        for rank in 1..SIZE - 1 {
+            let status = Status {
+                promised: Term { round: 1, rank: 0, life: 1 },
+                report: own_report(rank),
+                refused: None,
+                is_engaged: false,
+                known: 1,
+                revision: 0,
+                knows_placement: true,
+            };
+            node.on_message(rank, Message::Status(status), secs(2));
+        }
+
+        (SIZE..SIZE * groups).for_each(|other| node.note_elsewhere(other, secs(2)));
+        assert_eq!(told(&node.tick(secs(3))), usize::from(SIZE) - 1, "{groups} groups");
+        // Whoever has said so long ago is asked again.
+        assert_eq!(told(&node.tick(secs(8))), usize::from(SIZE * groups) - 1, "{groups} groups");
+    }
+}
+
+/// Nodes of a large service took the lead one after the other before they knew anybody, and read the list for it.
+#[test]
+fn a_node_takes_no_lead_that_nobody_hears_of() {
+    let mut node = Node::new(0u16, 1, secs(0), NodeOptions::default());
+    node.await_others();
+    node.on_report(report(0, None), secs(0));
+    assert!(node.wants_others(secs(0)), "the first one asks at once");
+    node.tick(secs(3));
+    assert!(!node.is_leading());
+    node.set_others((1..10).collect());
+    node.tick(secs(4));
+    assert!(node.is_leading());
+
+    let mut last = Node::new(7u16, 1, secs(0), NodeOptions::default());
+    last.await_others();
+    last.on_report(RankReport { size: 192, ..report(100, None) }, secs(0));
+    assert!(!last.wants_others(secs(0)), "the others ask when their turn comes");
+}
+
 /// A leader that came back gave a number that it had given before to another placement; nodes that did not
 /// know the base of the new one took what they had kept under the number.
 #[test]
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -42,6 +42,10 @@
 const RELAYED_LIST_PERIOD: Duration = Duration::from_secs(5);
 /// How soon the own row is written again where a list does not have it; a relay's list may be that much older.
 const REPUBLISH_PERIOD: Duration = Duration::from_secs(15);
+/// How soon it is written again where the store did not take it, at the least, and over what time more: gateways that
+/// start together write more rows than one part of a table takes in a second.
+const PUBLISH_RETRY: Duration = Duration::from_secs(1);
+const PUBLISH_SPREAD: Duration = Duration::from_secs(2);
 /// How soon they are read again after the own row was written: others that start at the same time have written
 /// theirs by then.
 const FIRST_LIST_PERIOD: Duration = Duration::from_secs(1);
@@ -107,7 +111,7 @@
 
                 if is_due && !listing.gateways.contains(&own) {
                     published_at = Some(now);
-                    publish(&store, &own).await;
+                    gateway.tasks.spawn(publish(store.clone(), own.clone())).detach();
 
                     if is_first {
                         sleep(FIRST_LIST_PERIOD).await;
@@ -125,9 +129,20 @@
     }
 }
 
-async fn publish<S: SiteStore>(store: &S, own: &GatewayEntry) {
-    if let Err(error) = store.publish(own).await {
+/// Writes the own row, until the store takes it or its next writing is due.
+async fn publish<S: SiteStore>(store: S, own: GatewayEntry) {
+    let mut waited = Duration::ZERO;
+
+    while let Err(error) = store.publish(&own).await {
         log::warn!("gateway not published", kv: { error = error.to_string() });
+        let pause = PUBLISH_RETRY + PUBLISH_SPREAD.mul_f64(ProcessRandom::default().unit());
+        waited += pause;
+
+        if waited >= REPUBLISH_PERIOD {
+            return;
+        }
+
+        sleep(pause).await;
     }
 }
 
@@ -151,6 +166,8 @@
 /// Asks the peers while the store is away, until the task is dropped.
 pub async fn follow_peers(gateway: Rc<Gateway>) {
     let mut clients: HashMap<SocketAddr, Rc<Client>> = HashMap::new();
+    // Until then nobody knows whether the store is away.
+    gateway.relay.wait_for_list().await;
 
     loop {
         sleep(ASK_PERIOD).await;
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -13,7 +13,7 @@
 use futures::{FutureExt, StreamExt};
 use grebedeck_core::{Moment, Result};
 use grebedeck_experts::balancer::CountDelta;
-use grebedeck_experts::rollout::{Action, Node, NodeOptions, RankNote};
+use grebedeck_experts::rollout::{Action, Message, Node, NodeOptions, RankNote};
 use grebedeck_experts::{RankEngine, RankReport};
 use grebedeck_gateway::{SiteStore, TargetEntry, TargetListing};
 use grebedeck_kernel::{Clock, Metrics, log};
@@ -23,7 +23,7 @@
 use super::calls::Outcome;
 use super::counters::Counters;
 use super::dependency::Dependency;
-use super::message::{Body, DatagramReader, MAX_DATAGRAM_BYTES, RankLoad};
+use super::message::{Body, Datagram, DatagramReader, MAX_DATAGRAM_BYTES, RankLoad};
 use super::obstacle::ObstacleWatch;
 use super::options::{
     BUSY_POLL, IDLE_POLL, LIST_PAUSE, OPENING_POLL, RankSettings, STOP_LIMIT, WATCH_LIFETIME,
@@ -112,7 +112,8 @@
         let now = clock.now();
         let socket = UdpSocket::bind((settings.ip, settings.group_port)).await?;
         let life = rand::random();
-        let node = Node::new(settings.target_address, life, now, NodeOptions::default());
+        let mut node = Node::new(settings.target_address, life, now, NodeOptions::default());
+        node.await_others();
         let metrics = Metrics::default();
         let counters = Counters::new(&metrics);
         let state: Rc<RefCell<Value>> = Rc::default();
@@ -228,7 +229,12 @@
             });
         }
 
-        if self.site_due.is_now(now) && self.node.may_lead_soon(now) && !self.balance.knows_engine()
+        let may_plan = self.node.is_leading() || self.node.is_named();
+
+        if self.site_due.is_now(now)
+            && may_plan
+            && self.node.may_lead_soon(now)
+            && !self.balance.knows_engine()
         {
             self.site_due = Due::UnderWay;
             self.ask_store(|store| async move {
@@ -285,6 +291,7 @@
 
         if !datagram.concerns(self.group()) {
             self.counters.datagrams.add("of_other_groups");
+            self.take_of_other_group(&datagram).await;
             return;
         }
 
@@ -298,7 +305,7 @@
                 self.watchers.insert(datagram.from, self.clock.now());
             }
             // For gateways.
-            Body::Load(_) | Body::Suspects(_) => {}
+            Body::Load(_) | Body::Suspects(_) | Body::Elsewhere => {}
             Body::Counts(report) => {
                 let is_same_formation = self.node.report().is_some_and(|r| r.epoch == report.epoch);
                 // What an earlier start of an engine counted is no part of what the next one counts.
@@ -312,6 +319,19 @@
         }
     }
 
+    /// Notes that the sender is of another group, and tells it so where it wants to lead this node.
+    async fn take_of_other_group(&mut self, datagram: &Datagram) {
+        if self.group().is_none() {
+            return;
+        }
+
+        self.node.note_elsewhere(datagram.from, self.clock.now());
+
+        if let Body::Rollout(Message::Lead { .. }) = datagram.body {
+            self.send(datagram.from, Body::Elsewhere).await;
+        }
+    }
+
     async fn take_outcome(&mut self, outcome: Outcome) {
         let now = self.clock.now();
 
@@ -414,7 +434,7 @@
         let entries = targets.into_iter().map(|listed| listed.entry);
         let others: BTreeSet<SocketAddr> = entries.filter(is_other).map(|t| t.address).collect();
 
-        self.node.set_others(others.into_iter().collect());
+        self.node.set_others(others);
     }
 
     pub(super) async fn carry_out(&mut self, actions: Vec<Action<SocketAddr>>) {
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -40,6 +40,8 @@
     Load(RankLoad),
     /// Between gateways: crashes of targets.
     Suspects(SuspectMessage),
+    /// To a leader of another group that takes the sender for one of its own: the sender's group is this datagram's.
+    Elsewhere,
 }
 
 /// A rank's load, as its engine says.
