What ran under a single crash of a rank is held back, as one more would stop the whole group again

Cause: a deadly request is sent on until the third crash.

Change: for services whose targets stop each other, a request that ran under a crash that nothing else explains is not sent for 30 s, and waits while a target is looked at on which it broke, unless the same request was answered lately (the last 4,096 are remembered). A loss of power, where several targets end in one moment, holds nobody back. Plain services are served as before: three crashes decide.

--- a/grebedeck-routing/src/lib.rs
+++ b/grebedeck-routing/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod caution;
 pub mod choice;
 pub mod crashes;
 pub mod fingerprint;
@@ -21,6 +22,7 @@
 
 pub use admission::{Admission, AdmissionOptions};
 pub use attempt::{AttemptEnd, AttemptTracker, Next, RequestTraits};
+pub use caution::Caution;
 pub use choice::{Birth, Candidate, Chooser, ChooserOptions, LoadReport, LoadView};
 pub use crashes::{CrashLog, TargetStart};
 pub use fingerprint::{Fingerprint, Identity};
--- a/grebedeck-routing/src/quarantine.rs
+++ b/grebedeck-routing/src/quarantine.rs
@@ -453,6 +453,11 @@
         self.log.suspicion(request, |other| self.held.contains_key(&other))
     }
 
+    /// Gets how much longer a target may be looked at on which a request broke.
+    pub fn check_left(&self, request: Fingerprint, now: Moment) -> Option<Duration> {
+        self.open_checks(request, now).map(|(_, until)| until.saturating_sub(now))
+    }
+
     /// Gets how many targets are looked at on which a request broke, and until when that may take.
     fn open_checks(&self, request: Fingerprint, now: Moment) -> Option<(usize, Moment)> {
         let is_open = |check: &&Check| {
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -17,7 +17,7 @@
 };
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_kernel::{Clock, Metrics, log};
-use grebedeck_routing::{Chooser, LoadReport, Quarantine};
+use grebedeck_routing::{Caution, Chooser, LoadReport, Quarantine};
 
 use super::Tasks;
 use super::counters::Counters;
@@ -91,6 +91,8 @@
     pub(super) entry_lines: RefCell<LineBudget>,
     /// Requests that are not sent any more, and those that may have to be among them.
     pub(super) quarantine: RefCell<Quarantine>,
+    /// Requests that were answered lately, of services whose targets' crashes stop others.
+    pub(super) answered: RefCell<Caution>,
     /// Told when it is known of a request whether it may be sent.
     pub(super) suspects_changed: Event,
     /// Told when there is something to tell other gateways, or to store.
@@ -141,6 +143,7 @@
             refusing_lines: RefCell::new(LineBudget::new(REFUSING_LINES_PER_S)),
             entry_lines: RefCell::new(LineBudget::new(ENTRY_LINES_PER_S)),
             quarantine: RefCell::default(),
+            answered: RefCell::default(),
             suspects_changed: Event::new(),
             suspects_news: Event::new(),
             suspect_lines: RefCell::new(LineBudget::new(SUSPECT_LINES_PER_S)),
--- a/grebedeck/src/gateway/suspects.rs
+++ b/grebedeck/src/gateway/suspects.rs
@@ -69,7 +69,37 @@
         }
 
         self.decide();
-        self.quarantine.borrow_mut().clearance(request.fingerprint(), self.now())
+        let clearance = self.quarantine.borrow_mut().clearance(request.fingerprint(), self.now());
+
+        match clearance {
+            Clearance::Free if self.stops_others(&request.service) => self.caution(request),
+            clearance => clearance,
+        }
+    }
+
+    /// Tells whether the crash of one of a service's targets stops others.
+    fn stops_others(&self, service: &str) -> bool {
+        let table = self.table();
+        let engine = table.service(service).and_then(|s| s.engine.as_ref());
+
+        engine.is_some_and(|engine| !engine.form.is_zero())
+    }
+
+    /// Tells whether a request may be sent where one crash more would stop a whole group.
+    fn caution(&self, request: &RoutedRequest) -> Clearance {
+        let (fingerprint, now) = (request.fingerprint(), self.now());
+        let quarantine = self.quarantine.borrow();
+        let suspicion = quarantine.suspicion(fingerprint);
+
+        if let Some(left) = self.answered.borrow().held_back(fingerprint, suspicion, now) {
+            self.counters.quarantine.add("held_back");
+            return Clearance::Refuse(left);
+        }
+
+        match quarantine.check_left(fingerprint, now) {
+            Some(left) if !self.answered.borrow().is_trusted(fingerprint) => Clearance::Wait(left),
+            _ => Clearance::Free,
+        }
     }
 
     fn take_quarantine_trial(&self, request: &RoutedRequest) -> bool {
@@ -122,6 +152,10 @@
 
     /// Notes that a request was answered.
     pub(super) fn note_answered(&self, request: &RoutedRequest) {
+        if self.stops_others(&request.service) {
+            self.answered.borrow_mut().answered(request.fingerprint());
+        }
+
         if self.quarantine.borrow().is_idle() {
             return;
         }
