--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -123,7 +123,7 @@
     }
 
     /// Notes that another node is of another group of the same service.
-    pub fn note_elsewhere(&mut self, other: A, now: Moment) {
+    pub fn mark_elsewhere(&mut self, other: A, now: Moment) {
         self.elsewhere.insert(other, now);
     }
 
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -329,7 +329,7 @@
             node.on_message(rank, Message::Status(status), secs(2));
         }
 
-        (SIZE..SIZE * groups).for_each(|other| node.note_elsewhere(other, secs(2)));
+        (SIZE..SIZE * groups).for_each(|other| node.mark_elsewhere(other, secs(2)));
         assert_eq!(told(&node.tick(secs(3))), usize::from(SIZE) - 1, "{groups} groups");
         // Whoever has said so long ago is asked again.
         assert_eq!(told(&node.tick(secs(8))), usize::from(SIZE * groups) - 1, "{groups} groups");
--- a/grebedeck-gateway/src/relay.rs
+++ b/grebedeck-gateway/src/relay.rs
@@ -129,17 +129,17 @@
     }
 
     /// Notes that another gateway asked this one.
-    pub fn note_asked(&mut self, now: Moment) {
+    pub fn record_ask(&mut self, now: Moment) {
         self.asked_at = Some(now);
     }
 
     /// Notes that a relay did not answer, or is not fresh itself.
-    pub fn note_relay_failed(&mut self, relay: &A, now: Moment) {
+    pub fn record_relay_failure(&mut self, relay: &A, now: Moment) {
         self.passed_over.insert(relay.clone(), now + self.options.pass_over);
     }
 
     /// Notes that the store did not answer this gateway as it should.
-    pub fn note_store_failed(&mut self, now: Moment) {
+    pub fn record_store_failure(&mut self, now: Moment) {
         self.store_failed_at = Some(now);
     }
 
--- a/grebedeck-gateway/tests/relay.rs
+++ b/grebedeck-gateway/tests/relay.rs
@@ -92,7 +92,7 @@
     let gone = readers(&hall, MS(0))[0];
 
     for gateway in &mut hall {
-        gateway.note_relay_failed(&name(gone), MS(0));
+        gateway.record_relay_failure(&name(gone), MS(0));
     }
 
     let staying: Vec<usize> = (0..hall.len()).filter(|at| *at != gone).collect();
@@ -111,7 +111,7 @@
     let mut hall = hall_of(20);
     let readers = readers(&hall, MS(0));
     let asked = (0..20).find(|at| !readers.contains(at)).expect("a follower");
-    hall[asked].note_asked(MS(100));
+    hall[asked].record_ask(MS(100));
 
     assert_eq!(hall[asked].source(MS(4_000)), Source::Store);
     assert_ne!(hall[asked].source(MS(4_200)), Source::Store);
@@ -122,7 +122,7 @@
 fn a_gateway_that_the_store_turns_away_follows_one_that_it_serves() {
     let mut hall = hall_of(20);
     let relay = readers(&hall, MS(0))[0];
-    hall[relay].note_store_failed(MS(0));
+    hall[relay].record_store_failure(MS(0));
 
     assert!(matches!(hall[relay].source(MS(1)), Source::Relay(other) if other != name(relay)));
     assert!(hall[relay].is_cut_off(MS(1)));
@@ -137,8 +137,8 @@
 
         for (step, failed) in failed.iter().enumerate() {
             let at = step % size;
-            hall[at].note_relay_failed(&name(*failed), MS(0));
-            hall[at].note_store_failed(MS(0));
+            hall[at].record_relay_failure(&name(*failed), MS(0));
+            hall[at].record_store_failure(MS(0));
             let source = hall[at].source(MS(1));
             prop_assert_ne!(source, Source::Relay(name(at)));
         }
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -314,8 +314,7 @@
     }
 
     /// Gets the pause between two reads of the list of targets, which heartbeats change all the time. A target
-    /// that leaves is known within a quarter of the time that it goes on; no more is needed, and each
-    /// gateway's calls add up: 53 to 71 of them made 4,865 calls in 34 s with 0.4 s, 3,295 with 1 s.
+    /// that leaves is known within a quarter of the time that it goes on; no more is needed, and calls add up.
     pub fn targets_pause(&self) -> Duration {
         millis(self.leaving_ms) / 4
     }
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -30,9 +30,8 @@
 const STATE_PATH: &str = "/peer/state";
 /// How often peers are asked while the store is away: a change must be in force within two seconds.
 const ASK_PERIOD: Duration = Duration::from_millis(400);
-/// Peers that are asked at a time. Each answers with all that it knows: 53 gateways that all asked each other sent
-/// 0.51 GB between halls on a day with the store away, over links of 40 Mbit/s. While the store turns a third of
-/// the gateways away, one round in thirty finds nobody who knows more.
+/// Peers that are asked at a time, as each answers with all that it knows. While the store turns a third of the
+/// gateways away, one round in thirty finds nobody who knows more.
 const PEERS_ASKED: usize = 3;
 /// How long a peer may take to answer.
 const ASK_LIMIT: Duration = Duration::from_millis(300);
--- a/grebedeck/src/gateway/relay.rs
+++ b/grebedeck/src/gateway/relay.rs
@@ -169,22 +169,22 @@
     }
 
     /// Notes that another gateway asks this one, and has it read the store where it has no answer.
-    fn note_asked(&self, has_answer: bool, now: Moment) {
-        self.relays.borrow_mut().note_asked(now);
+    fn record_ask(&self, has_answer: bool, now: Moment) {
+        self.relays.borrow_mut().record_ask(now);
 
         if !has_answer {
             self.asked.notify(usize::MAX);
         }
     }
 
-    fn note_store_failed(&self, now: Moment) {
-        self.relays.borrow_mut().note_store_failed(now);
+    fn record_store_failure(&self, now: Moment) {
+        self.relays.borrow_mut().record_store_failure(now);
         self.changed.notify(usize::MAX);
     }
 
-    fn note_relay_failed(&self, relay: SocketAddr, error: &Error, now: Moment) {
+    fn record_relay_failure(&self, relay: SocketAddr, error: &Error, now: Moment) {
         log::warn!("relay lost", kv: { relay = relay.to_string(), error = error.to_string() });
-        self.relays.borrow_mut().note_relay_failed(&relay, now);
+        self.relays.borrow_mut().record_relay_failure(&relay, now);
     }
 }
 
@@ -210,7 +210,7 @@
     fn relay_wait(settings: &GatewaySettings) -> Duration;
 
     /// Notes how long ago the store confirmed what was read last.
-    fn note_age(_state: &RelayState, _age: Duration) {}
+    fn record_age(_state: &RelayState, _age: Duration) {}
 }
 
 impl Followed for OperatorState {
@@ -236,7 +236,7 @@
         settings.operator_relay_wait()
     }
 
-    fn note_age(state: &RelayState, age: Duration) {
+    fn record_age(state: &RelayState, age: Duration) {
         state.operator_age.set(age);
     }
 }
@@ -304,7 +304,7 @@
             match answer {
                 Ok(relayed) => return Ok(relayed),
                 Err(error) => {
-                    self.state().note_relay_failed(relay, &error, self.gateway.now());
+                    self.state().record_relay_failure(relay, &error, self.gateway.now());
                 }
             }
         }
@@ -313,7 +313,7 @@
         let read = read_store(&self.store).await;
 
         if read.is_err() {
-            self.state().note_store_failed(self.gateway.now());
+            self.state().record_store_failure(self.gateway.now());
         }
 
         Ok(Relayed { age: Duration::ZERO, value: read? })
@@ -335,7 +335,7 @@
             read
         };
         let Relayed { age, value } = self.read(T::PATH, read_store).await?;
-        T::note_age(self.state(), age);
+        T::record_age(self.state(), age);
 
         Ok(value)
     }
@@ -373,12 +373,12 @@
             Ok(watched) => feed.borrow_mut().extend(watched, self.gateway.now()),
             Err(_) => {
                 feed.borrow_mut().fail();
-                self.state().note_store_failed(self.gateway.now());
+                self.state().record_store_failure(self.gateway.now());
             }
         }
 
         self.state().changed.notify(usize::MAX);
-        T::note_age(self.state(), Duration::ZERO);
+        T::record_age(self.state(), Duration::ZERO);
         watched
     }
 
@@ -402,11 +402,11 @@
 
         match answer {
             Ok(Relayed { age, value }) => {
-                T::note_age(self.state(), age);
+                T::record_age(self.state(), age);
                 value
             }
             Err(error) => {
-                self.state().note_relay_failed(relay, &error, self.gateway.now());
+                self.state().record_relay_failure(relay, &error, self.gateway.now());
                 Watched::HistoryGone
             }
         }
@@ -551,7 +551,7 @@
 
 async fn answer_quarantine(gateway: &Gateway, unix_ms: UnixMs) -> Page {
     let state = &gateway.relay;
-    state.note_asked(state.is_quarantine_known.get(), gateway.now());
+    state.record_ask(state.is_quarantine_known.get(), gateway.now());
     let changed = async {
         while !state.is_quarantine_known.get() {
             state.changed.listen().await;
@@ -573,7 +573,7 @@
     let state = &gateway.relay;
     let wait = query(request, "wait_ms").map_or(READ_WAIT, Duration::from_millis);
     let give_up = gateway.now() + wait.min(T::relay_wait(&gateway.settings()).max(READ_WAIT));
-    state.note_asked(T::feed(state).borrow().state() != FeedState::Empty, gateway.now());
+    state.record_ask(T::feed(state).borrow().state() != FeedState::Empty, gateway.now());
 
     loop {
         let changed = state.changed.listen();
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -291,7 +291,7 @@
 
         if !datagram.concerns(self.group()) {
             self.counters.datagrams.add("of_other_groups");
-            self.take_of_other_group(&datagram).await;
+            self.on_foreign_datagram(&datagram).await;
             return;
         }
 
@@ -320,12 +320,12 @@
     }
 
     /// Notes that the sender is of another group, and tells it so where it wants to lead this node.
-    async fn take_of_other_group(&mut self, datagram: &Datagram) {
+    async fn on_foreign_datagram(&mut self, datagram: &Datagram) {
         if self.group().is_none() {
             return;
         }
 
-        self.node.note_elsewhere(datagram.from, self.clock.now());
+        self.node.mark_elsewhere(datagram.from, self.clock.now());
 
         if let Body::Rollout(Message::Lead { .. }) = datagram.body {
             self.send(datagram.from, Body::Elsewhere).await;
--- a/grebedeck/src/rank/options.rs
+++ b/grebedeck/src/rank/options.rs
@@ -13,17 +13,15 @@
 /// How often the engine is read while a plan is under way: a fraction of a pass.
 pub const BUSY_POLL: Duration = Duration::from_millis(20);
 /// How often the engine is read while its group forms, and chosen experts are counted until the first placement of a
-/// group is in use: less than a pass. Counted each 150 ms, the first placement after a loss of all power was proposed
-/// 0.38 s after the groups had opened, and streams ran at a skew of 3 until then.
+/// group is in use: less than a pass, as streams run at the skew of the dealt experts until then.
 pub const OPENING_POLL: Duration = Duration::from_millis(40);
 /// How long a call to an engine may take before it counts as unanswered; usually it takes a
 /// millisecond or two.
 pub const ENGINE_LIMIT: Duration = Duration::from_millis(150);
 /// How often a rank of a small group tells its load: gateways send a request or two to it meanwhile.
 const LOAD_PERIOD: Duration = Duration::from_millis(125);
-/// Least time between two loads that a gateway hears, of all ranks together. With 192 ranks behind 53 gateways and
-/// 4 ms, loads were 0.77 s old, and requests waited behind others while places were free: p99 of the first event over
-/// a day of high load was 2.3 s, and 1.4 s with 1 ms, for 0.030 in place of 0.015 of a core in each gateway.
+/// Least time between two loads that a gateway hears, where it deals with all ranks of a group. Older loads leave requests
+/// waiting behind others while places are free.
 const LOAD_SPACING: Duration = Duration::from_millis(1);
 /// How long a gateway is told the load after it asked.
 pub const WATCH_LIFETIME: Duration = Duration::from_millis(3500);
@@ -82,16 +80,13 @@
     /// Least gain in skew that is worth the copy of one expert.
     pub min_gain_per_copy: f32,
     /// How long a rank may copy for one placement, over all sets; one expert is always allowed. All ranks
-    /// wait for the one that copies most, and passes are longer meanwhile. Where one expert takes 0.4 s, one
-    /// in place of no limit was worth 0.072 ± 0.007 more over 48 pairs of days, and a placement was in use
-    /// after 0.6 in place of 1.0 s; where it takes 3 ms, one a rank leaves a skew of 1.77 where 1.40 can be had.
+    /// wait for the one that copies most, and passes are longer meanwhile.
     pub copy_limit_ms: u64,
 }
 
 impl Default for BalanceSettings {
     fn default() -> Self {
-        // Of five settings tried on all standard days of both sites, these gave the highest worth: a group
-        // that is far from its limits gains little from a lower skew, and copies cost.
+        // A group that is far from its limits gains little from a lower skew, and copies cost.
         BalanceSettings {
             count_ms: 150,
             plan_ms: 50,
