Gateways tell what targets name as their limit, and what they send to those that have one

The logs of the incident cannot tell whether a limit was never heard of or not kept to by all gateways together. A line and counters say now what an answer named, when that ended, and how many requests went to targets with a limit; the dump shows limit, since when, and sent. Nothing is decided by it yet.

--- a/grebedeck-gateway/src/wire.rs
+++ b/grebedeck-gateway/src/wire.rs
@@ -36,6 +36,8 @@
     pub retry_after: &'static str,
     /// Says that the target is leaving.
     pub leaving: &'static str,
+    /// Requests a second that the target takes from all gateways together.
+    pub limit: &'static str,
 }
 
 /// What a target's answer says of its load.
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod hold;
 pub mod kept;
+pub mod limits;
 pub mod loads;
 pub mod mechanism;
 pub mod opened;
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -134,6 +134,7 @@
         return Err(Failure::not_run(FailureCause::Withdrawn));
     }
 
+    gateway.note_sent_limited(target);
     let sent_at = gateway.now();
     let left = request.deadline.saturating_sub(sent_at);
     let head = request.head_for(target, left, &gateway.names);
@@ -225,7 +226,7 @@
 /// Takes in what a target says of itself beside the answer. Where another one has its address, that one speaks.
 fn note_words(
     gateway: &Gateway,
-    target: &TargetEntry,
+    sent: &Sent,
     head: &ResponseHead,
     verdict: Verdict,
     refusal: Refusal,
@@ -235,7 +236,9 @@
         return;
     }
 
+    let target = &sent.target;
     gateway.note_load_word(target, head, load);
+    gateway.note_limit(target, head, verdict, sent.sent_at);
 
     if verdict == Verdict::Refused || refusal.asked.is_some() {
         gateway.note_refusal(target, refusal, load);
@@ -270,7 +273,7 @@
     let verdict = judge(head.status, is_signed, says_not_run);
     let load = head.headers.text(gateway.names.load).and_then(TargetLoad::parse);
     let refusal = refusal(gateway, &head);
-    note_words(gateway, &sent.target, &head, verdict, refusal, load);
+    note_words(gateway, &sent, &head, verdict, refusal, load);
 
     let Ok(framing) = response_framing(&head, &sent.request.request.head.method) else {
         in_flight.judge(false);
--- a/grebedeck/src/gateway/counters.rs
+++ b/grebedeck/src/gateway/counters.rs
@@ -74,6 +74,8 @@
     pub cold: Counter,
     /// Targets that refuse, want rest or leave by their own word, and what becomes of them.
     pub refusing: Counter,
+    /// Limits that targets name, and requests to targets that have one.
+    pub limits: Counter,
     /// Crashes of targets and the requests that ran under them, by what became of them.
     pub quarantine: Counter,
     /// Log lines that were left out, by kind.
@@ -171,6 +173,11 @@
                 "kind",
                 "What targets' refusals and their words on rest and leaving led to",
             ),
+            limits: counter(
+                "grebedeck_gateway_limits",
+                "kind",
+                "Limits that targets name, and requests to targets that have one",
+            ),
             quarantine: counter(
                 "grebedeck_gateway_quarantine",
                 "kind",
--- a/grebedeck/src/gateway/dump.rs
+++ b/grebedeck/src/gateway/dump.rs
@@ -26,6 +26,7 @@
                 "readable": targets.is_readable(&entry.id),
                 "rest_ms": self.rest_left(&entry.id, now).as_millis() as u64,
                 "says_leaving": targets.says_leaving(entry),
+                "limit": self.limit_dump(entry, now),
             })
         };
         let services: Vec<serde_json::Value> = table
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -12,7 +12,7 @@
 use grebedeck_gateway::answer;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    ColdGate, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, Refusals,
+    ColdGate, HeaderNames, Limits, Outage, Pacing, Patience, PatienceOptions, PromptRate, Refusals,
     RouteTable, Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
@@ -23,6 +23,7 @@
 use super::counters::Counters;
 use super::halls::OperatorView;
 use super::kept::SharedMemory;
+use super::limits::LIMIT_LINES_PER_S;
 use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
@@ -87,6 +88,10 @@
     pub(super) refusals: RefCell<Refusals>,
     /// Lines on targets that refuse.
     pub(super) refusing_lines: RefCell<LineBudget>,
+    /// Limits that targets name.
+    pub(super) limits: RefCell<Limits>,
+    /// Lines on limits.
+    pub(super) limit_lines: RefCell<LineBudget>,
     /// Lines on entries that cannot be read.
     pub(super) entry_lines: RefCell<LineBudget>,
     /// Requests that are not sent any more, and those that may have to be among them.
@@ -141,6 +146,8 @@
             cold: RefCell::default(),
             refusals: RefCell::default(),
             refusing_lines: RefCell::new(LineBudget::new(REFUSING_LINES_PER_S)),
+            limits: RefCell::default(),
+            limit_lines: RefCell::new(LineBudget::new(LIMIT_LINES_PER_S)),
             entry_lines: RefCell::new(LineBudget::new(ENTRY_LINES_PER_S)),
             quarantine: RefCell::default(),
             answered: RefCell::default(),
@@ -464,6 +471,7 @@
                 let targets = &self.targets;
                 let keep = |name: &str| targets.try_borrow().is_ok_and(|t| t.get(name).is_some());
                 self.chooser.borrow_mut().retain(keep);
+                self.limits.borrow_mut().retain(keep);
                 self.groups.borrow_mut().remove(id);
             }
         }
--- a/grebedeck/tests/lone/mod.rs
+++ b/grebedeck/tests/lone/mod.rs
@@ -24,6 +24,7 @@
     deadline_ms: "deadline-ms",
     retry_after: "retry-after",
     leaving: "leaving",
+    limit: "limit",
     signature: "signature",
     cold_ms: "cold-ms",
     not_run: "not-run",
