Gateways keep to the limit that a target names for all of them together

What callers saw: nothing yet; a target in need that named 1 request a second got 12 and 13 in 4 s, its usual share. Cause: no gateway read the limit, and nothing in the design could have kept it: what a target says in an answer reaches the gateway that asked and no other, while a limit is a sum over all gateways.

Each target belongs to one of 8 partitions, and the first gateway of a partition's order that answers gives out permits from a token bucket that fills at the limit; gateways ask once in 400 ms for all targets that concern them, say how many requests they have and what they heard, and give back what they did not use. A permit is needed when a target is chosen and once more when the request is sent. A gateway that may not be the only coordinator gives out a fifth. Where all targets have limits, those who can't be served in time behind the others are told so at once.

--- /dev/null
+++ b/grebedeck-gateway/src/quota.rs
@@ -0,0 +1,330 @@
+//! How a target's limit is divided among the gateways.
+//!
+//! The load that this answers: some targets, or all of a service, take fewer requests a second than callers send, and callers
+//! come to some gateways more than to others. Each gateway asks the target's [coordinator](crate::coordinator) for permits,
+//! each for one request within a short time, and says how many requests it has. The coordinator gives them out of a token bucket
+//! that fills at the limit, in proportion to what each asked for lately. So the sum is kept to wherever the requests come in.
+//! With each ask a gateway gives back what it has not used, so that permits do not lapse where requests are rare.
+//!
+//! In any time `t` a target gets no more than the bucket holds, and the limit times `t` with the lifetime of a permit on top.
+//! A coordinator that is new begins with one permit.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use grebedeck_core::{Moment, RandomSource};
+use grebedeck_routing::Birth;
+use serde::{Deserialize, Serialize};
+
+use crate::coordinator::GatewayAddress;
+use crate::limit::{MAX_LIMIT_PER_S, MIN_LIMIT_PER_S, RatePerS};
+use crate::targets::TargetId;
+
+/// How long a permit is good for, from when it was asked for: longer than the time between two asks.
+pub const PERMIT_LIFETIME: Duration = Duration::from_millis(600);
+/// Time in which an empty bucket fills, where that is more than one permit: longer than the time between two asks, so that
+/// one gateway that asks alone gets all.
+const FILL_TIME: Duration = Duration::from_millis(600);
+/// Permits that a bucket holds at least: as many as may be saved until the gateways that want them have asked.
+const MIN_SAVED: f64 = 3.0;
+/// The same of a coordinator that may not be the only one.
+const MIN_SAVED_UNSETTLED: f64 = 1.0;
+/// Time in which requests are counted as what is wanted.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+/// How long what a gateway asked for counts against the others.
+const DEMAND_LIFETIME: Duration = Duration::from_secs(2);
+/// How long a target is remembered that nobody asks about.
+const MEMORY: Duration = Duration::from_secs(60);
+/// Most requests that one gateway may want: more than it serves in a second.
+const MAX_WANTED: u32 = 100_000;
+/// Most targets that are kept, in some megabytes; whoever asks for more gets nothing for them.
+const MAX_TARGETS: usize = 4096;
+/// Most targets that an answer tells of beside those that were asked about: what fits one datagram many times.
+const MAX_NEWS: usize = 64;
+
+/// Requests of one gateway for a service, as it asks for permits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Demand {
+    window_began: Moment,
+    now: u32,
+    before: u32,
+}
+
+impl Demand {
+    /// Notes a request.
+    pub fn note(&mut self, now: Moment) {
+        self.pass(now);
+        self.now = self.now.saturating_add(1);
+    }
+
+    /// Gets the requests of the last second; some less or more, as they are counted in windows.
+    pub fn wanted(mut self, now: Moment) -> u32 {
+        self.pass(now);
+        self.now.max(self.before)
+    }
+
+    fn pass(&mut self, now: Moment) {
+        let passed = now.saturating_sub(self.window_began);
+
+        if passed >= DEMAND_WINDOW {
+            self.before = if passed < DEMAND_WINDOW * 2 { self.now } else { 0 };
+            self.now = 0;
+            self.window_began = now;
+        }
+    }
+}
+
+/// One target in an ask.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QuotaDemand {
+    /// The target.
+    pub target: TargetId,
+    /// Its start.
+    pub birth: Birth,
+    /// The limit that it named last; none if it named none.
+    pub limit: Option<RatePerS>,
+    /// How long ago it was heard of.
+    pub heard_ago: Duration,
+    /// Requests of the last second that might go there.
+    pub wanted: u32,
+    /// Permits that are given back.
+    pub unused: u32,
+}
+
+/// One target in an answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QuotaGrant {
+    /// The target.
+    pub target: TargetId,
+    /// Its start.
+    pub birth: Birth,
+    /// The limit that it named last, to whichever gateway; none if it named none.
+    pub limit: Option<RatePerS>,
+    /// How long ago that gateway heard of it.
+    pub heard_ago: Duration,
+    /// Requests that may be sent.
+    pub permits: u32,
+    /// Requests a second that the gateway may expect.
+    pub rate: RatePerS,
+}
+
+/// Between gateways.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum QuotaMessage {
+    /// To a coordinator.
+    Ask {
+        /// Number of the ask, which its answer repeats.
+        round: u64,
+        /// What is asked for.
+        demands: Vec<QuotaDemand>,
+    },
+    /// A coordinator's answer.
+    Answer {
+        /// Number of the ask.
+        round: u64,
+        /// What is given.
+        grants: Vec<QuotaGrant>,
+    },
+}
+
+/// What one gateway wants of a target.
+#[derive(Clone, Copy, Debug)]
+struct Wish {
+    wanted: u32,
+    /// Permits that it gets with its next ask.
+    reserved: u32,
+    asked_at: Moment,
+}
+
+/// What a coordinator knows of a target.
+#[derive(Clone, Debug)]
+struct Account {
+    limit: Option<RatePerS>,
+    heard_at: Moment,
+    /// Permits that nobody has got yet.
+    saved: f64,
+    saved_at: Moment,
+    asked_at: Moment,
+    wishes: BTreeMap<GatewayAddress, Wish>,
+}
+
+impl Account {
+    fn new(now: Moment) -> Self {
+        Account {
+            limit: None,
+            heard_at: Moment::ZERO,
+            saved: 1.0,
+            saved_at: now,
+            asked_at: now,
+            wishes: BTreeMap::new(),
+        }
+    }
+
+    fn note(&mut self, from: GatewayAddress, demand: &QuotaDemand, now: Moment) {
+        let heard_at = now.saturating_sub(demand.heard_ago);
+        self.asked_at = now;
+
+        if heard_at > self.heard_at {
+            let bounded = |per_s: RatePerS| per_s.clamp(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S);
+            self.limit = demand.limit.filter(|per_s| per_s.is_finite()).map(bounded);
+            self.heard_at = heard_at;
+        }
+
+        let reserved = self.wishes.get(&from).map_or(0, |wish| wish.reserved);
+        let wanted = demand.wanted.min(MAX_WANTED);
+        self.wishes.insert(from, Wish { wanted, reserved, asked_at: now });
+    }
+
+    /// Gets the part of all that is wanted that one gateway wants.
+    fn share(&self, from: GatewayAddress) -> f64 {
+        let total: f64 = self.wishes.values().map(|wish| f64::from(wish.wanted)).sum();
+        let own = self.wishes.get(&from).map_or(0.0, |wish| f64::from(wish.wanted));
+
+        if own > 0.0 { own / total } else { 0.0 }
+    }
+
+    /// Adds what has become free since the last ask, and what comes back.
+    fn fill(&mut self, per_s: RatePerS, part: f64, given_back: u32, now: Moment) {
+        let is_over = |wish: &Wish| now >= wish.asked_at + DEMAND_LIFETIME;
+        let forgotten = self.wishes.values().filter(|wish| is_over(wish));
+        let back = given_back + forgotten.map(|wish| wish.reserved).sum::<u32>();
+        self.wishes.retain(|_, wish| !is_over(wish));
+
+        let passed = now.saturating_sub(self.saved_at).as_secs_f64();
+        let least = if part < 1.0 { MIN_SAVED_UNSETTLED } else { MIN_SAVED };
+        let most = (per_s * part * FILL_TIME.as_secs_f64()).max(least);
+        let reserved: u32 = self.wishes.values().map(|wish| wish.reserved).sum();
+        let room = (most - f64::from(reserved)).max(0.0);
+        self.saved_at = now;
+        self.saved = (self.saved + passed * per_s * part + f64::from(back)).min(room);
+    }
+
+    /// Reserves whole permits for those who want them, in proportion to how many each wants. What is left of that is
+    /// drawn for, so that each gets its part however small it is, and whenever it asks.
+    fn reserve(&mut self, random: &mut impl RandomSource) {
+        let whole = self.saved.floor();
+        let total: f64 = self.wishes.values().map(|wish| f64::from(wish.wanted)).sum();
+
+        for wish in self.wishes.values_mut() {
+            let due = (whole * f64::from(wish.wanted) / total.max(1.0)).floor() as u32;
+            let given = due.min(wish.wanted.saturating_sub(wish.reserved));
+            wish.reserved += given;
+            self.saved -= f64::from(given);
+        }
+
+        while self.saved >= 1.0 && self.reserve_one(random) {
+            self.saved -= 1.0;
+        }
+    }
+
+    /// Reserves a permit for one that is drawn; tells whether somebody wants one.
+    fn reserve_one(&mut self, random: &mut impl RandomSource) -> bool {
+        let wants_more = |wish: &&mut Wish| wish.reserved < wish.wanted;
+        let total: u32 = self.wishes.values_mut().filter(wants_more).map(|wish| wish.wanted).sum();
+        let mut drawn = random.below(total as usize) as u32;
+
+        for wish in self.wishes.values_mut().filter(wants_more) {
+            if drawn < wish.wanted {
+                wish.reserved += 1;
+                return true;
+            }
+
+            drawn -= wish.wanted;
+        }
+
+        false
+    }
+
+    /// Takes what is reserved for a gateway.
+    fn take(&mut self, from: GatewayAddress) -> u32 {
+        self.wishes.get_mut(&from).map_or(0, |wish| std::mem::take(&mut wish.reserved))
+    }
+}
+
+/// What a coordinator gives out.
+#[derive(Clone, Debug, Default)]
+pub struct QuotaLedger {
+    accounts: HashMap<(TargetId, Birth), Account>,
+}
+
+impl QuotaLedger {
+    /// Answers an ask. `part` is the part of each limit that this coordinator may give out of a target.
+    pub fn answer(
+        &mut self,
+        from: GatewayAddress,
+        demands: &[QuotaDemand],
+        part: impl Fn(&str) -> f64,
+        now: Moment,
+        random: &mut impl RandomSource,
+    ) -> Vec<QuotaGrant> {
+        let mut grants: Vec<QuotaGrant> = Vec::new();
+
+        for demand in demands {
+            let key = (demand.target.clone(), demand.birth);
+
+            if self.accounts.len() >= MAX_TARGETS && !self.accounts.contains_key(&key) {
+                continue;
+            }
+
+            let account = self.accounts.entry(key).or_insert_with(|| Account::new(now));
+            account.note(from, demand, now);
+            let part = part(&demand.target);
+            let (permits, rate) = match account.limit {
+                Some(per_s) => {
+                    account.fill(per_s, part, demand.unused, now);
+                    account.reserve(random);
+
+                    (account.take(from), per_s * part * account.share(from))
+                }
+                None => (0, 0.0),
+            };
+
+            grants.push(QuotaGrant {
+                target: demand.target.clone(),
+                birth: demand.birth,
+                limit: account.limit,
+                heard_ago: now.saturating_sub(account.heard_at),
+                permits,
+                rate,
+            });
+        }
+
+        grants.extend(self.news(demands, now));
+        grants
+    }
+
+    /// Gets the number of targets that are kept.
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Tells whether no target is kept.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Forgets targets that nobody has asked about for long.
+    pub fn forget_idle(&mut self, now: Moment) {
+        self.accounts.retain(|_, account| now < account.asked_at + MEMORY);
+    }
+
+    /// Gets limits that the one who asks may not know of.
+    fn news(&self, demands: &[QuotaDemand], now: Moment) -> Vec<QuotaGrant> {
+        let is_asked =
+            |id: &str, birth: Birth| demands.iter().any(|d| d.target == id && d.birth == birth);
+        let others = self
+            .accounts
+            .iter()
+            .filter(|((id, birth), account)| account.limit.is_some() && !is_asked(id, *birth));
+        let grant = |((id, birth), account): (&(TargetId, Birth), &Account)| QuotaGrant {
+            target: id.clone(),
+            birth: *birth,
+            limit: account.limit,
+            heard_ago: now.saturating_sub(account.heard_at),
+            permits: 0,
+            rate: 0.0,
+        };
+
+        others.take(MAX_NEWS).map(grant).collect()
+    }
+}
--- a/grebedeck-gateway/tests/limit.rs
+++ b/grebedeck-gateway/tests/limit.rs
@@ -90,8 +90,8 @@
     let (before, next) = (start(1), start(2));
     let mut limits = Limits::default();
     answer(&mut limits, &before, &["2"], 0);
-    assert!(limits.sent(&before));
-    assert!(!limits.sent(&next));
+    assert!(limits.is_limited(&before));
+    assert!(!limits.is_limited(&next));
     assert_eq!(limits.view(&next), None);
 
     assert_eq!(answer(&mut limits, &next, &["2"], 50), LimitChange::Set(2.0));
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -104,7 +104,8 @@
     tasks.spawn(peers::follow_list(gateway.clone(), store)).detach();
     tasks.spawn(loads::receive(gateway.clone(), socket.clone())).detach();
     tasks.spawn(loads::subscribe(gateway.clone(), socket.clone())).detach();
-    tasks.spawn(gossip::follow(gateway.clone(), socket)).detach();
+    tasks.spawn(gossip::follow(gateway.clone(), socket.clone())).detach();
+    tasks.spawn(limits::exchange(gateway.clone(), socket)).detach();
     tasks.spawn(peers::follow_peers(gateway.clone())).detach();
     serve_pages(&gateway, ready_listener, async |gateway, _| {
         Page::empty(if gateway.is_ready() { 200 } else { 503 })
@@ -162,6 +163,7 @@
         gateway.drop_lapsed();
         gateway.log_left_out();
         gateway.forget_warm();
+        gateway.forget_limits();
         gateway.refusals.borrow_mut().forget_old(gateway.now());
         gateway.quarantine.borrow_mut().forget_old(gateway.now());
         gateway.pool.drop_rested(gateway.now());
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -59,8 +59,8 @@
     request: &'a RoutedRequest,
     place: Place,
 ) -> Result<Opened<'a>, Failure> {
-    let Place { target, in_flight } = place;
-    let opened = send(gateway, request, &target, in_flight).await;
+    let target = place.target.clone();
+    let opened = send(gateway, request, place).await;
 
     match &opened {
         Ok(_) => {
@@ -110,9 +110,10 @@
 async fn send<'a>(
     gateway: &Rc<Gateway>,
     request: &'a RoutedRequest,
-    target: &Arc<TargetEntry>,
-    mut in_flight: InFlight,
+    place: Place,
 ) -> Result<Opened<'a>, Failure> {
+    let Place { target, mut in_flight, permit } = place;
+    let target = &target;
     let left = request.deadline.saturating_sub(gateway.now());
 
     let mut connection = match connect(gateway, target, left).await {
@@ -129,12 +130,13 @@
     };
 
     // Whoever got a place, or waited for a connection, before its request was known to crash targets is stopped here.
-    if !gateway.may_still_send(target) || !gateway.may_run(request) {
+    let is_stopped = !gateway.may_still_send(target) || !gateway.may_run(request);
+
+    if is_stopped || !gateway.use_permit(target, permit) {
         connection.end_exchange();
         return Err(Failure::not_run(FailureCause::Withdrawn));
     }
 
-    gateway.note_sent_limited(target);
     let sent_at = gateway.now();
     let left = request.deadline.saturating_sub(sent_at);
     let head = request.head_for(target, left, &gateway.names);
--- a/grebedeck/src/gateway/cold.rs
+++ b/grebedeck/src/gateway/cold.rs
@@ -61,6 +61,16 @@
         self.cold.borrow().remaining(target, self.now())
     }
 
+    /// Gets those of a service's targets that bear what they usually do: neither cold nor with a limit, as far as there are
+    /// such.
+    pub fn bearing(
+        &self,
+        targets: &Arc<[Arc<TargetEntry>]>,
+        now: Moment,
+    ) -> Arc<[Arc<TargetEntry>]> {
+        self.without_limited(self.without_cold(targets, now))
+    }
+
     /// Gets those of a service's targets that are not cold, which bear what they usually do; all of them where all
     /// are cold.
     pub fn without_cold(
--- a/grebedeck/src/gateway/dump.rs
+++ b/grebedeck/src/gateway/dump.rs
@@ -56,6 +56,7 @@
             "in_flight": self.stop.in_flight(),
             "config_version": table.version(),
             "targets_version": targets.version(),
+            "limits": self.coordinators_dump(now),
             "evacuated": evacuated_view(targets.evacuations()),
             "halls_version": targets.evacuations().version(),
             "kept_bytes": { "bodies": self.bodies.dump(), "answers": self.answers.dump() },
--- a/grebedeck/src/gateway/entering.rs
+++ b/grebedeck/src/gateway/entering.rs
@@ -4,6 +4,7 @@
 //! urgency, or is more urgent, is not overtaken. Where the order means that it can't be in time, it is told at once.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::channel::oneshot;
 use grebedeck_admission::{Order, Waiter};
@@ -58,8 +59,8 @@
     let give_up = hold::held_until(gateway, request, reason, give_up, now).ok_or(reason)?;
     let waiter = waiter(gateway, request, tried, start_by, give_up);
 
-    if hold::can_be_in_time(gateway, request) && reason == NoPlace::Full {
-        turn_away(gateway, &waiter, service, now)?;
+    if hold::can_be_in_time(gateway, request) {
+        turn_away(gateway, &waiter, service, reason, now)?;
     }
 
     let line = line_up(gateway, request, tried, waiter, now)?;
@@ -74,25 +75,32 @@
 }
 
 /// Gives up who can't be in time behind those who go first: the newcomer, or others less urgent than it. All of them are
-/// told while a second try is still of use. Only where all places are taken, as the rate of an outage says nothing.
+/// told while a second try is still of use. Only where all places are taken or all targets have a limit, as the rate of an
+/// outage says nothing.
 fn turn_away(
     gateway: &Rc<Gateway>,
     waiter: &Waiter,
     service: &str,
+    reason: NoPlace,
     now: Moment,
 ) -> Result<(), NoPlace> {
-    let is_ranked = |line: &mut Line| line.queue.order() == Order::Urgency;
-    let is_ranked = gateway.waiting.with(service, is_ranked).unwrap_or(false);
+    let expected = match reason {
+        NoPlace::Full if is_ranked(gateway, service) => {
+            let wait = |line: &mut Line| line.queue.expected_wait(waiter);
+
+            gateway.waiting.with(service, wait).flatten().map(|wait| (wait, NoPlace::Behind(wait)))
+        }
+        NoPlace::Limited(_) => limited_wait(gateway, waiter, service),
+        _ => return Ok(()),
+    };
 
-    if waiter.goes_on || !is_ranked {
+    if waiter.goes_on {
         return Ok(());
     }
 
-    let wait = gateway.waiting.with(service, |line| line.queue.expected_wait(waiter)).flatten();
-
-    if let Some(wait) = wait.filter(|wait| now + *wait > waiter.start_by) {
+    if let Some((_, reason)) = expected.filter(|(wait, _)| now + *wait > waiter.start_by) {
         gateway.waiting.with(service, |line| line.queue.note_refused(waiter.urgency, now));
-        return Err(NoPlace::Behind(wait));
+        return Err(reason);
     }
 
     while let Some((ticket, wait)) =
@@ -104,6 +112,22 @@
     Ok(())
 }
 
+fn is_ranked(gateway: &Gateway, service: &str) -> bool {
+    let is_ranked = |line: &mut Line| line.queue.order() == Order::Urgency;
+
+    gateway.waiting.with(service, is_ranked).unwrap_or(false)
+}
+
+/// Gets how long one that comes now would wait for a permit, and what it is told.
+fn limited_wait(gateway: &Gateway, waiter: &Waiter, service: &str) -> Option<(Duration, NoPlace)> {
+    let ahead = gateway.waiting.with(service, |line| line.queue.ahead_of(waiter))?;
+
+    match gateway.limited(service, ahead)? {
+        reason @ NoPlace::Limited(wait) => Some((wait, reason)),
+        _ => None,
+    }
+}
+
 fn waiter(
     gateway: &Gateway,
     request: &RoutedRequest,
--- a/grebedeck/src/gateway/handout.rs
+++ b/grebedeck/src/gateway/handout.rs
@@ -64,7 +64,7 @@
         | NoPlace::Evacuated
         | NoPlace::Resting(_)
         | NoPlace::Quarantined(_) => TRIAL_PAUSE,
-        NoPlace::Full | NoPlace::Behind(_) => LOOK_PAUSE,
+        NoPlace::Full | NoPlace::Behind(_) | NoPlace::Limited(_) => LOOK_PAUSE,
     }
 }
 
--- a/grebedeck/src/gateway/loads.rs
+++ b/grebedeck/src/gateway/loads.rs
@@ -11,6 +11,7 @@
 use futures::FutureExt;
 
 use super::gossip;
+use super::limits;
 use super::options::{FIRST_WATCH_PERIOD, WATCH_PERIOD};
 use super::service::Gateway;
 use crate::rank::message::{Body, Datagram, DatagramReader, MAX_DATAGRAM_BYTES};
@@ -51,6 +52,9 @@
         Some(Datagram { from, body: Body::Suspects(message), .. }) => {
             gossip::take(gateway, socket, from, message).await;
         }
+        Some(Datagram { from, body: Body::Quota(message), .. }) => {
+            limits::receive(gateway, socket, from.ip(), message).await;
+        }
         // Between ranks.
         _ => {}
     }
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -148,8 +148,10 @@
 fn take_gateways(gateway: &Gateway, listing: &GatewayListing) {
     let addresses = listing.gateways.iter().map(|g| g.info.peer_address);
     let addresses: BTreeSet<SocketAddr> = addresses.collect();
+    let is_listed = addresses.contains(&gateway.settings().peer_address);
     gateway.set_owners(&addresses);
     gateway.set_peers(addresses);
+    gateway.set_coordinators(is_listed);
 }
 
 /// Tells of rows that cannot be read, once.
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use grebedeck_core::{Moment, RandomSource};
-use grebedeck_gateway::{Availability, TargetEntry, TargetId};
+use grebedeck_gateway::{Availability, Permit, TargetEntry, TargetId};
 
 use super::attempt::InFlight;
 use super::counters::urgency_word;
@@ -38,6 +38,8 @@
     Paced(Duration),
     /// All places are taken, and those who go first take them for this time.
     Behind(Duration),
+    /// All targets have named a limit, and the next request may be sent after this time.
+    Limited(Duration),
 }
 
 /// A place on a target, taken.
@@ -46,6 +48,8 @@
     pub target: Arc<TargetEntry>,
     /// Counts the request there.
     pub in_flight: InFlight,
+    /// Leave of a target that has a limit.
+    pub permit: Permit,
 }
 
 impl NoPlace {
@@ -53,7 +57,7 @@
     pub fn after_attempts(gateway: &Gateway, service: &str) -> Self {
         NoPlace::for_all(gateway, service).unwrap_or_else(|| match gateway.availability(service) {
             Availability::Out(left) => NoPlace::Out(left),
-            Availability::Up => NoPlace::Full,
+            Availability::Up => gateway.limited(service, 0).unwrap_or(NoPlace::Full),
         })
     }
 
@@ -76,6 +80,8 @@
             NoPlace::Out(left) => is_overdue && now + left > give_up,
             // Targets that want rest say how long it takes, so callers can come back in time if they hear it at once.
             NoPlace::Evacuated | NoPlace::Resting(_) | NoPlace::Quarantined(_) => true,
+            // Who would wait for too long does not get in line.
+            NoPlace::Limited(_) => false,
             NoPlace::NoTargets | NoPlace::Full | NoPlace::Paced(_) | NoPlace::Behind(_) => false,
         }
     }
@@ -96,6 +102,7 @@
             NoPlace::Out(_) => "out",
             NoPlace::Paced(_) => "paced",
             NoPlace::Behind(_) => "behind",
+            NoPlace::Limited(_) => "limited",
         }
     }
 
@@ -109,8 +116,11 @@
         match self {
             NoPlace::NoTargets => NO_TARGETS_WAIT.mul_f64(1.0 + spread),
             NoPlace::Evacuated => EVACUATED_WAIT.mul_f64(1.0 + spread),
-            NoPlace::Full | NoPlace::Behind(_) => {
-                let left = gateway.time_to_place(service);
+            NoPlace::Full | NoPlace::Behind(_) | NoPlace::Limited(_) => {
+                let left = match self {
+                    NoPlace::Limited(left) => left,
+                    _ => gateway.time_to_place(service),
+                };
                 let slot = gateway.return_slot(request, left).filter(|_| is_spread);
 
                 slot.unwrap_or_else(|| left + left.max(MIN_RETURN_SPREAD).mul_f64(spread))
@@ -130,6 +140,7 @@
     tried: &[TargetId],
 ) -> Result<Place, NoPlace> {
     let began = gateway.now();
+    gateway.note_limited_demand(&request.service);
     // First tries, repeats and streams that go on elsewhere all pass here: sent on after each crash, one request takes
     // target after target down, and a group of them is out for as long as it comes.
     let found = match gateway.cleared(request).await {
@@ -159,7 +170,7 @@
 }
 
 fn no_place(gateway: &Gateway, request: &RoutedRequest, reason: NoPlace, now: Moment) -> Decision {
-    let candidates = gateway.without_cold(&gateway.candidates(&request.service), now);
+    let candidates = gateway.bearing(&gateway.candidates(&request.service), now);
 
     Decision::NoPlace {
         reason,
@@ -178,9 +189,9 @@
     tried: &[TargetId],
     now: Moment,
 ) -> Result<Place, NoPlace> {
-    let target = look(gateway, request, tried, now)?;
+    let (target, permit) = look(gateway, request, tried, now)?;
 
-    Ok(Place { in_flight: InFlight::new(gateway, &target), target })
+    Ok(Place { in_flight: InFlight::new(gateway, &target), target, permit })
 }
 
 fn look(
@@ -188,7 +199,7 @@
     request: &RoutedRequest,
     tried: &[TargetId],
     now: Moment,
-) -> Result<Arc<TargetEntry>, NoPlace> {
+) -> Result<(Arc<TargetEntry>, Permit), NoPlace> {
     if let Some(reason) = NoPlace::for_all(gateway, &request.service) {
         return Err(reason);
     }
@@ -212,7 +223,7 @@
     request: &RoutedRequest,
     tried: &[TargetId],
     now: Moment,
-) -> Result<Arc<TargetEntry>, NoPlace> {
+) -> Result<(Arc<TargetEntry>, Permit), NoPlace> {
     let wait = gateway.prompt_wait(&request.service, now);
 
     if !wait.is_zero() && !goes_on(request, tried) {
@@ -231,7 +242,7 @@
 ) -> Result<(Vec<Arc<TargetEntry>>, f64), NoPlace> {
     let serving = gateway.serving(&request.service).ok_or(NoPlace::NoTargets)?;
     let candidates = gateway.candidates(&request.service);
-    let bearing = gateway.without_cold(&candidates, now);
+    let bearing = gateway.bearing(&candidates, now);
     // A stream that goes on elsewhere has given up a place for it.
     let per_place = match goes_on(request, tried) {
         true => gateway.settings().load.model,
@@ -258,6 +269,7 @@
     now: Moment,
 ) -> Vec<Arc<TargetEntry>> {
     let targets = gateway.without_held_back(&gateway.without_resting(targets, now), now);
+    let targets = gateway.without_spent(targets, now);
     let chooser = gateway.chooser.borrow();
     let is_closed = |t: &&Arc<TargetEntry>| gateway.is_group_closed(t, now);
     let steady = chooser.without_slow(&targets, now).into_iter().filter(|t| !is_closed(t));
@@ -283,11 +295,13 @@
     request: &RoutedRequest,
     tried: &[TargetId],
     now: Moment,
-) -> Result<Arc<TargetEntry>, NoPlace> {
+) -> Result<(Arc<TargetEntry>, Permit), NoPlace> {
     let (targets, per_place) = with_room(gateway, request, tried, now)?;
     let chooser = gateway.chooser.borrow();
     let chosen = chooser.choose(&targets, tried, now, &mut ProcessRandom::default()).cloned();
-    let target = chosen.ok_or(NoPlace::Full)?;
+    let full = || gateway.limited(&request.service, 0).unwrap_or(NoPlace::Full);
+    let target = chosen.ok_or_else(full)?;
+    let permit = gateway.take_permit(&target, now).ok_or(NoPlace::Full)?;
     let view = chooser.load_view(&target.id, now);
     let decision = Decision::Chosen {
         target: target.id.clone(),
@@ -302,5 +316,5 @@
     gateway.note_sent(&target, now);
     gateway.take_prompt(request, now);
 
-    Ok(target)
+    Ok((target, permit))
 }
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -12,7 +12,7 @@
 use grebedeck_gateway::answer;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    ColdGate, HeaderNames, Limits, Outage, Pacing, Patience, PatienceOptions, PromptRate, Refusals,
+    ColdGate, HeaderNames, Outage, Pacing, Patience, PatienceOptions, PromptRate, Refusals,
     RouteTable, Site, TargetEntry, TargetId, TargetList, WindowBudget, WindowOptions,
 };
 use grebedeck_kernel::log::LineBudget;
@@ -23,7 +23,7 @@
 use super::counters::Counters;
 use super::halls::OperatorView;
 use super::kept::SharedMemory;
-use super::limits::LIMIT_LINES_PER_S;
+use super::limits::LimitState;
 use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
@@ -89,9 +89,7 @@
     /// Lines on targets that refuse.
     pub(super) refusing_lines: RefCell<LineBudget>,
     /// Limits that targets name.
-    pub(super) limits: RefCell<Limits>,
-    /// Lines on limits.
-    pub(super) limit_lines: RefCell<LineBudget>,
+    pub(super) limits: LimitState,
     /// Lines on entries that cannot be read.
     pub(super) entry_lines: RefCell<LineBudget>,
     /// Requests that are not sent any more, and those that may have to be among them.
@@ -115,6 +113,7 @@
 
         let gateway = Gateway {
             relay: RelayState::new(settings.peer_address),
+            limits: LimitState::new(settings.ip),
             chooser: RefCell::new(Chooser::new(&settings.hall, settings.chooser_options())),
             bodies: SharedMemory::new(settings.memory_bytes(settings.kept.bodies)),
             answers: SharedMemory::new(settings.memory_bytes(settings.kept.answers)),
@@ -146,8 +145,6 @@
             cold: RefCell::default(),
             refusals: RefCell::default(),
             refusing_lines: RefCell::new(LineBudget::new(REFUSING_LINES_PER_S)),
-            limits: RefCell::default(),
-            limit_lines: RefCell::new(LineBudget::new(LIMIT_LINES_PER_S)),
             entry_lines: RefCell::new(LineBudget::new(ENTRY_LINES_PER_S)),
             quarantine: RefCell::default(),
             answered: RefCell::default(),
@@ -471,7 +468,7 @@
                 let targets = &self.targets;
                 let keep = |name: &str| targets.try_borrow().is_ok_and(|t| t.get(name).is_some());
                 self.chooser.borrow_mut().retain(keep);
-                self.limits.borrow_mut().retain(keep);
+                self.limits.retain(keep);
                 self.groups.borrow_mut().remove(id);
             }
         }
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -305,7 +305,7 @@
                 self.watchers.insert(datagram.from, self.clock.now());
             }
             // For gateways.
-            Body::Load(_) | Body::Suspects(_) | Body::Elsewhere => {}
+            Body::Load(_) | Body::Suspects(_) | Body::Elsewhere | Body::Quota(_) => {}
             Body::Counts(report) => {
                 let is_same_formation = self.node.report().is_some_and(|r| r.epoch == report.epoch);
                 // What an earlier start of an engine counted is no part of what the next one counts.
--- a/grebedeck/src/rank/message.rs
+++ b/grebedeck/src/rank/message.rs
@@ -5,6 +5,7 @@
 use grebedeck_core::{Error, GroupId, Moment, Result};
 use grebedeck_experts::CountReport;
 use grebedeck_experts::rollout::Message;
+use grebedeck_gateway::QuotaMessage;
 use grebedeck_kernel::log;
 use grebedeck_kernel::log::LineBudget;
 use grebedeck_net::codec::{PREFIX_BYTES, decode, encode};
@@ -42,6 +43,8 @@
     Suspects(SuspectMessage),
     /// To a leader of another group that takes the sender for one of its own: the sender's group is this datagram's.
     Elsewhere,
+    /// Between gateways: permits for targets that name a limit.
+    Quota(QuotaMessage),
 }
 
 /// A rank's load, as its engine says.
--- a/grebedeck/tests/withdrawn.rs
+++ b/grebedeck/tests/withdrawn.rs
@@ -17,8 +17,10 @@
 use grebedeck::gateway::request::{CallerRequest, RoutedRequest};
 use grebedeck::gateway::service::Gateway;
 use grebedeck::gateway::tried::{FailureCause, Refusal, Tried};
-use grebedeck_gateway::{Admitted, ListedTarget, RunState, TargetEntry, TargetState};
-use grebedeck_http::{Headers, RequestHead};
+use grebedeck_gateway::{
+    Admitted, ListedTarget, Permit, RunState, TargetEntry, TargetState, Verdict,
+};
+use grebedeck_http::{Headers, RequestHead, ResponseHead};
 use lone::{NAMES, rule, settings};
 
 fn target(address: SocketAddr) -> TargetEntry {
@@ -57,7 +59,8 @@
     gateway.change_targets(|targets, now| targets.take_snapshot(1, listed, now));
     let request = request(&gateway);
     let chosen = Arc::new(entry.clone());
-    let place = Place { in_flight: InFlight::new(&gateway, &chosen), target: chosen };
+    let in_flight = InFlight::new(&gateway, &chosen);
+    let place = Place { in_flight, target: chosen, permit: Permit::NotNeeded };
     let mut tried = Tried::default();
     tried.begin(&entry);
     happens(&gateway, &entry);
@@ -84,6 +87,17 @@
     assert_eq!(send_after(rests), (FailureCause::Withdrawn, 0));
 }
 
+#[test]
+fn a_target_that_named_a_limit_since_it_was_chosen_gets_nothing_without_a_permit() {
+    let names_limit = |gateway: &Gateway, target: &TargetEntry| {
+        let mut head = ResponseHead::new(200);
+        head.headers.push(NAMES.limit, "2");
+        gateway.note_limit(target, &head, Verdict::Pass, gateway.now());
+    };
+
+    assert_eq!(send_after(names_limit), (FailureCause::Withdrawn, 0));
+}
+
 #[test]
 fn a_target_that_left_since_it_was_chosen_gets_nothing() {
     let leaves = |gateway: &Gateway, target: &TargetEntry| {
