Permits are asked for the targets that a gateway chooses among; news of limits are told once

A gateway that was told of the limits of targets that it does not choose among asked for permits there as well, which cost others theirs and, with limits everywhere in a fleet of 788 targets, some 6 KB an ask and 23 KB an answer by calculation. It asks for its candidates only now, and answers tell of other targets for two seconds after a change. A coordinator that is not settled gives out one request in five seconds at least, so that the end of a small limit is heard of.

Maps are ordered, so that the tests play the same each time.

--- a/grebedeck-gateway/src/limit.rs
+++ b/grebedeck-gateway/src/limit.rs
@@ -8,7 +8,7 @@
 //! A request to such a target takes a permit, of which the target's [coordinator](crate::coordinator) gives each gateway
 //! its [part](crate::quota). Whatever way a request takes, it asks here twice: when its target is chosen, and when it is sent.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use grebedeck_core::Moment;
@@ -142,7 +142,7 @@
 /// Limits of targets.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
-    targets: HashMap<TargetId, Known>,
+    targets: BTreeMap<TargetId, Known>,
 }
 
 impl Limits {
--- a/grebedeck-gateway/src/quota.rs
+++ b/grebedeck-gateway/src/quota.rs
@@ -9,7 +9,7 @@
 //! In any time `t` a target gets no more than the bucket holds, and the limit times `t` with the lifetime of a permit on top.
 //! A coordinator that is new begins with one permit.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use grebedeck_core::{Moment, RandomSource};
@@ -29,6 +29,8 @@
 const MIN_SAVED: f64 = 3.0;
 /// The same of a coordinator that may not be the only one.
 const MIN_SAVED_UNSETTLED: f64 = 1.0;
+/// Least of a limit that is given out in whichever part, so that its end is heard of: one request in five seconds.
+const LEAST_PER_S: RatePerS = 0.2;
 /// Time in which requests are counted as what is wanted.
 const DEMAND_WINDOW: Duration = Duration::from_secs(1);
 /// How long what a gateway asked for counts against the others.
@@ -39,6 +41,8 @@
 const MAX_WANTED: u32 = 100_000;
 /// Most targets that are kept, in some megabytes; whoever asks for more gets nothing for them.
 const MAX_TARGETS: usize = 4096;
+/// How long a change is told to those who do not ask for the target: all who ask do so meanwhile.
+const NEWS_LIFETIME: Duration = Duration::from_secs(2);
 /// Most targets that an answer tells of beside those that were asked about: what fits one datagram many times.
 const MAX_NEWS: usize = 64;
 
@@ -141,6 +145,7 @@
 struct Account {
     limit: Option<RatePerS>,
     heard_at: Moment,
+    changed_at: Moment,
     /// Permits that nobody has got yet.
     saved: f64,
     saved_at: Moment,
@@ -153,6 +158,7 @@
         Account {
             limit: None,
             heard_at: Moment::ZERO,
+            changed_at: Moment::ZERO,
             saved: 1.0,
             saved_at: now,
             asked_at: now,
@@ -166,7 +172,9 @@
 
         if heard_at > self.heard_at {
             let bounded = |per_s: RatePerS| per_s.clamp(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S);
-            self.limit = demand.limit.filter(|per_s| per_s.is_finite()).map(bounded);
+            let limit = demand.limit.filter(|per_s| per_s.is_finite()).map(bounded);
+            self.changed_at = if limit == self.limit { self.changed_at } else { now };
+            self.limit = limit;
             self.heard_at = heard_at;
         }
 
@@ -191,12 +199,13 @@
         self.wishes.retain(|_, wish| !is_over(wish));
 
         let passed = now.saturating_sub(self.saved_at).as_secs_f64();
+        let own_per_s = given_out(per_s, part);
         let least = if part < 1.0 { MIN_SAVED_UNSETTLED } else { MIN_SAVED };
-        let most = (per_s * part * FILL_TIME.as_secs_f64()).max(least);
+        let most = (own_per_s * FILL_TIME.as_secs_f64()).max(least);
         let reserved: u32 = self.wishes.values().map(|wish| wish.reserved).sum();
         let room = (most - f64::from(reserved)).max(0.0);
         self.saved_at = now;
-        self.saved = (self.saved + passed * per_s * part + f64::from(back)).min(room);
+        self.saved = (self.saved + passed * own_per_s + f64::from(back)).min(room);
     }
 
     /// Reserves whole permits for those who want them, in proportion to how many each wants. What is left of that is
@@ -241,10 +250,15 @@
     }
 }
 
+/// Gets the requests a second that are given out of a limit.
+fn given_out(per_s: RatePerS, part: f64) -> RatePerS {
+    (per_s * part).max(per_s.min(LEAST_PER_S))
+}
+
 /// What a coordinator gives out.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaLedger {
-    accounts: HashMap<(TargetId, Birth), Account>,
+    accounts: BTreeMap<(TargetId, Birth), Account>,
 }
 
 impl QuotaLedger {
@@ -274,7 +288,7 @@
                     account.fill(per_s, part, demand.unused, now);
                     account.reserve(random);
 
-                    (account.take(from), per_s * part * account.share(from))
+                    (account.take(from), given_out(per_s, part) * account.share(from))
                 }
                 None => (0, 0.0),
             };
@@ -312,10 +326,11 @@
     fn news(&self, demands: &[QuotaDemand], now: Moment) -> Vec<QuotaGrant> {
         let is_asked =
             |id: &str, birth: Birth| demands.iter().any(|d| d.target == id && d.birth == birth);
-        let others = self
-            .accounts
-            .iter()
-            .filter(|((id, birth), account)| account.limit.is_some() && !is_asked(id, *birth));
+        let others = self.accounts.iter().filter(|((id, birth), account)| {
+            account.limit.is_some()
+                && now < account.changed_at + NEWS_LIFETIME
+                && !is_asked(id, *birth)
+        });
         let grant = |((id, birth), account): (&(TargetId, Birth), &Account)| QuotaGrant {
             target: id.clone(),
             birth: *birth,
--- a/grebedeck/src/gateway/limits.rs
+++ b/grebedeck/src/gateway/limits.rs
@@ -311,9 +311,12 @@
     fn quota_asks(&self, now: Moment) -> BTreeMap<GatewayAddress, Vec<QuotaDemand>> {
         let targets = self.targets.borrow();
         let demand = self.limits.demand.borrow();
+        // Of the targets of others it only tells what it has heard: those who choose among them want the permits.
+        let candidates: HashMap<&str, &str> =
+            targets.all_candidates().map(|t| (t.id.as_str(), t.service.as_str())).collect();
         let wanted = |id: &str| {
-            let service = targets.get(id).map(|target| target.service.as_str());
-            service.and_then(|s| demand.get(s)).map_or(0, |demand| demand.wanted(now))
+            let service = candidates.get(id);
+            service.and_then(|s| demand.get(*s)).map_or(0, |demand| demand.wanted(now))
         };
         let demands = self.limits.limits.borrow_mut().demands(wanted, now);
         let coordinators = self.limits.coordinators.borrow();
