--- a/grebedeck/src/gateway/limits.rs
+++ b/grebedeck/src/gateway/limits.rs
@@ -14,7 +14,7 @@
 use async_std::net::UdpSocket;
 use async_std::task::sleep;
 use event_listener::Event;
-use grebedeck_core::{Moment, ServiceName};
+use grebedeck_core::{Moment, RandomSource, ServiceName};
 use grebedeck_gateway::coordinator::{GatewayAddress, PARTITIONS, partition_of};
 use grebedeck_gateway::limit::{LimitChange, named_limit};
 use grebedeck_gateway::quota::{Demand, PERMIT_LIFETIME, QuotaDemand, QuotaGrant};
@@ -33,6 +33,8 @@
 
 /// Time between two asks. Permits outlast it, and whoever waits for one is still in time after it.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(400);
+/// Part of that by which it differs, so that gateways that begin together do not go on together.
+const EXCHANGE_SPREAD: f64 = 0.1;
 /// Lines a second on limits of targets: each of some tens of targets begins and ends one, and a target that changes its
 /// limit with each answer would write a line for each.
 const LIMIT_LINES_PER_S: f64 = 20.0;
@@ -83,7 +85,8 @@
         let changed = gateway.limits.changed.listen();
 
         if ask_all(&gateway, &socket).await {
-            sleep(EXCHANGE_PERIOD).await;
+            let spread = EXCHANGE_SPREAD * (2.0 * ProcessRandom::default().unit() - 1.0);
+            sleep(EXCHANGE_PERIOD.mul_f64(1.0 + spread)).await;
         } else {
             changed.await;
         }
