Coordinators notify all gateways when a target has a limit, or none any more

What would be seen: a target in need gets a request of each gateway that was not told yet, as each finds the limit out by itself.

One datagram to each gateway for each limit that begins or ends, up to 64 of them in one; values that change go with the asks.

--- a/grebedeck-gateway/src/quota.rs
+++ b/grebedeck-gateway/src/quota.rs
@@ -6,10 +6,13 @@
 //! that fills at the limit, in proportion to what each asked for lately. So the sum is kept to wherever the requests come in.
 //! With each ask a gateway gives back what it has not used, so that permits do not lapse where requests are rare.
 //!
+//! That a target has a limit, or none any more, is told to all gateways at once: each of them would send it a request to
+//! find that out, and a target in need would get one from each.
+//!
 //! In any time `t` a target gets no more than the bucket holds, and the limit times `t` with the lifetime of a permit on top.
 //! A coordinator that is new begins with one permit.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use grebedeck_core::{Moment, RandomSource};
@@ -41,10 +44,8 @@
 const MAX_WANTED: u32 = 100_000;
 /// Most targets that are kept, in some megabytes; whoever asks for more gets nothing for them.
 const MAX_TARGETS: usize = 4096;
-/// How long a change is told to those who do not ask for the target: all who ask do so meanwhile.
-const NEWS_LIFETIME: Duration = Duration::from_secs(2);
-/// Most targets that an answer tells of beside those that were asked about: what fits one datagram many times.
-const MAX_NEWS: usize = 64;
+/// Most changes that all are told of at once; the others follow.
+const MAX_CHANGES: usize = 64;
 
 /// Requests of one gateway for a service, as it asks for permits.
 #[derive(Clone, Copy, Debug, Default)]
@@ -129,6 +130,11 @@
         /// What is given.
         grants: Vec<QuotaGrant>,
     },
+    /// From a coordinator to all: targets that have a limit, or none any more.
+    Notify {
+        /// The targets, without permits.
+        changes: Vec<QuotaGrant>,
+    },
 }
 
 /// What one gateway wants of a target.
@@ -145,7 +151,6 @@
 struct Account {
     limit: Option<RatePerS>,
     heard_at: Moment,
-    changed_at: Moment,
     /// Permits that nobody has got yet.
     saved: f64,
     saved_at: Moment,
@@ -158,7 +163,6 @@
         Account {
             limit: None,
             heard_at: Moment::ZERO,
-            changed_at: Moment::ZERO,
             saved: 1.0,
             saved_at: now,
             asked_at: now,
@@ -166,21 +170,23 @@
         }
     }
 
-    fn note(&mut self, from: GatewayAddress, demand: &QuotaDemand, now: Moment) {
+    /// Takes in an ask; tells whether the target has a limit since then, or none any more.
+    fn note(&mut self, from: GatewayAddress, demand: &QuotaDemand, now: Moment) -> bool {
+        let was_limited = self.limit.is_some();
         let heard_at = now.saturating_sub(demand.heard_ago);
         self.asked_at = now;
 
         if heard_at > self.heard_at {
             let bounded = |per_s: RatePerS| per_s.clamp(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S);
-            let limit = demand.limit.filter(|per_s| per_s.is_finite()).map(bounded);
-            self.changed_at = if limit == self.limit { self.changed_at } else { now };
-            self.limit = limit;
+            self.limit = demand.limit.filter(|per_s| per_s.is_finite()).map(bounded);
             self.heard_at = heard_at;
         }
 
         let reserved = self.wishes.get(&from).map_or(0, |wish| wish.reserved);
         let wanted = demand.wanted.min(MAX_WANTED);
         self.wishes.insert(from, Wish { wanted, reserved, asked_at: now });
+
+        was_limited != self.limit.is_some()
     }
 
     /// Gets the part of all that is wanted that one gateway wants.
@@ -259,6 +265,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct QuotaLedger {
     accounts: BTreeMap<(TargetId, Birth), Account>,
+    /// Targets that have a limit since then, or none any more, until all are told.
+    changed: BTreeSet<(TargetId, Birth)>,
 }
 
 impl QuotaLedger {
@@ -280,8 +288,12 @@
                 continue;
             }
 
-            let account = self.accounts.entry(key).or_insert_with(|| Account::new(now));
-            account.note(from, demand, now);
+            let account = self.accounts.entry(key.clone()).or_insert_with(|| Account::new(now));
+
+            if account.note(from, demand, now) {
+                self.changed.insert(key);
+            }
+
             let part = part(&demand.target);
             let (permits, rate) = match account.limit {
                 Some(per_s) => {
@@ -303,7 +315,6 @@
             });
         }
 
-        grants.extend(self.news(demands, now));
         grants
     }
 
@@ -322,24 +333,31 @@
         self.accounts.retain(|_, account| now < account.asked_at + MEMORY);
     }
 
-    /// Gets limits that the one who asks may not know of.
-    fn news(&self, demands: &[QuotaDemand], now: Moment) -> Vec<QuotaGrant> {
-        let is_asked =
-            |id: &str, birth: Birth| demands.iter().any(|d| d.target == id && d.birth == birth);
-        let others = self.accounts.iter().filter(|((id, birth), account)| {
-            account.limit.is_some()
-                && now < account.changed_at + NEWS_LIFETIME
-                && !is_asked(id, *birth)
-        });
-        let grant = |((id, birth), account): (&(TargetId, Birth), &Account)| QuotaGrant {
-            target: id.clone(),
-            birth: *birth,
-            limit: account.limit,
-            heard_ago: now.saturating_sub(account.heard_at),
-            permits: 0,
-            rate: 0.0,
-        };
-
-        others.take(MAX_NEWS).map(grant).collect()
+    /// Tells whether there are changes that all gateways are to be told of.
+    pub fn has_changes(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// Takes changes that all gateways are to be told of.
+    pub fn take_changes(&mut self, now: Moment) -> Vec<QuotaGrant> {
+        let mut changes = Vec::new();
+
+        while changes.len() < MAX_CHANGES
+            && let Some(key) = self.changed.pop_first()
+        {
+            let Some(account) = self.accounts.get(&key) else {
+                continue;
+            };
+            changes.push(QuotaGrant {
+                target: key.0,
+                birth: key.1,
+                limit: account.limit,
+                heard_ago: now.saturating_sub(account.heard_at),
+                permits: 0,
+                rate: 0.0,
+            });
+        }
+
+        changes
     }
 }
--- a/grebedeck-gateway/tests/quota.rs
+++ b/grebedeck-gateway/tests/quota.rs
@@ -9,7 +9,7 @@
 use grebedeck_core::random::SeededSource;
 use grebedeck_core::{Moment, RandomSource};
 use grebedeck_gateway::coordinator::{PARTITIONS, SETTLE, partition_of};
-use grebedeck_gateway::limit::NamedLimit;
+use grebedeck_gateway::limit::{LimitChange, NamedLimit};
 use grebedeck_gateway::quota::{Demand, PERMIT_LIFETIME, QuotaDemand, QuotaGrant};
 use grebedeck_gateway::{Coordinators, Limits, QuotaLedger, TargetEntry, TargetState};
 
@@ -26,6 +26,8 @@
 const WINDOW: Duration = Duration::from_secs(4);
 const OVERAGE: f64 = 1.5;
 const BURST: f64 = 5.0;
+/// What a target is made with that names no limit.
+const NO_LIMIT: f64 = 0.0;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -71,6 +73,7 @@
 enum Message {
     Ask { from: usize, to: usize, round: u64, demands: Vec<QuotaDemand> },
     Answer { from: usize, to: usize, round: u64, grants: Vec<QuotaGrant> },
+    Notify { to: usize, changes: Vec<QuotaGrant> },
     Head { gateway: usize, target: usize, named: NamedLimit, sent_at: Moment },
 }
 
@@ -152,6 +155,7 @@
                 if self.gateways[number].is_up {
                     self.serve_callers(number);
                     self.exchange(number);
+                    self.notify(number);
                 }
             }
         }
@@ -246,13 +250,15 @@
             match entry.remove() {
                 Message::Head { gateway, target, named, sent_at } => {
                     let target = self.targets[target].clone();
-                    let limits = &mut self.gateways[gateway].limits;
-                    limits.heard(&target, named, true, sent_at, self.now);
+                    let gateway = &mut self.gateways[gateway];
+                    let change = gateway.limits.heard(&target, named, true, sent_at, self.now);
+                    gateway.is_idle &= change == LimitChange::None;
                 }
                 Message::Ask { from, to, round, demands } => self.answer(from, to, round, &demands),
                 Message::Answer { from, to, round, grants } => {
                     self.apply(from, to, round, &grants);
                 }
+                Message::Notify { to, changes } => self.apply_grants(to, &changes, self.now),
             }
         }
     }
@@ -289,9 +295,31 @@
             return;
         };
 
+        self.apply_grants(to, grants, asked_at);
+    }
+
+    fn apply_grants(&mut self, to: usize, grants: &[QuotaGrant], asked_at: Moment) {
         for grant in grants {
             let target = self.targets.iter().find(|t| t.id == grant.target).expect("one of them");
-            gateway.limits.granted(target, grant, PERMIT_LIFETIME, asked_at, now);
+            let limits = &mut self.gateways[to].limits;
+            limits.granted(target, grant, PERMIT_LIFETIME, asked_at, self.now);
+        }
+    }
+
+    /// A coordinator tells all others that it reaches what has changed.
+    fn notify(&mut self, from: usize) {
+        let changes = self.gateways[from].ledger.take_changes(self.now);
+
+        if changes.is_empty() {
+            return;
+        }
+
+        for to in (0..self.gateways.len()).filter(|to| *to != from) {
+            if self.hears(from, to) {
+                self.messages += 1;
+                let changes = changes.clone();
+                self.post(LATENCY, Message::Notify { to, changes });
+            }
         }
     }
 
@@ -312,9 +340,13 @@
         counted.iter().map(after).max().unwrap_or(0)
     }
 
+    fn arrivals_since(&self, target: usize, from: Moment) -> usize {
+        self.arrivals[target].iter().filter(|(at, ..)| *at >= from).count()
+    }
+
     /// Gets the part of a target's limit that was used from some time on.
     fn used(&self, target: usize, from: Moment, per_s: f64) -> f64 {
-        let got = self.arrivals[target].iter().filter(|(at, ..)| *at >= from).count();
+        let got = self.arrivals_since(target, from);
 
         got as f64 / (self.now - from).as_secs_f64() / per_s
     }
@@ -520,6 +552,21 @@
     assert!(per_gateway.iter().all(|messages| *messages <= most), "{per_gateway:?}");
 }
 
+/// Sixty-four gateways with a request a second and a half each would each send one to find a limit out.
+#[test]
+fn a_target_in_need_does_not_get_a_request_of_each_gateway_that_was_not_told() {
+    let mut fleet = Fleet::new(64, |_| 1.5, &vec![NO_LIMIT; 32]);
+    fleet.named = vec![NamedLimit::Absent; 32];
+    fleet.run_for(Duration::from_secs(20));
+    fleet.named = vec![NamedLimit::PerS(0.5); 32];
+    fleet.run_for(Duration::from_secs(3));
+    let told = fleet.now;
+    fleet.run_for(Duration::from_secs(20));
+
+    let most = (0..32).map(|target| fleet.arrivals_since(target, told)).max();
+    assert!(most <= Some(15), "{most:?} requests in 20 s at a limit of 0.5 a second");
+}
+
 #[test]
 fn no_message_is_sent_where_no_target_has_a_limit_or_nobody_asks() {
     let mut fleet = Fleet::new(4, |_| 10.0, &[1.0]);
--- a/grebedeck/src/gateway/limits.rs
+++ b/grebedeck/src/gateway/limits.rs
@@ -84,7 +84,9 @@
     loop {
         let changed = gateway.limits.changed.listen();
 
-        if ask_all(&gateway, &socket).await {
+        let has_asked = ask_all(&gateway, &socket).await;
+
+        if notify_all(&gateway, &socket).await || has_asked {
             let spread = EXCHANGE_SPREAD * (2.0 * ProcessRandom::default().unit() - 1.0);
             sleep(EXCHANGE_PERIOD.mul_f64(1.0 + spread)).await;
         } else {
@@ -106,9 +108,26 @@
             send(gateway, socket, from, QuotaMessage::Answer { round, grants }).await;
         }
         QuotaMessage::Answer { round, grants } => gateway.apply_answer(from, round, &grants),
+        QuotaMessage::Notify { changes } => gateway.apply_grants(&changes, gateway.now()),
     }
 }
 
+/// Tells all other gateways which targets have a limit since then, or none any more; tells whether there were some.
+async fn notify_all(gateway: &Gateway, socket: &UdpSocket) -> bool {
+    let changes = gateway.limits.ledger.borrow_mut().take_changes(gateway.now());
+
+    if changes.is_empty() {
+        return false;
+    }
+
+    for peer in gateway.peers() {
+        let changes = changes.clone();
+        send(gateway, socket, peer.ip(), QuotaMessage::Notify { changes }).await;
+    }
+
+    true
+}
+
 /// Asks each coordinator that there is something to ask of; tells whether there was one.
 async fn ask_all(gateway: &Gateway, socket: &UdpSocket) -> bool {
     let now = gateway.now();
@@ -368,7 +387,13 @@
             }
         }
 
-        ledger.answer(from, demands, part, now, &mut ProcessRandom::default())
+        let grants = ledger.answer(from, demands, part, now, &mut ProcessRandom::default());
+
+        if ledger.has_changes() {
+            self.limits.changed.notify(usize::MAX);
+        }
+
+        grants
     }
 
     fn apply_answer(&self, from: GatewayAddress, round: u64, grants: &[QuotaGrant]) {
