--- a/grebedeck/src/command/explain.rs
+++ b/grebedeck/src/command/explain.rs
@@ -1,4 +1,4 @@
-//! Telling a request's story from the logs of several processes.
+//! Telling a request's trace from the logs of several processes.
 //!
 //! A request has its id in every line that decides on it, and each line says how long after the
 //! request's arrival it was decided. Clocks of instances differ and may jump, so lines of one process are
@@ -34,33 +34,33 @@
     fields: Map<String, Value>,
 }
 
-/// Tells the story of a request; fails where no file holds it.
+/// Tells the trace of a request; fails where no file holds it.
 pub fn explain(id: &str, files: &[PathBuf]) -> anyhow::Result<String> {
-    let mut story = String::new();
+    let mut trace = String::new();
 
     for file in files {
         let text = std::fs::read_to_string(file)
             .map_err(|e| anyhow::anyhow!("{}: {e}", file.display()))?;
-        story.push_str(&explain_file(id, file, &text));
+        trace.push_str(&explain_file(id, file, &text));
     }
 
-    anyhow::ensure!(!story.is_empty(), "{id}: no line of these logs is about this request");
-    Ok(story)
+    anyhow::ensure!(!trace.is_empty(), "{id}: no line of these logs is about this request");
+    Ok(trace)
 }
 
 fn explain_file(id: &str, file: &Path, text: &str) -> String {
     let mut context: VecDeque<Line> = VecDeque::new();
-    let mut story = String::new();
+    let mut trace = String::new();
 
     for line in text.lines().filter_map(parse) {
         if line.fields.get("request").and_then(Value::as_str) == Some(id) {
-            if story.is_empty() {
-                story = format!("{}\n", file.display());
-                context.drain(..).for_each(|before| story.push_str(&tell("before", &before)));
+            if trace.is_empty() {
+                trace = format!("{}\n", file.display());
+                context.drain(..).for_each(|before| trace.push_str(&tell("before", &before)));
             }
 
             let at_ms = line.fields.get("at_ms").and_then(Value::as_u64).unwrap_or(0);
-            story.push_str(&tell(&format!("{at_ms} ms"), &line));
+            trace.push_str(&tell(&format!("{at_ms} ms"), &line));
         } else if !REQUEST_EVENTS.contains(&line.event.as_str()) {
             context.push_back(line);
 
@@ -70,7 +70,7 @@
         }
     }
 
-    story
+    trace
 }
 
 /// Reads a line; whatever stands before its JSON, such as a collector's own words, is kept out.
--- a/grebedeck/src/command/options.rs
+++ b/grebedeck/src/command/options.rs
@@ -48,7 +48,7 @@
         #[bpaf(long, argument("FILE"))]
         settings: PathBuf,
     },
-    /// Tell a request's story from the logs of processes.
+    /// Tell a request's trace from the logs of processes.
     ///
     /// Example: grebedeck explain 9c41d07be2a35f68 gateway-1.log gateway-2.log
     #[bpaf(command)]
--- a/grebedeck/src/entry/suspects.rs
+++ b/grebedeck/src/entry/suspects.rs
@@ -51,7 +51,7 @@
 
 /// A request in quarantine, in the table service; its key there is the fingerprint in hexadecimal digits.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct Kept {
+struct Buffer {
     trials: u32,
     written_unix_ms: UnixMs,
 }
@@ -356,7 +356,7 @@
     }
 }
 
-type KeptRequests = BTreeMap<String, Kept>;
+type KeptRequests = BTreeMap<String, Buffer>;
 
 async fn read<T: Table>(table: &T) -> Result<(u64, KeptRequests)> {
     let mut values = table.read(&[TABLE_KEY.to_string()]).await?;
@@ -380,7 +380,7 @@
         for change in open.values() {
             match change {
                 Lasting::Quarantined(request, trials) => {
-                    let value = Kept { trials: *trials, written_unix_ms: now };
+                    let value = Buffer { trials: *trials, written_unix_ms: now };
                     kept.insert(to_hex(*request), value);
                 }
                 Lasting::Released(request) => drop(kept.remove(&to_hex(*request))),
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -5,6 +5,7 @@
 //! too little to be worth handing over.
 
 pub mod attempt;
+pub mod buffer;
 pub mod caller;
 pub mod cold;
 pub mod counters;
@@ -15,7 +16,6 @@
 pub mod handout;
 pub mod health;
 pub mod hold;
-pub mod kept;
 pub mod limits;
 pub mod loads;
 pub mod mechanism;
@@ -33,10 +33,10 @@
 pub mod service;
 pub mod starts;
 pub mod stop;
-pub mod story;
 pub mod stream;
 pub mod suspects;
 pub mod tempo;
+pub mod trace;
 pub mod tried;
 pub mod waiting;
 pub mod watch;
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 use super::refusing::refusal_cause;
 use super::request::RoutedRequest;
 use super::service::Gateway;
-use super::story::Decision;
+use super::trace::Decision;
 use super::tried::{Failure, FailureCause, Refusal};
 
 /// Answers of earlier requests that are read away before a connection is given up.
@@ -88,7 +88,7 @@
     let Failure { cause, .. } = *failure;
     gateway.counters.attempts.add(cause.word());
     let decision = Decision::Failed { target: target.id.clone(), failure: *failure };
-    request.story.add(gateway.now(), decision);
+    request.trace.add(gateway.now(), decision);
 
     match cause {
         // Where all places are taken, or nothing was sent, nothing is said of the service.
--- a/grebedeck/src/gateway/kept.rs
+++ b/grebedeck/src/gateway/buffer.rs
@@ -43,16 +43,16 @@
 }
 
 /// Bytes that are kept; their memory is given back when they are dropped.
-pub struct Kept {
+pub struct Buffer {
     shared: Rc<SharedMemory>,
     bytes: Vec<u8>,
     reserved_bytes: usize,
 }
 
-impl Kept {
+impl Buffer {
     /// Starts with nothing.
     pub fn new(shared: &Rc<SharedMemory>) -> Self {
-        Kept { shared: shared.clone(), bytes: Vec::new(), reserved_bytes: 0 }
+        Buffer { shared: shared.clone(), bytes: Vec::new(), reserved_bytes: 0 }
     }
 
     /// Takes memory for bytes to come, so that there are that many in all; waits for it for a while. Tells
@@ -140,7 +140,7 @@
     }
 }
 
-impl Deref for Kept {
+impl Deref for Buffer {
     type Target = [u8];
 
     fn deref(&self) -> &[u8] {
@@ -148,7 +148,7 @@
     }
 }
 
-impl Drop for Kept {
+impl Drop for Buffer {
     fn drop(&mut self) {
         self.give_back(self.reserved_bytes);
     }
--- a/grebedeck/src/gateway/caller.rs
+++ b/grebedeck/src/gateway/caller.rs
@@ -13,12 +13,12 @@
     BodyDecoder, Connection, Framing, HttpError, RequestHead, ResponseHead, request_framing,
 };
 
-use super::kept::Kept;
+use super::buffer::Buffer;
 use super::mechanism::Mechanism;
 use super::options::{NO_MEMORY_WAIT, READ_AHEAD_BYTES, SITE_WAIT};
 use super::request::{CallerRequest, RoutedRequest};
 use super::service::Gateway;
-use super::story::{Decision, End, Story};
+use super::trace::{Decision, End, Trace};
 use super::whole::WholeAnswer;
 use super::writer::{self, Written};
 use super::{stop, stream, whole};
@@ -165,7 +165,7 @@
     };
 
     let Some(answer) = answered else {
-        gateway.note_end(&routed.story, End::CallerGone, false);
+        gateway.note_end(&routed.trace, End::CallerGone, false);
         return After::Close;
     };
     let took = gateway.now() - routed.request.arrived;
@@ -187,12 +187,12 @@
     is_late: bool,
 ) {
     if !matches!(written, Written::Stalled | Written::TimedOut) {
-        return gateway.note_end(&routed.story, end, is_late);
+        return gateway.note_end(&routed.trace, end, is_late);
     }
 
     gateway.counters.unread.add("answer_stalled");
-    routed.story.add(gateway.now(), Decision::Unread { written, last_event_id: None });
-    gateway.note_end(&routed.story, End::CallerStalled, is_late);
+    routed.trace.add(gateway.now(), Decision::Unread { written, last_event_id: None });
+    gateway.note_end(&routed.trace, End::CallerStalled, is_late);
 }
 
 /// Makes the answer to a request that the configuration does not allow.
@@ -203,10 +203,10 @@
     version: SiteVersion,
 ) -> WholeAnswer {
     let answer = WholeAnswer::denied(reason, request, &gateway.names);
-    let story = Story::new(request.id(&gateway.names), request.arrived);
-    story.add(gateway.now(), Decision::Denied { reason, version });
+    let trace = Trace::new(request.id(&gateway.names), request.arrived);
+    trace.add(gateway.now(), Decision::Denied { reason, version });
     gateway.counters.refusals.add(reason.word());
-    gateway.note_end(&story, answer.end(), false);
+    gateway.note_end(&trace, answer.end(), false);
 
     answer
 }
@@ -253,9 +253,9 @@
     connection: &mut Connection,
     framing: Framing,
     max_bytes: usize,
-) -> Result<Kept, Unread> {
+) -> Result<Buffer, Unread> {
     let mut decoder = BodyDecoder::new(framing);
-    let mut body = Kept::new(&gateway.bodies);
+    let mut body = Buffer::new(&gateway.bodies);
 
     while let Some(part) = connection.read_body(&mut decoder).await? {
         if body.len() + part.len() > max_bytes {
--- a/grebedeck/src/gateway/entering.rs
+++ b/grebedeck/src/gateway/entering.rs
@@ -16,7 +16,7 @@
 use super::place::{self, NoPlace, Place};
 use super::request::RoutedRequest;
 use super::service::Gateway;
-use super::story::Decision;
+use super::trace::Decision;
 use super::waiting::{InLine, Line, Seeker};
 
 /// Weight of an organisation: no configuration names another.
@@ -180,7 +180,7 @@
         return Err(NoPlace::Full);
     };
 
-    request.story.add(now, Decision::InLine { urgency, ahead });
+    request.trace.add(now, Decision::InLine { urgency, ahead });
     gateway.counters.in_line.came(urgency);
 
     if needs_task {
--- a/grebedeck/src/gateway/opened.rs
+++ b/grebedeck/src/gateway/opened.rs
@@ -8,7 +8,7 @@
 use grebedeck_http::{BodyDecoder, Connection, HttpError, ResponseHead};
 
 use super::attempt::InFlight;
-use super::kept::Kept;
+use super::buffer::Buffer;
 use super::options::{MAX_WHOLE_BYTES, MEMORY_WAIT};
 use super::request::RoutedRequest;
 use super::service::Gateway;
@@ -54,8 +54,8 @@
 
     /// Reads the whole body, within the memory for answers, and keeps the connection for other requests. Where there
     /// is no memory the target is not read from, and after a while the attempt is given up.
-    pub async fn read_whole(mut self) -> Result<(ResponseHead, Kept), FailureCause> {
-        let mut body = Kept::new(&self.gateway.answers);
+    pub async fn read_whole(mut self) -> Result<(ResponseHead, Buffer), FailureCause> {
+        let mut body = Buffer::new(&self.gateway.answers);
         // A known length is reserved at once, so that no two answers wait for each other's memory.
         let len_bytes = self.decoder.left_bytes().unwrap_or(0).min(MAX_WHOLE_BYTES);
 
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -16,7 +16,7 @@
 };
 use super::request::RoutedRequest;
 use super::service::Gateway;
-use super::story::Decision;
+use super::trace::Decision;
 use crate::random::ProcessRandom;
 
 /// Why there is no place.
@@ -162,7 +162,7 @@
         Err(reason) => {
             counters.waits.note(now - began, reason.word());
             counters.refusals.add(reason.word());
-            request.story.add(now, no_place(gateway, request, *reason, now));
+            request.trace.add(now, no_place(gateway, request, *reason, now));
         }
     }
 
@@ -311,7 +311,7 @@
         allowed: per_place,
         last_event_id: request.last_event_id.get(),
     };
-    request.story.add(now, decision);
+    request.trace.add(now, decision);
     gateway.take_cold(&target, now);
     gateway.note_sent(&target, now);
     gateway.take_prompt(request, now);
--- a/grebedeck/src/gateway/pool.rs
+++ b/grebedeck/src/gateway/pool.rs
@@ -1,4 +1,4 @@
-//! Kept connections to targets.
+//! Buffer connections to targets.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -22,7 +22,7 @@
 /// Connections are kept for one start of a target: what an earlier one left open is no way to the next.
 type Key = (SocketAddr, Birth);
 
-struct Kept {
+struct Buffer {
     connection: Connection,
     until: Moment,
 }
@@ -30,7 +30,7 @@
 /// Connections that carry no request just now.
 #[derive(Default)]
 pub struct Pool {
-    kept: RefCell<HashMap<Key, Vec<Kept>>>,
+    kept: RefCell<HashMap<Key, Vec<Buffer>>>,
 }
 
 impl Pool {
@@ -80,7 +80,7 @@
         let kept = all.entry((target.address, target.born_ms)).or_default();
 
         if kept.len() < max_kept {
-            kept.push(Kept { connection, until });
+            kept.push(Buffer { connection, until });
         }
     }
 
--- a/grebedeck/src/gateway/relay.rs
+++ b/grebedeck/src/gateway/relay.rs
@@ -324,7 +324,7 @@
             let read = T::read(store).await;
             let mut feed = T::feed(self.state()).borrow_mut();
 
-            // Kept also where nobody follows yet: who is asked for the first time has an answer at once.
+            // Buffer also where nobody follows yet: who is asked for the first time has an answer at once.
             match &read {
                 Ok(snapshot) => feed.replace(snapshot.clone(), self.gateway.now()),
                 Err(_) => feed.fail(),
--- a/grebedeck/src/gateway/request.rs
+++ b/grebedeck/src/gateway/request.rs
@@ -9,8 +9,8 @@
 use grebedeck_http::{Headers, RequestHead};
 use grebedeck_routing::{Fingerprint, Identity};
 
-use super::kept::Kept;
-use super::story::{Decision, Story};
+use super::buffer::Buffer;
+use super::trace::{Decision, Trace};
 
 /// The least urgent rank that is told to targets: they know ten.
 const LEAST_RANK: u8 = 9;
@@ -20,7 +20,7 @@
     /// Its head, as it came.
     pub head: RequestHead,
     /// Its body, whole.
-    pub body: Kept,
+    pub body: Buffer,
     /// When it began to arrive.
     pub arrived: Moment,
 }
@@ -40,7 +40,7 @@
     /// The last event that the caller has got, for a stream.
     pub last_event_id: Cell<Option<u64>>,
     /// The decisions on it.
-    pub story: Story,
+    pub trace: Trace,
     /// The headers that are passed on to any target.
     headers: Headers,
     fingerprint: OnceCell<Fingerprint>,
@@ -93,14 +93,14 @@
         let patience = request.patience(names).unwrap_or(limit).min(limit);
         let deadline = request.arrived + patience;
         let headers = passed_on(&request, &admitted, names);
-        let story = Story::new(request.id(names), request.arrived);
+        let trace = Trace::new(request.id(names), request.arrived);
         let decision = Decision::Admitted {
             route: admitted.rule.name.clone(),
             service: service.clone(),
             version: admitted.version,
             left: patience,
         };
-        story.add(request.arrived, decision);
+        trace.add(request.arrived, decision);
 
         RoutedRequest {
             request,
@@ -109,7 +109,7 @@
             rank,
             deadline,
             last_event_id: Cell::default(),
-            story,
+            trace,
             headers,
             fingerprint: OnceCell::new(),
         }
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -20,9 +20,9 @@
 use grebedeck_routing::{Caution, Chooser, LoadReport, Quarantine};
 
 use super::Tasks;
+use super::buffer::SharedMemory;
 use super::counters::Counters;
 use super::halls::OperatorView;
-use super::kept::SharedMemory;
 use super::limits::LimitState;
 use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
@@ -32,8 +32,8 @@
 use super::request::RoutedRequest;
 use super::starts::ENTRY_LINES_PER_S;
 use super::stop::StopState;
-use super::story::{Decision, End, STORIES_PER_S, Story};
 use super::suspects::SUSPECT_LINES_PER_S;
+use super::trace::{Decision, End, TRACES_PER_S, Trace};
 use super::tried::Tried;
 use super::waiting::Waiting;
 
@@ -44,12 +44,12 @@
     pub metrics: Metrics,
     /// What it counts.
     pub counters: Counters,
-    stories: RefCell<LineBudget>,
+    traces: RefCell<LineBudget>,
     /// The platform's header names.
     pub names: HeaderNames,
     /// Runs its tasks.
     pub tasks: Tasks,
-    /// Kept connections to targets.
+    /// Buffer connections to targets.
     pub pool: Pool,
     /// Memory for callers' bodies.
     pub bodies: Rc<SharedMemory>,
@@ -120,7 +120,7 @@
             settings: RefCell::new(Rc::new(settings)),
             counters: Counters::new(&metrics),
             metrics,
-            stories: RefCell::new(LineBudget::new(STORIES_PER_S)),
+            traces: RefCell::new(LineBudget::new(TRACES_PER_S)),
             names,
             tasks,
             pool: Pool::default(),
@@ -325,7 +325,7 @@
         self.counters.repeats.add(refused.unwrap_or("allowed"));
 
         if let Some(reason) = refused {
-            request.story.add(now, Decision::NotRepeated { reason });
+            request.trace.add(now, Decision::NotRepeated { reason });
         }
 
         refused.is_none()
@@ -361,8 +361,8 @@
         self.patience.borrow().get(service).map(Patience::mean)
     }
 
-    /// Counts how a request ended, and logs its story if it is of interest.
-    pub fn note_end(&self, story: &Story, end: End, is_late: bool) {
+    /// Counts how a request ended, and logs its trace if it is of interest.
+    pub fn note_end(&self, trace: &Trace, end: End, is_late: bool) {
         let now = self.now();
         self.counters.requests.add(if is_late && end.word() == "served" {
             "served_late"
@@ -370,20 +370,20 @@
             end.word()
         });
 
-        if !story.is_wanted(end, is_late) {
+        if !trace.is_wanted(end, is_late) {
             return;
         }
 
-        if self.stories.borrow_mut().take(now) {
-            story.log(end, now);
+        if self.traces.borrow_mut().take(now) {
+            trace.log(end, now);
         } else {
             self.counters.left_out.add("story");
         }
     }
 
-    /// Tells how many stories were not logged since this was done last.
+    /// Tells how many traces were not logged since this was done last.
     pub fn log_left_out(&self) {
-        let count = self.stories.borrow_mut().take_left_out();
+        let count = self.traces.borrow_mut().take_left_out();
 
         if count > 0 {
             log::warn!("requests not logged", kv: { count });
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -15,15 +15,15 @@
 use grebedeck_http::{Connection, ResponseHead, write_chunk};
 
 use super::attempt;
+use super::buffer::Buffer;
 use super::caller::{After, write_whole};
-use super::kept::Kept;
 use super::opened::Opened;
 use super::options::{MAX_EVENT_BYTES, READ_AHEAD_BYTES};
 use super::place::{self, NoPlace};
 use super::request::RoutedRequest;
 use super::service::Gateway;
-use super::story::{Decision, End};
 use super::tempo::Tempo;
+use super::trace::{Decision, End};
 use super::tried::Tried;
 use super::whole::WholeAnswer;
 use super::writer::{self, Written};
@@ -89,10 +89,10 @@
     let is_late = relay.tempo.is_late;
 
     if is_late {
-        request.story.add(gateway.now(), relay.tempo.decision(request.request.arrived));
+        request.trace.add(gateway.now(), relay.tempo.decision(request.request.arrived));
     }
 
-    gateway.note_end(&request.story, end, is_late);
+    gateway.note_end(&request.trace, end, is_late);
 
     after
 }
@@ -154,7 +154,7 @@
     /// Passes events on until this target's part ends.
     async fn pass_on(&mut self, mut opened: Opened<'_>, target: &TargetEntry) -> Part {
         let mut events = EventBuffer::default();
-        let mut kept = Kept::new(&self.gateway.answers);
+        let mut kept = Buffer::new(&self.gateway.answers);
 
         loop {
             let left = self.request.deadline.saturating_sub(self.gateway.now());
@@ -204,7 +204,7 @@
         opened.broken();
         let (target, last_event_id) = (target.id.clone(), self.request.last_event_id.get());
         let decision = Decision::Broke { target, last_event_id };
-        self.request.story.add(self.gateway.now(), decision);
+        self.request.trace.add(self.gateway.now(), decision);
 
         Part::Broken
     }
@@ -221,7 +221,7 @@
     fn note_stalled(&mut self, written: Written) -> Part {
         self.gateway.counters.unread.add("stream_stalled");
         let last_event_id = self.request.last_event_id.get();
-        self.request.story.add(self.gateway.now(), Decision::Unread { written, last_event_id });
+        self.request.trace.add(self.gateway.now(), Decision::Unread { written, last_event_id });
 
         Part::CallerStalled
     }
@@ -247,7 +247,7 @@
 
         let (target, last_event_id) = (target.id.clone(), self.request.last_event_id.get());
         let decision = Decision::Moved { target, last_event_id };
-        self.request.story.add(self.gateway.now(), decision);
+        self.request.trace.add(self.gateway.now(), decision);
         self.gateway.counters.attempts.add("moved");
         true
     }
--- a/grebedeck/src/gateway/suspects.rs
+++ b/grebedeck/src/gateway/suspects.rs
@@ -23,7 +23,7 @@
 use super::place::NoPlace;
 use super::request::RoutedRequest;
 use super::service::Gateway;
-use super::story::Decision;
+use super::trace::Decision;
 use crate::liveness;
 use crate::random::ProcessRandom;
 
@@ -135,7 +135,7 @@
         let start = self.quarantine.borrow_mut().broke(&listed, fingerprint, sent_at, now);
         let crashes = self.quarantine.borrow().suspicion(fingerprint).crashes;
         let decision = Decision::Suspected { target: target.id.clone(), fingerprint, crashes };
-        request.story.add(now, decision);
+        request.trace.add(now, decision);
 
         match start {
             Some(start) => {
--- a/grebedeck/src/gateway/tempo.rs
+++ b/grebedeck/src/gateway/tempo.rs
@@ -4,7 +4,7 @@
 
 use grebedeck_core::Moment;
 
-use super::story::Decision;
+use super::trace::Decision;
 
 /// How fast the events of a stream have come.
 #[derive(Default)]
@@ -34,7 +34,7 @@
         Some(pause)
     }
 
-    /// Gets what the story of a late stream tells.
+    /// Gets what the trace of a late stream tells.
     pub fn decision(&self, arrived: Moment) -> Decision {
         Decision::Slow {
             first_event: self.first_event.unwrap_or_default(),
--- a/grebedeck/src/gateway/story.rs
+++ b/grebedeck/src/gateway/trace.rs
@@ -2,7 +2,7 @@
 //!
 //! Logging each decision of each request would cost more than the requests themselves. So they are kept
 //! in memory, and written out, one line each, for requests that failed or were late, and for one in some
-//! hundred of the others. Under load only so many stories are written in a second; how many were left
+//! hundred of the others. Under load only so many traces are written in a second; how many were left
 //! out is logged and counted.
 
 use std::cell::RefCell;
@@ -23,7 +23,7 @@
 /// One in so many requests that ended well is logged, as a sample of what is usual.
 const SAMPLE_ONE_IN: usize = 200;
 /// Stories that are logged in a second at the most.
-pub const STORIES_PER_S: f64 = 20.0;
+pub const TRACES_PER_S: f64 = 20.0;
 /// Most decisions that are kept of one request; more than attempts and waits ever make.
 const MAX_DECISIONS: usize = 24;
 
@@ -189,16 +189,16 @@
 }
 
 /// The decisions on one request.
-pub struct Story {
+pub struct Trace {
     id: String,
     began: Moment,
     decisions: RefCell<Vec<(Moment, Decision)>>,
 }
 
-impl Story {
-    /// Begins a request's story.
+impl Trace {
+    /// Begins a request's trace.
     pub fn new(id: &str, began: Moment) -> Self {
-        Story { id: id.to_string(), began, decisions: RefCell::default() }
+        Trace { id: id.to_string(), began, decisions: RefCell::default() }
     }
 
     /// Adds a decision.
@@ -210,7 +210,7 @@
         }
     }
 
-    /// Tells whether the story of a request that ended so is to be logged, if there is room.
+    /// Tells whether the trace of a request that ended so is to be logged, if there is room.
     pub fn is_wanted(&self, end: End, is_late: bool) -> bool {
         end.is_bad() || is_late || ProcessRandom::default().below(SAMPLE_ONE_IN) == 0
     }
--- a/grebedeck/src/gateway/whole.rs
+++ b/grebedeck/src/gateway/whole.rs
@@ -10,12 +10,12 @@
 use grebedeck_http::{Headers, ResponseHead};
 
 use super::attempt;
+use super::buffer::Buffer;
 use super::caller::After;
-use super::kept::Kept;
 use super::place::{self, NoPlace, Place};
 use super::request::{CallerRequest, RoutedRequest};
 use super::service::Gateway;
-use super::story::{Decision, End};
+use super::trace::{Decision, End};
 use super::tried::{Failure, FailureCause, Tried};
 
 /// How long a caller is told to wait while the process does not know its configuration or targets.
@@ -25,13 +25,13 @@
 pub struct WholeAnswer {
     head: ResponseHead,
     /// None for this process's own answers.
-    body: Option<Kept>,
+    body: Option<Buffer>,
     is_own: bool,
 }
 
 impl WholeAnswer {
     /// Makes the answer of a target.
-    pub fn of_target(head: ResponseHead, body: Kept) -> Self {
+    pub fn of_target(head: ResponseHead, body: Buffer) -> Self {
         WholeAnswer { head, body: Some(body), is_own: false }
     }
 
@@ -90,7 +90,7 @@
     }
 
     /// Gets the bytes to send, of which a long body is a part of its own. The second part has the memory of both.
-    pub fn into_parts(self, after: After) -> (Vec<u8>, Option<Kept>) {
+    pub fn into_parts(self, after: After) -> (Vec<u8>, Option<Buffer>) {
         let mut headers: Headers = self.head.headers.end_to_end();
         let len_bytes = self.body.as_ref().map_or(0, |body| body.len());
         headers.push("content-length", len_bytes.to_string());
@@ -185,7 +185,7 @@
 
         if verdict == Verdict::Failure {
             let (target, status) = (target.id.clone(), opened.head.status);
-            request.story.add(now, Decision::TargetFailed { target, status });
+            request.trace.add(now, Decision::TargetFailed { target, status });
         }
 
         match opened.read_whole().await {
@@ -196,7 +196,7 @@
             Err(cause) => {
                 let failure = Failure::may_have_run(cause);
                 let decision = Decision::Failed { target: target.id.clone(), failure };
-                request.story.add(gateway.now(), decision);
+                request.trace.add(gateway.now(), decision);
                 Err(failure)
             }
         }
--- a/grebedeck/tests/kept.rs
+++ b/grebedeck/tests/kept.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use grebedeck::gateway::kept::{Kept, SharedMemory};
+use grebedeck::gateway::buffer::{Buffer, SharedMemory};
 
 const LARGE_BYTES: usize = 100_000;
 
 #[test]
 fn bytes_are_kept_as_they_came_and_their_memory_is_given_back() {
     let shared = SharedMemory::new(400_000);
-    let mut kept = Kept::new(&shared);
+    let mut kept = Buffer::new(&shared);
     let whole: Vec<u8> = (0..LARGE_BYTES).map(|n| n as u8).collect();
 
     for part in whole.chunks(4096) {
@@ -27,23 +27,23 @@
 #[test]
 fn a_part_for_which_there_is_no_memory_is_not_taken() {
     let shared = SharedMemory::new(LARGE_BYTES);
-    let mut kept = Kept::new(&shared);
+    let mut kept = Buffer::new(&shared);
 
     while kept.push(&[b'x'; 1000]) {}
 
     let before = shared.used_bytes();
     assert!((LARGE_BYTES / 2..=LARGE_BYTES * 3 / 4).contains(&before), "{before}");
     assert_eq!(kept.len() % 1000, 0);
-    assert!(Kept::new(&shared).push(&[b'x'; 1000]), "a small one still gets some");
+    assert!(Buffer::new(&shared).push(&[b'x'; 1000]), "a small one still gets some");
 }
 
 #[test]
 fn a_large_answer_waits_until_others_have_been_read() {
     async_io::block_on(async {
         let shared = SharedMemory::new(2 * LARGE_BYTES);
-        let mut first = Kept::new(&shared);
+        let mut first = Buffer::new(&shared);
         assert!(first.reserve(LARGE_BYTES, Duration::ZERO).await);
-        let mut second = Kept::new(&shared);
+        let mut second = Buffer::new(&shared);
         assert!(!second.reserve(LARGE_BYTES, Duration::from_millis(1)).await);
 
         let waiting = second.reserve(LARGE_BYTES, Duration::from_secs(20));
@@ -60,7 +60,7 @@
 #[test]
 fn bytes_that_are_kept_elsewhere_are_counted_up_and_down() {
     let shared = SharedMemory::new(LARGE_BYTES);
-    let mut kept = Kept::new(&shared);
+    let mut kept = Buffer::new(&shared);
 
     assert!(kept.note_len(30_000) && shared.used_bytes() == 30_000);
     assert!(kept.note_len(10) && shared.used_bytes() == 10);
--- a/grebedeck/tests/withdrawn.rs
+++ b/grebedeck/tests/withdrawn.rs
@@ -12,7 +12,7 @@
 
 use grebedeck::gateway::Tasks;
 use grebedeck::gateway::attempt::{InFlight, open};
-use grebedeck::gateway::kept::Kept;
+use grebedeck::gateway::buffer::Buffer;
 use grebedeck::gateway::place::{self, NoPlace, Place};
 use grebedeck::gateway::request::{CallerRequest, RoutedRequest};
 use grebedeck::gateway::service::Gateway;
@@ -43,7 +43,7 @@
         minor_version: 1,
         headers: Headers::default(),
     };
-    let body = Kept::new(&gateway.bodies);
+    let body = Buffer::new(&gateway.bodies);
     let caller = CallerRequest { head, body, arrived: gateway.now() };
     let admitted = Admitted { rule: Arc::new(rule()), organisation: None, priority: 1, version: 1 };
 
