One module for what is heard of limits, one for the exchange of permits; silent coordinators are asked less often

A gateway whose row outlives it was asked again each ten seconds, and each ask cost its targets' permits for some 0.8 s; the pause grows to a minute (6 to 10 asks in five minutes, test).

--- a/grebedeck-gateway/src/coordinator.rs
+++ b/grebedeck-gateway/src/coordinator.rs
@@ -20,8 +20,10 @@
 pub const SETTLE: Duration = Duration::from_secs(15);
 /// Asks in a row that a silent gateway leaves unanswered: a single datagram may be lost.
 const MAX_MISSES: u32 = 2;
-/// How long a silent gateway is not asked.
+/// How long a silent gateway is not asked, after each time that it left an ask unanswered.
 const PASSED_OVER: Duration = Duration::from_secs(10);
+/// Most times as long: rows of gateways that are gone stay in the list.
+const MAX_PASSED_OVER: u32 = 6;
 /// Part of a limit that is given out by a gateway that may not be the only one to do so.
 const UNSETTLED_PART: f64 = 0.2;
 
@@ -131,7 +133,8 @@
         let (is_silent, is_new) = (silence.is_silent(), silence.misses == MAX_MISSES);
 
         if is_silent {
-            silence.passed_over_until = now + PASSED_OVER;
+            let times = (silence.misses - MAX_MISSES + 1).min(MAX_PASSED_OVER);
+            silence.passed_over_until = now + PASSED_OVER * times;
             self.update_leads(now);
         }
 
--- a/grebedeck-gateway/tests/quota.rs
+++ b/grebedeck-gateway/tests/quota.rs
@@ -615,3 +615,31 @@
 
     assert!(!limits.send(&target, permit, ms(20)));
 }
+
+/// Rows of gateways that are gone stay in the list; each ask that they leave unanswered costs their targets' permits.
+#[test]
+fn a_coordinator_that_is_gone_is_asked_less_and_less_often_and_at_once_after_it_has_answered() {
+    let mut coordinators = Coordinators::new(address(0));
+    coordinators.set_gateways((1..4).map(address), true, ms(0));
+    let first = coordinators.coordinator(0, ms(0));
+    let partition = (0..PARTITIONS)
+        .find(|p| coordinators.coordinator(*p, ms(0)) != address(0))
+        .expect("others coordinate some");
+    let gone = coordinators.coordinator(partition, ms(0));
+    let mut now = ms(0);
+    let mut asked = 0;
+
+    while now < Duration::from_secs(300) {
+        if coordinators.coordinator(partition, now) == gone {
+            asked += 1;
+            coordinators.missed(gone, now);
+        }
+
+        now += PERIOD;
+    }
+
+    assert!((6..=10).contains(&asked), "asked {asked} times in five minutes");
+    assert!(coordinators.answered(gone, now));
+    assert_eq!(coordinators.coordinator(partition, now), gone);
+    assert_eq!(coordinators.coordinator(0, now), first);
+}
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod place;
 pub mod pool;
 pub mod prompts;
+pub mod quota;
 pub mod refusing;
 pub mod relay;
 pub mod reload;
@@ -105,7 +106,7 @@
     tasks.spawn(loads::receive(gateway.clone(), socket.clone())).detach();
     tasks.spawn(loads::subscribe(gateway.clone(), socket.clone())).detach();
     tasks.spawn(gossip::follow(gateway.clone(), socket.clone())).detach();
-    tasks.spawn(limits::exchange(gateway.clone(), socket)).detach();
+    tasks.spawn(quota::exchange(gateway.clone(), socket)).detach();
     tasks.spawn(peers::follow_peers(gateway.clone())).detach();
     serve_pages(&gateway, ready_listener, async |gateway, _| {
         Page::empty(if gateway.is_ready() { 200 } else { 503 })
--- a/grebedeck/src/gateway/loads.rs
+++ b/grebedeck/src/gateway/loads.rs
@@ -11,8 +11,8 @@
 use futures::FutureExt;
 
 use super::gossip;
-use super::limits;
 use super::options::{FIRST_WATCH_PERIOD, WATCH_PERIOD};
+use super::quota;
 use super::service::Gateway;
 use crate::rank::message::{Body, Datagram, DatagramReader, MAX_DATAGRAM_BYTES};
 
@@ -53,7 +53,7 @@
             gossip::take(gateway, socket, from, message).await;
         }
         Some(Datagram { from, body: Body::Quota(message), .. }) => {
-            limits::receive(gateway, socket, from.ip(), message).await;
+            quota::receive(gateway, socket, from.ip(), message).await;
         }
         // Between ranks.
         _ => {}
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -27,6 +27,7 @@
 use super::mechanism::Mechanism;
 use super::options::{GatewaySettings, MIN_ATTEMPT};
 use super::pool::Pool;
+use super::quota::QuotaState;
 use super::refusing::REFUSING_LINES_PER_S;
 use super::relay::RelayState;
 use super::request::RoutedRequest;
@@ -90,6 +91,8 @@
     pub(super) refusing_lines: RefCell<LineBudget>,
     /// Limits that targets name.
     pub(super) limits: LimitState,
+    /// Its part in giving out permits.
+    pub(super) quota: QuotaState,
     /// Lines on entries that cannot be read.
     pub(super) entry_lines: RefCell<LineBudget>,
     /// Requests that are not sent any more, and those that may have to be among them.
@@ -113,7 +116,8 @@
 
         let gateway = Gateway {
             relay: RelayState::new(settings.peer_address),
-            limits: LimitState::new(settings.ip),
+            limits: LimitState::default(),
+            quota: QuotaState::new(settings.ip),
             chooser: RefCell::new(Chooser::new(&settings.hall, settings.chooser_options())),
             bodies: SharedMemory::new(settings.memory_bytes(settings.kept.bodies)),
             answers: SharedMemory::new(settings.memory_bytes(settings.kept.answers)),
