Names of the field in the code on limits; permits that are given back are bounded

Requests and responses, claims, sequence numbers, apply and record. A request that gives back more permits than a gateway can hold would have overflowed a sum (debug builds end there); it is cut to what one may want.

--- a/grebedeck-gateway/src/limit.rs
+++ b/grebedeck-gateway/src/limit.rs
@@ -99,13 +99,13 @@
         self.permits.back().is_some_and(|lapses_at| now < *lapses_at)
     }
 
-    fn give_back(&mut self, now: Moment) -> u32 {
+    fn release_permits(&mut self, now: Moment) -> u32 {
         let permits = std::mem::take(&mut self.permits);
 
         permits.iter().filter(|lapses_at| now < **lapses_at).count() as u32
     }
 
-    fn take_permit(&mut self, now: Moment) -> Option<Moment> {
+    fn pop_permit(&mut self, now: Moment) -> Option<Moment> {
         // The one that lapses first is used first.
         while let Some(lapses_at) = self.permits.pop_front() {
             if now < lapses_at {
@@ -148,7 +148,7 @@
 impl Limits {
     /// Takes in what an answer to a request sent at `sent_at` says; `is_good` tells an answer that the target made as usual,
     /// as only those are sure to name a limit that holds.
-    pub fn heard(
+    pub fn observe(
         &mut self,
         target: &TargetEntry,
         named: NamedLimit,
@@ -158,7 +158,7 @@
     ) -> LimitChange {
         match named {
             NamedLimit::Absent if !is_good => LimitChange::None,
-            NamedLimit::Absent => self.heard_none(target, sent_at, now),
+            NamedLimit::Absent => self.observe_absent(target, sent_at, now),
             NamedLimit::PerS(per_s) => self.set(target, per_s, now, now),
             NamedLimit::Unreadable => {
                 let known = self.known(target);
@@ -185,9 +185,9 @@
     }
 
     /// Takes the permit for a request to a target; none where there is no permit left.
-    pub fn take(&mut self, target: &TargetEntry, now: Moment) -> Option<Permit> {
+    pub fn acquire(&mut self, target: &TargetEntry, now: Moment) -> Option<Permit> {
         match self.limited_mut(target) {
-            Some(known) => known.take_permit(now).map(Permit::Until),
+            Some(known) => known.pop_permit(now).map(Permit::Until),
             None => Some(Permit::NotNeeded),
         }
     }
@@ -199,7 +199,7 @@
             return true;
         };
         let is_good = matches!(permit, Permit::Until(lapses_at) if now < lapses_at);
-        let is_sent = is_good || known.take_permit(now).is_some();
+        let is_sent = is_good || known.pop_permit(now).is_some();
         known.sent += u64::from(is_sent);
 
         is_sent
@@ -235,7 +235,7 @@
                 limit: known.per_s,
                 heard_ago: now.saturating_sub(known.heard_at),
                 wanted,
-                unused: known.give_back(now),
+                unused: known.release_permits(now),
             })
         };
 
@@ -243,7 +243,7 @@
     }
 
     /// Takes in what a coordinator gives for a target, asked at `asked_at`.
-    pub fn granted(
+    pub fn apply(
         &mut self,
         target: &TargetEntry,
         grant: &QuotaGrant,
@@ -306,7 +306,12 @@
         self.targets.get_mut(&target.id).filter(|k| k.birth == target.born_ms && k.per_s.is_some())
     }
 
-    fn heard_none(&mut self, target: &TargetEntry, sent_at: Moment, now: Moment) -> LimitChange {
+    fn observe_absent(
+        &mut self,
+        target: &TargetEntry,
+        sent_at: Moment,
+        now: Moment,
+    ) -> LimitChange {
         match self.limited(target) {
             Some(known) if sent_at >= known.heard_at => self.end(target, now, now),
             _ => LimitChange::None,
--- a/grebedeck-gateway/src/quota.rs
+++ b/grebedeck-gateway/src/quota.rs
@@ -57,7 +57,7 @@
 
 impl Demand {
     /// Notes a request.
-    pub fn note(&mut self, now: Moment) {
+    pub fn record(&mut self, now: Moment) {
         self.pass(now);
         self.now = self.now.saturating_add(1);
     }
@@ -79,7 +79,7 @@
     }
 }
 
-/// One target in an ask.
+/// One target in a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QuotaDemand {
     /// The target.
@@ -96,7 +96,7 @@
     pub unused: u32,
 }
 
-/// One target in an answer.
+/// One target in a response.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QuotaGrant {
     /// The target.
@@ -117,16 +117,16 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum QuotaMessage {
     /// To a coordinator.
-    Ask {
-        /// Number of the ask, which its answer repeats.
-        round: u64,
+    Request {
+        /// Number of the request, which its response repeats.
+        sequence: u64,
         /// What is asked for.
         demands: Vec<QuotaDemand>,
     },
-    /// A coordinator's answer.
-    Answer {
-        /// Number of the ask.
-        round: u64,
+    /// A coordinator's response.
+    Response {
+        /// Number of the request.
+        sequence: u64,
         /// What is given.
         grants: Vec<QuotaGrant>,
     },
@@ -139,7 +139,7 @@
 
 /// What one gateway wants of a target.
 #[derive(Clone, Copy, Debug)]
-struct Wish {
+struct Claim {
     wanted: u32,
     /// Permits that it gets with its next ask.
     reserved: u32,
@@ -155,7 +155,7 @@
     saved: f64,
     saved_at: Moment,
     asked_at: Moment,
-    wishes: BTreeMap<GatewayAddress, Wish>,
+    claims: BTreeMap<GatewayAddress, Claim>,
 }
 
 impl Account {
@@ -166,12 +166,12 @@
             saved: 1.0,
             saved_at: now,
             asked_at: now,
-            wishes: BTreeMap::new(),
+            claims: BTreeMap::new(),
         }
     }
 
-    /// Takes in an ask; tells whether the target has a limit since then, or none any more.
-    fn note(&mut self, from: GatewayAddress, demand: &QuotaDemand, now: Moment) -> bool {
+    /// Records a request; tells whether the target has a limit since then, or none any more.
+    fn record(&mut self, from: GatewayAddress, demand: &QuotaDemand, now: Moment) -> bool {
         let was_limited = self.limit.is_some();
         let heard_at = now.saturating_sub(demand.heard_ago);
         self.asked_at = now;
@@ -182,33 +182,33 @@
             self.heard_at = heard_at;
         }
 
-        let reserved = self.wishes.get(&from).map_or(0, |wish| wish.reserved);
+        let reserved = self.claims.get(&from).map_or(0, |claim| claim.reserved);
         let wanted = demand.wanted.min(MAX_WANTED);
-        self.wishes.insert(from, Wish { wanted, reserved, asked_at: now });
+        self.claims.insert(from, Claim { wanted, reserved, asked_at: now });
 
         was_limited != self.limit.is_some()
     }
 
     /// Gets the part of all that is wanted that one gateway wants.
     fn share(&self, from: GatewayAddress) -> f64 {
-        let total: f64 = self.wishes.values().map(|wish| f64::from(wish.wanted)).sum();
-        let own = self.wishes.get(&from).map_or(0.0, |wish| f64::from(wish.wanted));
+        let total: f64 = self.claims.values().map(|claim| f64::from(claim.wanted)).sum();
+        let own = self.claims.get(&from).map_or(0.0, |claim| f64::from(claim.wanted));
 
         if own > 0.0 { own / total } else { 0.0 }
     }
 
     /// Adds what has become free since the last ask, and what comes back.
     fn fill(&mut self, per_s: RatePerS, part: f64, given_back: u32, now: Moment) {
-        let is_over = |wish: &Wish| now >= wish.asked_at + DEMAND_LIFETIME;
-        let forgotten = self.wishes.values().filter(|wish| is_over(wish));
-        let back = given_back + forgotten.map(|wish| wish.reserved).sum::<u32>();
-        self.wishes.retain(|_, wish| !is_over(wish));
+        let is_over = |claim: &Claim| now >= claim.asked_at + DEMAND_LIFETIME;
+        let forgotten = self.claims.values().filter(|claim| is_over(claim));
+        let back = given_back + forgotten.map(|claim| claim.reserved).sum::<u32>();
+        self.claims.retain(|_, claim| !is_over(claim));
 
         let passed = now.saturating_sub(self.saved_at).as_secs_f64();
         let own_per_s = given_out(per_s, part);
         let least = if part < 1.0 { MIN_SAVED_UNSETTLED } else { MIN_SAVED };
         let most = (own_per_s * FILL_TIME.as_secs_f64()).max(least);
-        let reserved: u32 = self.wishes.values().map(|wish| wish.reserved).sum();
+        let reserved: u32 = self.claims.values().map(|claim| claim.reserved).sum();
         let room = (most - f64::from(reserved)).max(0.0);
         self.saved_at = now;
         self.saved = (self.saved + passed * own_per_s + f64::from(back)).min(room);
@@ -218,12 +218,12 @@
     /// drawn for, so that each gets its part however small it is, and whenever it asks.
     fn reserve(&mut self, random: &mut impl RandomSource) {
         let whole = self.saved.floor();
-        let total: f64 = self.wishes.values().map(|wish| f64::from(wish.wanted)).sum();
+        let total: f64 = self.claims.values().map(|claim| f64::from(claim.wanted)).sum();
 
-        for wish in self.wishes.values_mut() {
-            let due = (whole * f64::from(wish.wanted) / total.max(1.0)).floor() as u32;
-            let given = due.min(wish.wanted.saturating_sub(wish.reserved));
-            wish.reserved += given;
+        for claim in self.claims.values_mut() {
+            let due = (whole * f64::from(claim.wanted) / total.max(1.0)).floor() as u32;
+            let given = due.min(claim.wanted.saturating_sub(claim.reserved));
+            claim.reserved += given;
             self.saved -= f64::from(given);
         }
 
@@ -234,17 +234,18 @@
 
     /// Reserves a permit for one that is drawn; tells whether somebody wants one.
     fn reserve_one(&mut self, random: &mut impl RandomSource) -> bool {
-        let wants_more = |wish: &&mut Wish| wish.reserved < wish.wanted;
-        let total: u32 = self.wishes.values_mut().filter(wants_more).map(|wish| wish.wanted).sum();
+        let wants_more = |claim: &&mut Claim| claim.reserved < claim.wanted;
+        let total: u32 =
+            self.claims.values_mut().filter(wants_more).map(|claim| claim.wanted).sum();
         let mut drawn = random.below(total as usize) as u32;
 
-        for wish in self.wishes.values_mut().filter(wants_more) {
-            if drawn < wish.wanted {
-                wish.reserved += 1;
+        for claim in self.claims.values_mut().filter(wants_more) {
+            if drawn < claim.wanted {
+                claim.reserved += 1;
                 return true;
             }
 
-            drawn -= wish.wanted;
+            drawn -= claim.wanted;
         }
 
         false
@@ -252,7 +253,7 @@
 
     /// Takes what is reserved for a gateway.
     fn take(&mut self, from: GatewayAddress) -> u32 {
-        self.wishes.get_mut(&from).map_or(0, |wish| std::mem::take(&mut wish.reserved))
+        self.claims.get_mut(&from).map_or(0, |claim| std::mem::take(&mut claim.reserved))
     }
 }
 
@@ -270,8 +271,8 @@
 }
 
 impl QuotaLedger {
-    /// Answers an ask. `part` is the part of each limit that this coordinator may give out of a target.
-    pub fn answer(
+    /// Answers a request. `part` is the part of each limit that this coordinator may give out of a target.
+    pub fn grant(
         &mut self,
         from: GatewayAddress,
         demands: &[QuotaDemand],
@@ -290,14 +291,14 @@
 
             let account = self.accounts.entry(key.clone()).or_insert_with(|| Account::new(now));
 
-            if account.note(from, demand, now) {
+            if account.record(from, demand, now) {
                 self.changed.insert(key);
             }
 
             let part = part(&demand.target);
             let (permits, rate) = match account.limit {
                 Some(per_s) => {
-                    account.fill(per_s, part, demand.unused, now);
+                    account.fill(per_s, part, demand.unused.min(MAX_WANTED), now);
                     account.reserve(random);
 
                     (account.take(from), given_out(per_s, part) * account.share(from))
@@ -339,7 +340,7 @@
     }
 
     /// Takes changes that all gateways are to be told of.
-    pub fn take_changes(&mut self, now: Moment) -> Vec<QuotaGrant> {
+    pub fn drain_changes(&mut self, now: Moment) -> Vec<QuotaGrant> {
         let mut changes = Vec::new();
 
         while changes.len() < MAX_CHANGES
--- a/grebedeck-gateway/tests/limit.rs
+++ b/grebedeck-gateway/tests/limit.rs
@@ -33,7 +33,7 @@
 
 /// An answer as the target makes it usually, to a request sent at this time.
 fn answer(limits: &mut Limits, of: &TargetEntry, values: &[&str], sent_ms: u64) -> LimitChange {
-    limits.heard(of, named(values), true, at(sent_ms), at(sent_ms + 10))
+    limits.observe(of, named(values), true, at(sent_ms), at(sent_ms + 10))
 }
 
 #[test]
@@ -58,12 +58,12 @@
     assert_eq!(answer(&mut limits, &target, &["3"], 200), LimitChange::Set(3.0));
     // It was sent before the limit was heard of, and its answer has been overtaken.
     assert_eq!(
-        limits.heard(&target, NamedLimit::Absent, true, at(205), at(400)),
+        limits.observe(&target, NamedLimit::Absent, true, at(205), at(400)),
         LimitChange::None
     );
     // A failure says nothing of it.
     assert_eq!(
-        limits.heard(&target, NamedLimit::Absent, false, at(300), at(400)),
+        limits.observe(&target, NamedLimit::Absent, false, at(300), at(400)),
         LimitChange::None
     );
     assert_eq!(limits.view(&target).map(|l| (l.per_s, l.since)), Some((3.0, at(110))));
--- a/grebedeck-gateway/tests/quota.rs
+++ b/grebedeck-gateway/tests/quota.rs
@@ -167,7 +167,7 @@
         let mean = self.gateways[number].rate * TICK.as_secs_f64();
         let requests = (mean + self.random.unit()).floor() as usize;
         let gateway = &mut self.gateways[number];
-        (0..requests).for_each(|_| gateway.demand.note(now));
+        (0..requests).for_each(|_| gateway.demand.record(now));
         gateway.waiting.extend((0..requests).map(|_| now + PATIENCE));
 
         while let Some(until) = self.gateways[number].waiting.pop_front() {
@@ -188,7 +188,7 @@
 
             let chosen = may_send[self.random.below(may_send.len())];
             let target = self.targets[chosen].clone();
-            let permit = gateway.limits.take(&target, self.now).expect("one was there");
+            let permit = gateway.limits.acquire(&target, self.now).expect("one was there");
             assert!(gateway.limits.send(&target, permit, self.now), "taken just now");
             gateway.served += 1;
             let is_told = gateway.limits.is_limited(&target);
@@ -251,7 +251,7 @@
                 Message::Head { gateway, target, named, sent_at } => {
                     let target = self.targets[target].clone();
                     let gateway = &mut self.gateways[gateway];
-                    let change = gateway.limits.heard(&target, named, true, sent_at, self.now);
+                    let change = gateway.limits.observe(&target, named, true, sent_at, self.now);
                     gateway.is_idle &= change == LimitChange::None;
                 }
                 Message::Ask { from, to, round, demands } => self.answer(from, to, round, &demands),
@@ -277,7 +277,7 @@
         let (now, random) = (self.now, &mut self.random);
         let gateway = &mut self.gateways[to];
         let part = |target: &str| gateway.coordinators.part(partition_of(target), now);
-        let grants = gateway.ledger.answer(address(from), demands, part, now, random);
+        let grants = gateway.ledger.grant(address(from), demands, part, now, random);
         self.messages += usize::from(from != to);
         self.post(LATENCY, Message::Answer { from: to, to: from, round, grants });
     }
@@ -302,13 +302,13 @@
         for grant in grants {
             let target = self.targets.iter().find(|t| t.id == grant.target).expect("one of them");
             let limits = &mut self.gateways[to].limits;
-            limits.granted(target, grant, PERMIT_LIFETIME, asked_at, self.now);
+            limits.apply(target, grant, PERMIT_LIFETIME, asked_at, self.now);
         }
     }
 
     /// A coordinator tells all others that it reaches what has changed.
     fn notify(&mut self, from: usize) {
-        let changes = self.gateways[from].ledger.take_changes(self.now);
+        let changes = self.gateways[from].ledger.drain_changes(self.now);
 
         if changes.is_empty() {
             return;
@@ -579,7 +579,7 @@
 fn permits_are_used_once_and_lapse() {
     let target = target(0);
     let mut limits = Limits::default();
-    limits.heard(&target, NamedLimit::PerS(2.0), true, ms(0), ms(10));
+    limits.observe(&target, NamedLimit::PerS(2.0), true, ms(0), ms(10));
     assert!(!limits.may_send(&target, ms(10)));
     let grant = |permits| QuotaGrant {
         target: target.id.clone(),
@@ -590,17 +590,17 @@
         rate: 1.0,
     };
 
-    limits.granted(&target, &grant(2), PERMIT_LIFETIME, ms(20), ms(30));
-    let permit = limits.take(&target, ms(40)).expect("the first");
+    limits.apply(&target, &grant(2), PERMIT_LIFETIME, ms(20), ms(30));
+    let permit = limits.acquire(&target, ms(40)).expect("the first");
     assert!(limits.send(&target, permit, ms(50)));
-    assert!(limits.take(&target, ms(50)).is_some());
-    assert_eq!(limits.take(&target, ms(60)), None);
+    assert!(limits.acquire(&target, ms(50)).is_some());
+    assert_eq!(limits.acquire(&target, ms(60)), None);
 
-    limits.granted(&target, &grant(1), PERMIT_LIFETIME, ms(100), ms(110));
-    let permit = limits.take(&target, ms(120)).expect("another");
+    limits.apply(&target, &grant(1), PERMIT_LIFETIME, ms(100), ms(110));
+    let permit = limits.acquire(&target, ms(120)).expect("another");
     // Its connection took longer than the permit is good for.
     assert!(!limits.send(&target, permit, ms(100) + PERMIT_LIFETIME));
-    limits.granted(&target, &grant(1), PERMIT_LIFETIME, ms(800), ms(810));
+    limits.apply(&target, &grant(1), PERMIT_LIFETIME, ms(800), ms(810));
     assert!(limits.send(&target, permit, ms(820)), "there is another one by now");
     assert!(!limits.may_send(&target, ms(820)));
 }
@@ -610,8 +610,8 @@
 fn what_was_chosen_before_the_limit_was_heard_of_is_not_sent_without_a_permit() {
     let target = target(0);
     let mut limits = Limits::default();
-    let permit = limits.take(&target, ms(0)).expect("no limit yet");
-    limits.heard(&target, NamedLimit::PerS(2.0), true, ms(0), ms(10));
+    let permit = limits.acquire(&target, ms(0)).expect("no limit yet");
+    limits.observe(&target, NamedLimit::PerS(2.0), true, ms(0), ms(10));
 
     assert!(!limits.send(&target, permit, ms(20)));
 }
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -240,7 +240,7 @@
 
     let target = &sent.target;
     gateway.note_load_word(target, head, load);
-    gateway.note_limit(target, head, verdict, sent.sent_at);
+    gateway.record_limit(target, head, verdict, sent.sent_at);
 
     if verdict == Verdict::Refused || refusal.asked.is_some() {
         gateway.note_refusal(target, refusal, load);
--- a/grebedeck/src/gateway/entering.rs
+++ b/grebedeck/src/gateway/entering.rs
@@ -4,7 +4,6 @@
 //! urgency, or is more urgent, is not overtaken. Where the order means that it can't be in time, it is told at once.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use futures::channel::oneshot;
 use grebedeck_admission::{Order, Waiter};
@@ -90,7 +89,12 @@
 
             gateway.waiting.with(service, wait).flatten().map(|wait| (wait, NoPlace::Behind(wait)))
         }
-        NoPlace::Limited(_) => limited_wait(gateway, waiter, service),
+        NoPlace::Limited(_) => {
+            let ahead = gateway.waiting.with(service, |line| line.queue.ahead_of(waiter));
+            let wait = gateway.permit_wait(service, ahead.unwrap_or_default());
+
+            wait.map(|wait| (wait, NoPlace::Limited(wait)))
+        }
         _ => return Ok(()),
     };
 
@@ -118,16 +122,6 @@
     gateway.waiting.with(service, is_ranked).unwrap_or(false)
 }
 
-/// Gets how long one that comes now would wait for a permit, and what it is told.
-fn limited_wait(gateway: &Gateway, waiter: &Waiter, service: &str) -> Option<(Duration, NoPlace)> {
-    let ahead = gateway.waiting.with(service, |line| line.queue.ahead_of(waiter))?;
-
-    match gateway.limited(service, ahead)? {
-        reason @ NoPlace::Limited(wait) => Some((wait, reason)),
-        _ => None,
-    }
-}
-
 fn waiter(
     gateway: &Gateway,
     request: &RoutedRequest,
--- a/grebedeck/src/gateway/limits.rs
+++ b/grebedeck/src/gateway/limits.rs
@@ -15,14 +15,13 @@
 use grebedeck_kernel::log::LineBudget;
 use serde_json::json;
 
-use super::place::NoPlace;
 use super::service::Gateway;
 
 /// Lines a second on limits of targets: each of some tens of targets begins and ends one, and a target that changes its
 /// limit with each answer would write a line for each.
 const LIMIT_LINES_PER_S: f64 = 20.0;
 /// Longest time after which a caller is told to come back for a permit.
-const MAX_LIMITED_WAIT: Duration = Duration::from_secs(60);
+const MAX_PERMIT_WAIT: Duration = Duration::from_secs(60);
 
 /// What a gateway knows of limits.
 pub struct LimitState {
@@ -54,7 +53,7 @@
 
 impl Gateway {
     /// Takes in what the head of an answer says of the target's limit.
-    pub fn note_limit(
+    pub fn record_limit(
         &self,
         target: &TargetEntry,
         head: &ResponseHead,
@@ -68,12 +67,17 @@
         let named = named_limit(head.headers.all(self.names.limit));
         let is_good = verdict == Verdict::Pass && head.is_success();
         let now = self.now();
-        let change = self.limits.limits.borrow_mut().heard(target, named, is_good, sent_at, now);
+        let change = self.limits.limits.borrow_mut().observe(target, named, is_good, sent_at, now);
 
-        self.note_limit_change(target, change, "target");
+        self.report_limit_change(target, change, "target");
     }
 
-    pub(super) fn note_limit_change(&self, target: &TargetEntry, change: LimitChange, from: &str) {
+    pub(super) fn report_limit_change(
+        &self,
+        target: &TargetEntry,
+        change: LimitChange,
+        from: &str,
+    ) {
         let (word, per_s) = match change {
             LimitChange::None => return,
             LimitChange::Set(per_s) => ("set", per_s),
@@ -91,7 +95,7 @@
     }
 
     /// Notes that a request looks for a target, as permits are asked for by how many do.
-    pub(super) fn note_limited_demand(&self, service: &str) {
+    pub(super) fn record_demand(&self, service: &str) {
         if self.limits.limits.borrow().is_empty() {
             return;
         }
@@ -100,15 +104,15 @@
         let mut demand = self.limits.demand.borrow_mut();
 
         match demand.get_mut(service) {
-            Some(demand) => demand.note(now),
-            None => demand.entry(service.to_string()).or_default().note(now),
+            Some(demand) => demand.record(now),
+            None => demand.entry(service.to_string()).or_default().record(now),
         }
 
         self.limits.changed.notify(usize::MAX);
     }
 
     /// Gets those of some targets to which this gateway may send a request now.
-    pub(super) fn without_spent(
+    pub(super) fn permitted(
         &self,
         targets: Arc<[Arc<TargetEntry>]>,
         now: Moment,
@@ -139,8 +143,8 @@
     }
 
     /// Takes the permit for a request to a target; none where there is no permit left.
-    pub(super) fn take_permit(&self, target: &TargetEntry, now: Moment) -> Option<Permit> {
-        self.limits.limits.borrow_mut().take(target, now)
+    pub(super) fn acquire_permit(&self, target: &TargetEntry, now: Moment) -> Option<Permit> {
+        self.limits.limits.borrow_mut().acquire(target, now)
     }
 
     /// Tells whether a request with a permit may still be sent, and counts it.
@@ -155,21 +159,20 @@
         is_sent
     }
 
-    /// Gets why a service has no place where all of its targets have a limit: until a permit comes for one that goes behind
-    /// so many others.
-    pub(super) fn limited(&self, service: &str, ahead: usize) -> Option<NoPlace> {
+    /// Gets how long a request that goes behind so many others waits for a permit, where all targets of its service that this
+    /// gateway deals with have a limit.
+    pub(super) fn permit_wait(&self, service: &str, ahead: usize) -> Option<Duration> {
         let candidates = self.candidates(service);
-        let targets = candidates.iter().map(|target| &**target);
-        let rate = self.limits.limits.borrow().rate(targets, self.gateways())?;
 
         if candidates.is_empty() {
             return None;
         }
 
+        let targets = candidates.iter().map(|target| &**target);
+        let rate = self.limits.limits.borrow().rate(targets, self.gateways())?;
         let wait_s = (ahead + 1) as f64 / rate.max(f64::MIN_POSITIVE);
-        let wait = Duration::from_secs_f64(wait_s.min(MAX_LIMITED_WAIT.as_secs_f64()));
 
-        Some(NoPlace::Limited(wait))
+        Some(Duration::from_secs_f64(wait_s.min(MAX_PERMIT_WAIT.as_secs_f64())))
     }
 
     /// Gets a target's limit for a dump, where it has one.
--- a/grebedeck/src/gateway/place.rs
+++ b/grebedeck/src/gateway/place.rs
@@ -57,7 +57,7 @@
     pub fn after_attempts(gateway: &Gateway, service: &str) -> Self {
         NoPlace::for_all(gateway, service).unwrap_or_else(|| match gateway.availability(service) {
             Availability::Out(left) => NoPlace::Out(left),
-            Availability::Up => gateway.limited(service, 0).unwrap_or(NoPlace::Full),
+            Availability::Up => NoPlace::full_or_limited(gateway, service),
         })
     }
 
@@ -70,6 +70,11 @@
         gateway.all_rest(service).map(NoPlace::Resting)
     }
 
+    /// Gets why no target of a service that takes work may get a request.
+    fn full_or_limited(gateway: &Gateway, service: &str) -> Self {
+        gateway.permit_wait(service, 0).map_or(NoPlace::Full, NoPlace::Limited)
+    }
+
     /// Tells whether there is no use in waiting until `give_up`: the service is expected back later than that, and has
     /// been out for longer than outages last. Callers of a group that never forms were held for their whole objective
     /// before they were refused, which cost 0.78 of all worth on a day with such a group, and 0.34 with refusals at once.
@@ -140,7 +145,7 @@
     tried: &[TargetId],
 ) -> Result<Place, NoPlace> {
     let began = gateway.now();
-    gateway.note_limited_demand(&request.service);
+    gateway.record_demand(&request.service);
     // First tries, repeats and streams that go on elsewhere all pass here: sent on after each crash, one request takes
     // target after target down, and a group of them is out for as long as it comes.
     let found = match gateway.cleared(request).await {
@@ -269,7 +274,7 @@
     now: Moment,
 ) -> Vec<Arc<TargetEntry>> {
     let targets = gateway.without_held_back(&gateway.without_resting(targets, now), now);
-    let targets = gateway.without_spent(targets, now);
+    let targets = gateway.permitted(targets, now);
     let chooser = gateway.chooser.borrow();
     let is_closed = |t: &&Arc<TargetEntry>| gateway.is_group_closed(t, now);
     let steady = chooser.without_slow(&targets, now).into_iter().filter(|t| !is_closed(t));
@@ -299,9 +304,8 @@
     let (targets, per_place) = with_room(gateway, request, tried, now)?;
     let chooser = gateway.chooser.borrow();
     let chosen = chooser.choose(&targets, tried, now, &mut ProcessRandom::default()).cloned();
-    let full = || gateway.limited(&request.service, 0).unwrap_or(NoPlace::Full);
-    let target = chosen.ok_or_else(full)?;
-    let permit = gateway.take_permit(&target, now).ok_or(NoPlace::Full)?;
+    let target = chosen.ok_or_else(|| NoPlace::full_or_limited(gateway, &request.service))?;
+    let permit = gateway.acquire_permit(&target, now).ok_or(NoPlace::Full)?;
     let view = chooser.load_view(&target.id, now);
     let decision = Decision::Chosen {
         target: target.id.clone(),
--- a/grebedeck/src/gateway/quota.rs
+++ b/grebedeck/src/gateway/quota.rs
@@ -31,11 +31,11 @@
 pub struct QuotaState {
     pub(super) ledger: RefCell<QuotaLedger>,
     coordinators: RefCell<Coordinators>,
-    /// Asks that have no answer yet, by whom was asked and their number, and when that was.
+    /// Requests without a response yet, by whom was asked and their number, and when that was.
     asked: RefCell<BTreeMap<(GatewayAddress, u64), Moment>>,
     /// Coordinators to look for, as others asked this gateway in their place.
-    doubted: RefCell<BTreeMap<GatewayAddress, Vec<QuotaDemand>>>,
-    next_round: Cell<u64>,
+    suspected: RefCell<BTreeMap<GatewayAddress, Vec<QuotaDemand>>>,
+    next_sequence: Cell<u64>,
 }
 
 impl QuotaState {
@@ -45,8 +45,8 @@
             ledger: RefCell::default(),
             coordinators: RefCell::new(Coordinators::new(own)),
             asked: RefCell::default(),
-            doubted: RefCell::default(),
-            next_round: Cell::new(0),
+            suspected: RefCell::default(),
+            next_sequence: Cell::new(0),
         }
     }
 }
@@ -56,9 +56,9 @@
     loop {
         let changed = gateway.limits.changed.listen();
 
-        let has_asked = ask_all(&gateway, &socket).await;
+        let has_requested = request_permits(&gateway, &socket).await;
 
-        if notify_all(&gateway, &socket).await || has_asked {
+        if notify_all(&gateway, &socket).await || has_requested {
             let spread = EXCHANGE_SPREAD * (2.0 * ProcessRandom::default().unit() - 1.0);
             sleep(EXCHANGE_PERIOD.mul_f64(1.0 + spread)).await;
         } else {
@@ -75,18 +75,20 @@
     message: QuotaMessage,
 ) {
     match message {
-        QuotaMessage::Ask { round, demands } => {
-            let grants = gateway.answer_quota(from, &demands);
-            send(gateway, socket, &[from], QuotaMessage::Answer { round, grants }).await;
+        QuotaMessage::Request { sequence, demands } => {
+            let grants = gateway.grant_quota(from, &demands);
+            send(gateway, socket, &[from], QuotaMessage::Response { sequence, grants }).await;
+        }
+        QuotaMessage::Response { sequence, grants } => {
+            gateway.apply_response(from, sequence, &grants)
         }
-        QuotaMessage::Answer { round, grants } => gateway.apply_answer(from, round, &grants),
         QuotaMessage::Notify { changes } => gateway.apply_grants(&changes, gateway.now()),
     }
 }
 
 /// Tells all other gateways which targets have a limit since then, or none any more; tells whether there were some.
 async fn notify_all(gateway: &Gateway, socket: &UdpSocket) -> bool {
-    let changes = gateway.quota.ledger.borrow_mut().take_changes(gateway.now());
+    let changes = gateway.quota.ledger.borrow_mut().drain_changes(gateway.now());
 
     if changes.is_empty() {
         return false;
@@ -99,26 +101,26 @@
 }
 
 /// Asks each coordinator that there is something to ask of; tells whether there was one.
-async fn ask_all(gateway: &Gateway, socket: &UdpSocket) -> bool {
+async fn request_permits(gateway: &Gateway, socket: &UdpSocket) -> bool {
     let now = gateway.now();
-    gateway.note_unanswered(now);
+    gateway.expire_requests(now);
     let own = gateway.own_address();
-    let asks = gateway.quota_asks(now);
-    let has_asked = !asks.is_empty();
+    let asks = gateway.pending_requests(now);
+    let has_requested = !asks.is_empty();
 
     for (coordinator, demands) in asks {
         if coordinator == own {
-            let grants = gateway.answer_quota(own, &demands);
+            let grants = gateway.grant_quota(own, &demands);
             gateway.apply_grants(&grants, now);
             continue;
         }
 
-        let round = gateway.quota.next_round.replace(gateway.quota.next_round.get() + 1);
-        gateway.quota.asked.borrow_mut().insert((coordinator, round), now);
-        send(gateway, socket, &[coordinator], QuotaMessage::Ask { round, demands }).await;
+        let sequence = gateway.quota.next_sequence.replace(gateway.quota.next_sequence.get() + 1);
+        gateway.quota.asked.borrow_mut().insert((coordinator, sequence), now);
+        send(gateway, socket, &[coordinator], QuotaMessage::Request { sequence, demands }).await;
     }
 
-    has_asked
+    has_requested
 }
 
 async fn send(gateway: &Gateway, socket: &UdpSocket, to: &[GatewayAddress], message: QuotaMessage) {
@@ -163,7 +165,7 @@
     }
 
     /// Gets what is to be asked, by the gateway to ask.
-    fn quota_asks(&self, now: Moment) -> BTreeMap<GatewayAddress, Vec<QuotaDemand>> {
+    fn pending_requests(&self, now: Moment) -> BTreeMap<GatewayAddress, Vec<QuotaDemand>> {
         let targets = self.targets.borrow();
         let demand = self.limits.demand.borrow();
         // Of the targets of others it only tells what it has heard: those who choose among them want the permits.
@@ -175,7 +177,7 @@
         };
         let demands = self.limits.limits.borrow_mut().demands(wanted, now);
         let coordinators = self.quota.coordinators.borrow();
-        let mut asks = std::mem::take(&mut *self.quota.doubted.borrow_mut());
+        let mut asks = std::mem::take(&mut *self.quota.suspected.borrow_mut());
 
         for demand in demands {
             let coordinator = coordinators.coordinator(partition_of(&demand.target), now);
@@ -185,14 +187,14 @@
         asks
     }
 
-    /// Notes which asks had no answer until now.
-    fn note_unanswered(&self, now: Moment) {
+    /// Counts requests that had no response in time.
+    fn expire_requests(&self, now: Moment) {
         // An answer of so long ago would give nothing any more.
         let is_over = |at: Moment| now >= at + PERMIT_LIFETIME;
         let asked = self.quota.asked.borrow().clone();
 
-        for ((gateway, round), at) in asked.into_iter().filter(|(_, at)| is_over(*at)) {
-            self.quota.asked.borrow_mut().remove(&(gateway, round));
+        for ((gateway, sequence), at) in asked.into_iter().filter(|(_, at)| is_over(*at)) {
+            self.quota.asked.borrow_mut().remove(&(gateway, sequence));
             // One that was asked so long ago may have answered while this instance stood still.
             let is_recent = now < at + PERMIT_LIFETIME + EXCHANGE_PERIOD * 2;
 
@@ -202,8 +204,8 @@
         }
     }
 
-    /// Answers an ask for permits.
-    fn answer_quota(&self, from: GatewayAddress, demands: &[QuotaDemand]) -> Vec<QuotaGrant> {
+    /// Answers a request for permits.
+    fn grant_quota(&self, from: GatewayAddress, demands: &[QuotaDemand]) -> Vec<QuotaGrant> {
         let now = self.now();
         let coordinators = self.quota.coordinators.borrow();
         let part = |target: &str| coordinators.part(partition_of(target), now);
@@ -215,12 +217,12 @@
 
             // Whoever asks may have found the first one silent; whether it is so is found out by asking it as well.
             if first != self.own_address() && from != self.own_address() {
-                self.quota.doubted.borrow_mut().entry(first).or_default();
+                self.quota.suspected.borrow_mut().entry(first).or_default();
                 self.limits.changed.notify(usize::MAX);
             }
         }
 
-        let grants = ledger.answer(from, demands, part, now, &mut ProcessRandom::default());
+        let grants = ledger.grant(from, demands, part, now, &mut ProcessRandom::default());
 
         if ledger.has_changes() {
             self.limits.changed.notify(usize::MAX);
@@ -229,13 +231,13 @@
         grants
     }
 
-    fn apply_answer(&self, from: GatewayAddress, round: u64, grants: &[QuotaGrant]) {
+    fn apply_response(&self, from: GatewayAddress, sequence: u64, grants: &[QuotaGrant]) {
         if self.quota.coordinators.borrow_mut().answered(from, self.now()) {
             log::info!("coordinator answers again", kv: { gateway = from.to_string() });
         }
 
-        // An answer that comes twice, or to an ask that was given up, gives nothing.
-        let asked_at = self.quota.asked.borrow_mut().remove(&(from, round));
+        // A response that comes twice, or to a request that was given up, gives nothing.
+        let asked_at = self.quota.asked.borrow_mut().remove(&(from, sequence));
 
         if let Some(asked_at) = asked_at {
             self.apply_grants(grants, asked_at);
@@ -253,9 +255,9 @@
             };
             permits += grant.permits;
             let mut limits = self.limits.limits.borrow_mut();
-            let change = limits.granted(&target, grant, PERMIT_LIFETIME, asked_at, now);
+            let change = limits.apply(&target, grant, PERMIT_LIFETIME, asked_at, now);
             drop(limits);
-            self.note_limit_change(&target, change, "gateway");
+            self.report_limit_change(&target, change, "gateway");
         }
 
         if permits > 0 {
--- a/grebedeck/tests/withdrawn.rs
+++ b/grebedeck/tests/withdrawn.rs
@@ -92,7 +92,7 @@
     let names_limit = |gateway: &Gateway, target: &TargetEntry| {
         let mut head = ResponseHead::new(200);
         head.headers.push(NAMES.limit, "2");
-        gateway.note_limit(target, &head, Verdict::Pass, gateway.now());
+        gateway.record_limit(target, &head, Verdict::Pass, gateway.now());
     };
 
     assert_eq!(send_after(names_limit), (FailureCause::Withdrawn, 0));
