A coordinator that has just started does not end limits that were heard of before it started

What callers saw: nothing; a target in need would have got the requests of gateways that took its limit for ended. Cause: processes count time from their start, and an age was taken off that time down to zero, which the ledger took for older than what it knew, nothing at all. So a coordinator that had started within the age of the newest answer told who asked that there is no limit, as of its own start. Found by reading; the tests with killed gateways had answers that were younger than the start.

What was heard of is kept as a moment that may be before the process began, and unknown is no moment.

--- a/grebedeck-gateway/src/limit.rs
+++ b/grebedeck-gateway/src/limit.rs
@@ -31,6 +31,25 @@
 /// How long the end of a limit is remembered, against older news of it.
 const END_MEMORY: Duration = Duration::from_secs(30);
 
+/// Age from which on news are taken to be equally old.
+const OLDEST: Duration = Duration::from_secs(24 * 3600);
+
+/// When something was heard of, which may have been before this process began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HeardAt(Moment);
+
+impl HeardAt {
+    /// Makes the moment that is some time ago.
+    pub fn ago(age: Duration, now: Moment) -> Self {
+        HeardAt((now + OLDEST).saturating_sub(age))
+    }
+
+    /// Gets how long ago it was.
+    pub fn age(self, now: Moment) -> Duration {
+        (now + OLDEST).saturating_sub(self.0)
+    }
+}
+
 /// What an answer says of its target's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NamedLimit {
@@ -80,7 +99,7 @@
     birth: Birth,
     per_s: Option<RatePerS>,
     /// When the limit, or its end, was heard of last.
-    heard_at: Moment,
+    heard_at: Option<HeardAt>,
     /// Since when there is a limit.
     since: Moment,
     /// Requests sent since then.
@@ -159,7 +178,9 @@
         match named {
             NamedLimit::Absent if !is_good => LimitChange::None,
             NamedLimit::Absent => self.observe_absent(target, sent_at, now),
-            NamedLimit::PerS(per_s) => self.set(target, per_s, now, now),
+            NamedLimit::PerS(per_s) => {
+                self.set(target, per_s, HeardAt::ago(Duration::ZERO, now), now)
+            }
             NamedLimit::Unreadable => {
                 let known = self.known(target);
                 let was_unreadable = std::mem::replace(&mut known.is_unreadable, true);
@@ -233,7 +254,7 @@
                 target: id.clone(),
                 birth: known.birth,
                 limit: known.per_s,
-                heard_ago: now.saturating_sub(known.heard_at),
+                heard_ago: known.heard_at.map_or(OLDEST, |at| at.age(now)),
                 wanted,
                 unused: known.release_permits(now),
             })
@@ -252,9 +273,9 @@
         now: Moment,
     ) -> LimitChange {
         // Counted from the ask, which errs towards older news.
-        let heard_at = asked_at.saturating_sub(grant.heard_ago);
+        let heard_at = HeardAt::ago(grant.heard_ago, asked_at);
         let known = self.known(target);
-        let is_newer = heard_at > known.heard_at;
+        let is_newer = Some(heard_at) > known.heard_at;
         let change = match grant.limit {
             Some(per_s) if is_newer => self.set(target, per_s, heard_at, now),
             None if is_newer && known.per_s.is_some() => self.end(target, heard_at, now),
@@ -294,7 +315,9 @@
     /// Forgets targets whose limits ended long ago.
     pub fn forget_ended(&mut self, now: Moment) {
         self.targets.retain(|_, known| {
-            known.per_s.is_some() || known.is_unreadable || now < known.heard_at + END_MEMORY
+            let is_recent = known.heard_at.is_some_and(|at| at.age(now) < END_MEMORY);
+
+            known.per_s.is_some() || known.is_unreadable || is_recent
         });
     }
 
@@ -312,16 +335,20 @@
         sent_at: Moment,
         now: Moment,
     ) -> LimitChange {
-        match self.limited(target) {
-            Some(known) if sent_at >= known.heard_at => self.end(target, now, now),
-            _ => LimitChange::None,
+        let sent_at = HeardAt::ago(Duration::ZERO, sent_at);
+        let was_sent_since = |known: &Known| Some(sent_at) >= known.heard_at;
+
+        if self.limited(target).is_some_and(was_sent_since) {
+            self.end(target, HeardAt::ago(Duration::ZERO, now), now)
+        } else {
+            LimitChange::None
         }
     }
 
-    fn end(&mut self, target: &TargetEntry, heard_at: Moment, now: Moment) -> LimitChange {
+    fn end(&mut self, target: &TargetEntry, heard_at: HeardAt, now: Moment) -> LimitChange {
         let known = self.known(target);
         known.per_s = None;
-        known.heard_at = heard_at;
+        known.heard_at = Some(heard_at);
         known.permits.clear();
         known.rate = None;
         known.publish_until = now + PUBLISH_FOR;
@@ -333,12 +360,12 @@
         &mut self,
         target: &TargetEntry,
         per_s: RatePerS,
-        heard_at: Moment,
+        heard_at: HeardAt,
         now: Moment,
     ) -> LimitChange {
         let known = self.known(target);
         let before = known.per_s.replace(per_s);
-        known.heard_at = heard_at;
+        known.heard_at = Some(heard_at);
 
         if before == Some(per_s) {
             return LimitChange::None;
--- a/grebedeck-gateway/src/quota.rs
+++ b/grebedeck-gateway/src/quota.rs
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordinator::GatewayAddress;
-use crate::limit::{MAX_LIMIT_PER_S, MIN_LIMIT_PER_S, RatePerS};
+use crate::limit::{HeardAt, MAX_LIMIT_PER_S, MIN_LIMIT_PER_S, RatePerS};
 use crate::targets::TargetId;
 
 /// How long a permit is good for, from when it was asked for: longer than the time between two asks.
@@ -150,7 +150,7 @@
 #[derive(Clone, Debug)]
 struct Account {
     limit: Option<RatePerS>,
-    heard_at: Moment,
+    heard_at: Option<HeardAt>,
     /// Permits that nobody has got yet.
     saved: f64,
     saved_at: Moment,
@@ -162,7 +162,7 @@
     fn new(now: Moment) -> Self {
         Account {
             limit: None,
-            heard_at: Moment::ZERO,
+            heard_at: None,
             saved: 1.0,
             saved_at: now,
             asked_at: now,
@@ -173,7 +173,7 @@
     /// Records a request; tells whether the target has a limit since then, or none any more.
     fn record(&mut self, from: GatewayAddress, demand: &QuotaDemand, now: Moment) -> bool {
         let was_limited = self.limit.is_some();
-        let heard_at = now.saturating_sub(demand.heard_ago);
+        let heard_at = Some(HeardAt::ago(demand.heard_ago, now));
         self.asked_at = now;
 
         if heard_at > self.heard_at {
@@ -189,6 +189,10 @@
         was_limited != self.limit.is_some()
     }
 
+    fn heard_ago(&self, now: Moment) -> Duration {
+        self.heard_at.map_or(Duration::ZERO, |at| at.age(now))
+    }
+
     /// Gets the part of all that is wanted that one gateway wants.
     fn share(&self, from: GatewayAddress) -> f64 {
         let total: f64 = self.claims.values().map(|claim| f64::from(claim.wanted)).sum();
@@ -310,7 +314,7 @@
                 target: demand.target.clone(),
                 birth: demand.birth,
                 limit: account.limit,
-                heard_ago: now.saturating_sub(account.heard_at),
+                heard_ago: account.heard_ago(now),
                 permits,
                 rate,
             });
@@ -353,7 +357,7 @@
                 target: key.0,
                 birth: key.1,
                 limit: account.limit,
-                heard_ago: now.saturating_sub(account.heard_at),
+                heard_ago: account.heard_ago(now),
                 permits: 0,
                 rate: 0.0,
             });
--- a/grebedeck-gateway/tests/quota.rs
+++ b/grebedeck-gateway/tests/quota.rs
@@ -643,3 +643,30 @@
     assert_eq!(coordinators.coordinator(partition, now), gone);
     assert_eq!(coordinators.coordinator(0, now), first);
 }
+
+/// Processes count time from their start, and a limit may have been heard of before that.
+#[test]
+fn a_coordinator_that_has_just_started_does_not_end_limits_that_were_heard_of_before() {
+    let target = target(0);
+    let mut limits = Limits::default();
+    limits.observe(&target, NamedLimit::PerS(2.0), true, ms(50_000), ms(50_010));
+    let mut ledger = QuotaLedger::default();
+    let mut random = SeededSource::new(47);
+
+    let now = ms(60_000);
+    let demands = limits.demands(|_| 1, now);
+    let grants = ledger.grant(address(1), &demands, |_| 1.0, ms(1000), &mut random);
+    assert_eq!(grants[0].limit, Some(2.0));
+    assert_eq!(grants[0].permits, 1);
+
+    for grant in &grants {
+        limits.apply(&target, grant, PERMIT_LIFETIME, now, now + ms(8));
+    }
+
+    assert!(limits.is_limited(&target));
+
+    // And a gateway that has just started takes what others heard before.
+    let mut started = Limits::default();
+    started.apply(&target, &grants[0], PERMIT_LIFETIME, ms(500), ms(508));
+    assert!(started.is_limited(&target));
+}
