Retry budgets tell what they count: by service, by gateway, and when a retry is sent

Logs and metrics could not tell the hypotheses on the incident of retries apart: the counter of retries had no service, and no line told what a budget was, what was left, or by how many gateways it was divided. Adds lines for a budget that opens, is exhausted and is available again, for the number of gateways, a decision in the trace, counters by service and kind, a histogram from authorization to sending, and the budgets in the dump. The handling of retries has a module of its own, and each authorized retry a permit that knows whether it was sent. No decision changes.

--- a/grebedeck-gateway/src/retry.rs
+++ b/grebedeck-gateway/src/retry.rs
@@ -30,6 +30,17 @@
     retries: u32,
 }
 
+/// What a budget has counted in the current window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// First attempts.
+    pub requests: u32,
+    /// Retries.
+    pub retries: u32,
+    /// Retries allowed.
+    pub allowed: f64,
+}
+
 /// Retry budget over a sliding window.
 #[derive(Clone, Debug)]
 pub struct WindowedRetryBudget {
@@ -65,6 +76,18 @@
 
     /// Takes one retry from the budget; returns whether one was left.
     pub fn try_acquire(&mut self, now: Moment) -> bool {
+        let RetryUsage { retries, allowed, .. } = self.usage(now);
+
+        if f64::from(retries) + 1.0 > allowed {
+            return false;
+        }
+
+        self.bucket(now).retries += 1;
+        true
+    }
+
+    /// What has been counted in the window that ends now.
+    pub fn usage(&self, now: Moment) -> RetryUsage {
         // A bucket that lies partly outside the window counts in full for retries and not at all
         // for requests. If it counted for both, requests would be summed over a longer window than
         // the one in which retries are compared with them.
@@ -75,12 +98,7 @@
         let retries: u32 = since(partly_from).map(|bucket| bucket.retries).sum();
         let allowed = f64::from(requests) * self.options.ratio + self.options.allowance;
 
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-
-        self.bucket(now).retries += 1;
-        true
+        RetryUsage { requests, retries, allowed }
     }
 
     fn bucket_length(&self) -> Duration {
--- a/grebedeck-kernel/src/metrics.rs
+++ b/grebedeck-kernel/src/metrics.rs
@@ -128,4 +128,10 @@
     pub fn add_many(&self, count: u64, label: &'static str) {
         self.counter.add(count, &[KeyValue::new(self.label, label)]);
     }
+
+    /// Increments the count of a value of the label for a service.
+    pub fn add_for_service(&self, label: &'static str, service: &str) {
+        let service = KeyValue::new("service", service.to_string());
+        self.counter.add(1, &[KeyValue::new(self.label, label), service]);
+    }
 }
--- a/grebedeck/src/gateway.rs
+++ b/grebedeck/src/gateway.rs
@@ -33,6 +33,7 @@
 pub mod reload;
 pub mod request;
 pub mod response;
+pub mod retries;
 pub mod service;
 pub mod slot;
 pub mod starts;
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use super::refusing::refusal_cause;
 use super::request::RoutedRequest;
 use super::response::{OpenResponse, SentRequest};
+use super::retries::RetryPermit;
 use super::service::Gateway;
 use super::slot::Slot;
 use super::trace::Decision;
@@ -53,14 +54,20 @@
     }
 }
 
-/// Sends a request to the target of its slot and waits for the response head.
+/// Sends a request to the target of its slot and waits for the response head. The permit of a
+/// retry ends with the attempt, unless nothing was sent because the target had been withdrawn.
 pub async fn open<'a>(
     gateway: &Rc<Gateway>,
     request: &'a RoutedRequest,
     slot: Slot,
+    retry: &mut Option<RetryPermit>,
 ) -> Result<OpenResponse<'a>, AttemptFailure> {
     let target = slot.target.clone();
-    let opened = send(gateway, request, slot).await;
+    let opened = send(gateway, request, slot, retry.as_ref()).await;
+
+    if !opened.as_ref().is_err_and(|failure| failure.cause == FailureCause::Withdrawn) {
+        *retry = None;
+    }
 
     match &opened {
         Ok(_) => {
@@ -113,6 +120,7 @@
     gateway: &Rc<Gateway>,
     request: &'a RoutedRequest,
     slot: Slot,
+    retry: Option<&RetryPermit>,
 ) -> Result<OpenResponse<'a>, AttemptFailure> {
     let Slot { target, mut in_flight, permit } = slot;
     let target = &target;
@@ -143,6 +151,11 @@
     let sent_at = gateway.now();
     let left = request.deadline.saturating_sub(sent_at);
     let head = request.head_for(target, left, &gateway.names);
+
+    if let Some(retry) = retry {
+        retry.record_sent();
+    }
+
     let exchange = async {
         connection.write_message(head, &request.request.body).await?;
         read_matching_head(gateway, request, target, &mut connection).await
--- a/grebedeck/src/gateway/buffered.rs
+++ b/grebedeck/src/gateway/buffered.rs
@@ -14,6 +14,7 @@
 use super::caller::Reuse;
 use super::history::{AttemptFailure, AttemptHistory, FailureCause};
 use super::request::{CallerRequest, RoutedRequest};
+use super::retries::RetryPermit;
 use super::service::Gateway;
 use super::slot::{self, NoSlot, Slot};
 use super::trace::{Decision, Outcome};
@@ -138,6 +139,8 @@
 #[derive(Default)]
 struct Attempts {
     history: AttemptHistory,
+    /// Permit of the retry that comes next.
+    retry: Option<RetryPermit>,
     /// Failure reported by a target, which the caller gets unless a later attempt succeeds.
     failure: Option<BufferedResponse>,
 }
@@ -173,7 +176,9 @@
                 }
             }
 
-            if !gateway.authorize_retry(request, &self.history) {
+            self.retry = gateway.authorize_retry(request, &self.history);
+
+            if self.retry.is_none() {
                 let reason = NoSlot::after_attempts(gateway, &request.service);
                 return self.give_up(gateway, request, reason);
             }
@@ -181,14 +186,14 @@
     }
 
     async fn attempt(
-        &self,
+        &mut self,
         gateway: &Rc<Gateway>,
         request: &RoutedRequest,
         slot: Slot,
     ) -> Result<(BufferedResponse, Verdict), AttemptFailure> {
         let began = gateway.now();
         let target = slot.target.clone();
-        let opened = attempt::open(gateway, request, slot).await?;
+        let opened = attempt::open(gateway, request, slot, &mut self.retry).await?;
         let verdict = opened.verdict;
         let now = gateway.now();
 
--- a/grebedeck/src/gateway/counters.rs
+++ b/grebedeck/src/gateway/counters.rs
@@ -60,6 +60,10 @@
     pub unread: Counter,
     /// Retries by whether the budget allowed them, or the reason why not.
     pub retries: Counter,
+    /// What the retry budget of each service has counted, by kind.
+    pub retry_budgets: Counter,
+    /// Time from the authorization of a retry until it was sent, or given up, by outcome.
+    pub retry_delays: Histogram,
     /// Calls to the store by outcome.
     pub store_calls: Counter,
     /// Calls for the contents of the store, by where they were sent.
@@ -138,6 +142,16 @@
                 "end",
                 "Repeats by whether the budget allowed them",
             ),
+            retry_budgets: counter(
+                "grebedeck_gateway_retry_budget",
+                "kind",
+                "What the retry budget of each service has counted",
+            ),
+            retry_delays: histogram(
+                "grebedeck_gateway_retry_delay_seconds",
+                "end",
+                "Time from the authorization of a retry until it was sent or given up",
+            ),
             store_calls: counter(
                 "grebedeck_gateway_store_calls",
                 "end",
--- a/grebedeck/src/gateway/dump.rs
+++ b/grebedeck/src/gateway/dump.rs
@@ -59,6 +59,7 @@
             "config_version": table.version(),
             "targets_version": targets.version(),
             "limits": self.coordinators_dump(now),
+            "retry_budgets": self.retry_budgets_dump(),
             "evacuated": evacuated_view(targets.evacuations()),
             "halls_version": targets.evacuations().version(),
             "kept_bytes": { "bodies": self.bodies.dump(), "answers": self.responses.dump() },
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -9,12 +9,10 @@
 
 use event_listener::Event;
 use grebedeck_core::{GroupId, Moment, ServiceName};
-use grebedeck_gateway::answer;
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
     ColdLimiter, HeaderNames, Outage, Pacing, PromptLimiter, Refusals, RouteTable, Site,
-    TargetEntry, TargetId, TargetList, WaitLimit, WaitLimitOptions, WindowedRetryBudget,
-    WindowedRetryOptions,
+    TargetEntry, TargetId, TargetList, WaitLimit, WaitLimitOptions,
 };
 use grebedeck_kernel::log::LineRateLimiter;
 use grebedeck_kernel::{Clock, Metrics, log};
@@ -24,20 +22,19 @@
 use super::buffer::SharedMemory;
 use super::counters::Counters;
 use super::halls::OperatorView;
-use super::history::AttemptHistory;
 use super::limits::LimitState;
 use super::mechanism::Mechanism;
-use super::options::{GatewaySettings, MIN_ATTEMPT_TIME};
+use super::options::GatewaySettings;
 use super::pool::ConnectionPool;
 use super::queues::WaitQueues;
 use super::quota::QuotaState;
 use super::refusing::REFUSAL_LINES_PER_S;
 use super::relay::RelayState;
-use super::request::RoutedRequest;
+use super::retries::RetryState;
 use super::starts::UNREADABLE_LINES_PER_S;
 use super::stop::StopState;
 use super::suspects::CRASH_LINES_PER_S;
-use super::trace::{Decision, Outcome, TRACES_PER_S, Trace};
+use super::trace::{Outcome, TRACES_PER_S, Trace};
 
 /// State of a gateway.
 pub struct Gateway {
@@ -72,7 +69,8 @@
     pub(super) operator: OperatorView,
     /// Whether any rank has reported its load yet.
     pub(super) receives_rank_loads: Cell<bool>,
-    retry_budgets: RefCell<HashMap<ServiceName, WindowedRetryBudget>>,
+    /// Retry budgets of the services.
+    pub(super) retries: RetryState,
     site: RefCell<Option<Site>>,
     /// The relay that this gateway follows, and the feeds for gateways that follow it.
     pub(super) relay: RelayState,
@@ -139,7 +137,7 @@
             targets_known_at: Cell::default(),
             operator: OperatorView::default(),
             receives_rank_loads: Cell::new(false),
-            retry_budgets: RefCell::default(),
+            retries: RetryState::default(),
             site: RefCell::default(),
             peers: RefCell::default(),
             gateway_count: Cell::new(1),
@@ -213,7 +211,12 @@
     }
 
     fn update_gateway_count(&self) {
-        self.gateway_count.set(self.peers().len() + 1);
+        let gateways = self.peers().len() + 1;
+        let before = self.gateway_count.replace(gateways);
+
+        if gateways != before {
+            log::info!("number of gateways changed", kv: { gateways, before });
+        }
     }
 
     /// Number of known gateways, including this one.
@@ -300,46 +303,6 @@
         self.targets.borrow().candidates(service).cloned().unwrap_or_default()
     }
 
-    /// Counts a request, at its first attempt, in the retry budget of its service.
-    pub fn record_first_attempt(&self, service: &str) {
-        let now = self.now();
-
-        self.with_retry_budget(service, |budget| budget.record_request(now));
-    }
-
-    /// Takes one retry from a service's budget; returns whether one was left.
-    pub fn try_acquire_retry(&self, service: &str) -> bool {
-        let now = self.now();
-
-        self.with_retry_budget(service, |budget| budget.try_acquire(now))
-    }
-
-    /// Returns whether a request may be retried on another target; if so, takes a retry from the
-    /// budget.
-    pub fn authorize_retry(&self, request: &RoutedRequest, history: &AttemptHistory) -> bool {
-        let rule = &request.admitted.rule;
-        let now = self.now();
-        let denial = if !answer::may_retry(rule.kind, history.run_state()) {
-            Some("may have run")
-        } else if history.targets().len() >= rule.max_targets as usize {
-            Some("sent often enough")
-        } else if request.deadline <= now + MIN_ATTEMPT_TIME {
-            Some("no time left")
-        } else if !self.try_acquire_retry(&request.service) {
-            Some("no budget left")
-        } else {
-            None
-        };
-
-        self.counters.retries.add(denial.unwrap_or("allowed"));
-
-        if let Some(reason) = denial {
-            request.trace.add(now, Decision::NotRetried { reason });
-        }
-
-        denial.is_none()
-    }
-
     /// Records how long a target took until its response, or a stream's first event.
     pub fn record_response_time(&self, service: &str, took: Duration) {
         let mut limits = self.wait_limits.borrow_mut();
@@ -430,31 +393,6 @@
         self.slot_freed.notify(usize::MAX);
     }
 
-    fn with_retry_budget<T>(
-        &self,
-        service: &str,
-        act: impl FnOnce(&mut WindowedRetryBudget) -> T,
-    ) -> T {
-        let retry = self.settings().retry;
-        let all = WindowedRetryOptions {
-            window: Duration::from_secs_f64(retry.window_s),
-            ratio: retry.ratio,
-            allowance: retry.allowance,
-        };
-        let own = all.share_of(self.gateway_count(), retry.gateways);
-        let mut budgets = self.retry_budgets.borrow_mut();
-
-        match budgets.get_mut(service) {
-            Some(budget) => {
-                budget.set_options(own);
-                act(budget)
-            }
-            None => {
-                act(budgets.entry(service.to_string()).or_insert(WindowedRetryBudget::new(own)))
-            }
-        }
-    }
-
     fn handle_list_event(&self, event: &ListEvent) {
         match event {
             ListEvent::Listed(entry) => {
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -23,6 +23,7 @@
 use super::options::{MAX_EVENT_BYTES, READ_AHEAD_BYTES};
 use super::request::RoutedRequest;
 use super::response::OpenResponse;
+use super::retries::RetryPermit;
 use super::service::Gateway;
 use super::slot::{self, NoSlot};
 use super::timing::EventTiming;
@@ -58,6 +59,8 @@
     reuse: Reuse,
     head_sent: bool,
     history: AttemptHistory,
+    /// Permit of the retry that comes next.
+    retry: Option<RetryPermit>,
     /// Whether the stream may not move, as it was denied a retry; this is not checked again.
     is_pinned: bool,
     /// When the request acquired its latest slot.
@@ -82,6 +85,7 @@
         reuse,
         head_sent: false,
         history: AttemptHistory::default(),
+        retry: None,
         is_pinned: false,
         acquired_at: None,
         timing: EventTiming::default(),
@@ -119,7 +123,7 @@
             self.history.record_start(&target);
             self.acquired_at = Some(self.gateway.now());
             let opened = {
-                let opening = attempt::open(self.gateway, self.request, slot);
+                let opening = attempt::open(self.gateway, self.request, slot, &mut self.retry);
                 futures::select! {
                     opened = opening.fuse() => Some(opened),
                     () = self.connection.wait_closed(READ_AHEAD_BYTES).fuse() => None,
@@ -149,7 +153,9 @@
                 }
             }
 
-            if !self.gateway.authorize_retry(self.request, &self.history) {
+            self.retry = self.gateway.authorize_retry(self.request, &self.history);
+
+            if self.retry.is_none() {
                 return self.give_up(None).await;
             }
         }
@@ -248,7 +254,9 @@
             return false;
         }
 
-        if !self.gateway.authorize_retry(self.request, &self.history) {
+        self.retry = self.gateway.authorize_retry(self.request, &self.history);
+
+        if self.retry.is_none() {
             self.is_pinned = true;
             return false;
         }
--- a/grebedeck/src/gateway/trace.rs
+++ b/grebedeck/src/gateway/trace.rs
@@ -138,6 +138,13 @@
         /// Earlier crashes attributed to the fingerprint.
         crashes: usize,
     },
+    /// The request may be retried.
+    RetryAuthorized {
+        /// Retries left in the service's budget.
+        retries_left: f64,
+        /// Gateways that share the budget, as far as known.
+        gateways: usize,
+    },
     /// The request was not retried.
     NotRetried {
         /// Reason.
@@ -333,6 +340,11 @@
                     crashes = *crashes,
                 });
             }
+            Decision::RetryAuthorized { retries_left, gateways } => {
+                log::info!("retry authorized", kv: {
+                    request, at_ms, retries_left = *retries_left, gateways = *gateways,
+                });
+            }
             Decision::NotRetried { reason } => {
                 log::info!("not repeated", kv: { request, at_ms, reason = *reason });
             }
--- a/grebedeck/tests/withdrawn.rs
+++ b/grebedeck/tests/withdrawn.rs
@@ -67,7 +67,7 @@
     tried.record_start(&entry);
     change(&gateway, &entry);
 
-    let opened = async_std::task::block_on(open(&gateway, &request, slot));
+    let opened = async_std::task::block_on(open(&gateway, &request, slot, &mut None));
     let failure = opened.err().expect("a failure");
     assert_eq!(failure.run, RunState::NotRun);
     assert!(
