Retry budget of a gateway holds over its restarts: a token bucket that starts empty

Callers' requests reached targets more often than the operators allow, beside restarts of gateways: each start had its part of the allowance anew (7 to 9 retries), and could spend the ratio of ten seconds at once although its earlier start had done so in the same window (35 to 87 retries, then 12 for 17 requests within 0.3 s). A promise about a sum was kept by processes that know only their own part, here over time as well.

Nobody can tell a start what the earlier one spent: peers may be killed with it, and calls to the store for each retry would be a limit of their own. So each part now holds in every span of time: requests and time add tokens to a bucket that starts empty, and its capacity plus what a window's time adds is the gateway's share. Whatever lies in a window of an earlier start is bounded by the capacity and by requests of that window. Where a share is below one retry, the bucket starts below empty and the window is kept as well.

--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -46,7 +46,7 @@
 pub use quota::{QuotaLedger, QuotaMessage};
 pub use refusals::Refusals;
 pub use relay::{RelayOptions, RelaySelector, Source};
-pub use retry::{RetryUsage, WindowedRetryBudget, WindowedRetryOptions};
+pub use retry::{RetryShare, RetryUsage, SharedRetryBudget};
 pub use routes::{Admitted, Denied, RouteTable};
 pub use site::{
     CallerLimits, EngineSpec, Organisation, RequestKind, RouteRule, ServiceSpec, Site,
--- a/grebedeck/src/gateway/retries.rs
+++ b/grebedeck/src/gateway/retries.rs
@@ -1,6 +1,6 @@
 //! Retry budgets of the services, and the permits of single retries.
 //!
-//! The decisions are those of [`WindowedRetryBudget`]. This module asks it, counts and logs what
+//! The decisions are those of [`SharedRetryBudget`]. This module asks it, counts and logs what
 //! it decides, and tracks each retry from its authorization until it has been sent or given up.
 
 use std::cell::{Cell, RefCell};
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use grebedeck_core::{Moment, ServiceName};
-use grebedeck_gateway::{WindowedRetryBudget, WindowedRetryOptions, answer};
+use grebedeck_gateway::{RetryShare, SharedRetryBudget, answer};
 use grebedeck_kernel::log;
 use serde_json::json;
 
@@ -27,7 +27,7 @@
 
 /// Budget of one service, with the current series of denials.
 struct ServiceBudget {
-    budget: WindowedRetryBudget,
+    budget: SharedRetryBudget,
     denials: Option<DenialSeries>,
 }
 
@@ -129,7 +129,8 @@
             let usage = state.budget.usage(now);
             json!({
                 "service": service, "requests": usage.requests, "retries": usage.retries,
-                "allowed": usage.allowed, "gateways": self.gateway_count(),
+                "pending": usage.pending, "available": usage.available,
+                "gateways": self.gateway_count(),
             })
         });
 
@@ -145,6 +146,7 @@
             let is_acquired = state.budget.try_acquire(now);
 
             if is_acquired {
+                state.budget.settle(now);
                 state.end_denials(service, window, now);
             } else {
                 state.record_denial(service, gateways, now);
@@ -160,32 +162,34 @@
 
     fn retries_left(&self, service: &str) -> f64 {
         let now = self.now();
-        let usage = self.with_retry_budget(service, |state| state.budget.usage(now));
 
-        usage.allowed - f64::from(usage.retries)
+        self.with_retry_budget(service, |state| state.budget.usage(now).available)
     }
 
     fn with_retry_budget<T>(&self, service: &str, act: impl FnOnce(&mut ServiceBudget) -> T) -> T {
         let retry = self.settings().retry;
-        let all = WindowedRetryOptions {
+        let all = RetryShare {
             window: Duration::from_secs_f64(retry.window_s),
             ratio: retry.ratio,
             allowance: retry.allowance,
         };
         let gateways = self.gateway_count();
-        let own = all.share_of(gateways, retry.gateways);
+        let own = all.divide(gateways, retry.gateways);
+        let now = self.now();
         let mut services = self.retries.services.borrow_mut();
 
         if let Some(state) = services.get_mut(service) {
-            state.budget.set_options(own);
+            state.budget.set_share(own, now);
             return act(state);
         }
 
         log::info!("retry budget opened", kv: {
             service, ratio = own.ratio, allowance = own.allowance, gateways,
-            uptime_ms = self.now().as_millis() as u64,
+            uptime_ms = now.as_millis() as u64,
         });
-        let state = ServiceBudget { budget: WindowedRetryBudget::new(own), denials: None };
+        // The clock starts with the process.
+        let budget = SharedRetryBudget::new(own, Moment::ZERO);
+        let state = ServiceBudget { budget, denials: None };
 
         act(services.entry(service.to_string()).or_insert(state))
     }
@@ -202,7 +206,7 @@
         let usage = self.budget.usage(now);
         log::warn!("retry budget exhausted", kv: {
             service, requests = usage.requests, retries = usage.retries,
-            allowed = usage.allowed, gateways,
+            pending = usage.pending, gateways,
         });
         self.denials = Some(DenialSeries { from: now, last_at: now, count: 1 });
     }
