A gateway takes no part of the retry allowance before it knows how many share it

It divided the allowance by the number that it knew, by twelve at the least, so that on sites of more gateways the parts of starts added up to more than the whole: 87 in place of 5 where 212 gateways share 1,040. Now a gateway that has read no list has only the ratio, and one that is new to a site of more than twelve waits until the others have read its row. What decides that was part of the limiter of cold targets and is a module now.

--- a/grebedeck-gateway/src/cold.rs
+++ b/grebedeck-gateway/src/cold.rs
@@ -20,6 +20,7 @@
 use grebedeck_core::Moment;
 use grebedeck_core::digest::{digest, rendezvous};
 
+use crate::membership::Membership;
 use crate::targets::TargetId;
 
 /// Most requests to a cold target in any one second, as a multiple of its rate; set by the
@@ -41,9 +42,6 @@
 const RETENTION: Duration = Duration::from_secs(5);
 /// Upper bound of the time for which a target may report itself cold; no start takes longer.
 const MAX_COLD_TIME: Duration = Duration::from_secs(3600);
-/// How long a new gateway waits after it has seen its own row. The others read the list every 10 s,
-/// and some of them one call late.
-const OWNERSHIP_DELAY: Duration = Duration::from_secs(15);
 
 /// Share of one owner in the requests to a cold target.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -88,10 +86,8 @@
     /// one.
     gateways: Vec<String>,
     own: String,
-    /// Whether any list did not include this gateway, so that others may not know it.
-    was_missing: bool,
-    /// From when this gateway counts itself as an owner; `None` while it is not in the list.
-    owner_from: Option<Moment>,
+    /// Whether the others know this gateway, so that it may be an owner.
+    membership: Membership,
     cold: HashMap<TargetId, ColdTarget>,
 }
 
@@ -101,14 +97,13 @@
     pub fn set_gateways(&mut self, own: SocketAddr, listed: &BTreeSet<SocketAddr>, now: Moment) {
         self.own = own.to_string();
 
-        if !listed.contains(&own) {
-            self.was_missing = true;
-            self.owner_from = None;
+        let is_listed = listed.contains(&own);
+        self.membership.apply_list(is_listed, now);
+
+        if !is_listed {
             return;
         }
 
-        let delay = if self.was_missing { OWNERSHIP_DELAY } else { Duration::ZERO };
-        self.owner_from.get_or_insert(now + delay);
         self.gateways = listed.iter().map(SocketAddr::to_string).collect();
 
         for cold in self.cold.values_mut() {
@@ -196,7 +191,7 @@
 
     /// Whether this gateway is one of a target's owners.
     fn is_owner(&mut self, target: &str, owners: u32, now: Moment) -> bool {
-        if self.owner_from.is_none_or(|from| now < from) {
+        if !self.membership.is_known(now) {
             return false;
         }
 
--- a/grebedeck-gateway/src/retry.rs
+++ b/grebedeck-gateway/src/retry.rs
@@ -76,6 +76,11 @@
         RetryShare { allowance: self.allowance / least.max(gateways as f64), ..self }
     }
 
+    /// Part of a gateway that the allowance is not divided among.
+    pub fn without_allowance(self) -> Self {
+        RetryShare { allowance: 0.0, ..self }
+    }
+
     /// Most retries that can be saved up or pending.
     fn capacity(&self) -> f64 {
         (self.allowance * STORED_FRACTION).max(MIN_CAPACITY)
--- a/grebedeck/src/gateway/retries.rs
+++ b/grebedeck/src/gateway/retries.rs
@@ -134,7 +134,7 @@
             json!({
                 "service": service, "requests": usage.requests, "retries": usage.retries,
                 "pending": usage.pending, "available": usage.available,
-                "gateways": self.gateway_count(),
+                "allowance": self.retry_share().allowance, "gateways": self.gateway_count(),
             })
         });
 
@@ -169,15 +169,25 @@
         self.with_retry_budget(service, |state| state.budget.usage(now).available)
     }
 
-    fn with_retry_budget<T>(&self, service: &str, act: impl FnOnce(&mut ServiceBudget) -> T) -> T {
+    /// This gateway's part of the budget of any service. Without a share, the whole allowance is
+    /// left to the other gateways.
+    fn retry_share(&self) -> RetryShare {
         let retry = self.settings().retry;
         let all = RetryShare {
             window: Duration::from_secs_f64(retry.window_s),
             ratio: retry.ratio,
             allowance: retry.allowance,
         };
-        let gateways = self.gateway_count();
-        let own = all.divide(gateways, retry.gateways);
+
+        if self.has_share(retry.gateways) {
+            all.divide(self.gateway_count(), retry.gateways)
+        } else {
+            all.without_allowance()
+        }
+    }
+
+    fn with_retry_budget<T>(&self, service: &str, act: impl FnOnce(&mut ServiceBudget) -> T) -> T {
+        let own = self.retry_share();
         let now = self.now();
         let mut services = self.retries.services.borrow_mut();
 
@@ -187,7 +197,8 @@
         }
 
         log::info!("retry budget opened", kv: {
-            service, ratio = own.ratio, allowance = own.allowance, gateways,
+            service, ratio = own.ratio, allowance = own.allowance,
+            gateways = self.gateway_count(),
             uptime_ms = now.as_millis() as u64,
         });
         // The clock starts with the process.
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -11,8 +11,8 @@
 use grebedeck_core::{GroupId, Moment, ServiceName};
 use grebedeck_gateway::targets::ListEvent;
 use grebedeck_gateway::{
-    ColdLimiter, HeaderNames, Outage, Pacing, PromptLimiter, Refusals, RouteTable, Site,
-    TargetEntry, TargetId, TargetList, WaitLimit, WaitLimitOptions,
+    ColdLimiter, HeaderNames, Membership, Outage, Pacing, PromptLimiter, Refusals, RouteTable,
+    Site, TargetEntry, TargetId, TargetList, WaitLimit, WaitLimitOptions,
 };
 use grebedeck_kernel::log::LineRateLimiter;
 use grebedeck_kernel::{Clock, Metrics, log};
@@ -77,6 +77,8 @@
     peers: RefCell<BTreeSet<SocketAddr>>,
     /// Number of known gateways, including this one.
     gateway_count: Cell<usize>,
+    /// Whether the other gateways know this one.
+    membership: Cell<Membership>,
     store_responded_at: Cell<Option<Moment>>,
     pub(super) outages: RefCell<HashMap<ServiceName, Outage>>,
     /// Group of each model rank, as reported by the rank.
@@ -141,6 +143,7 @@
             site: RefCell::default(),
             peers: RefCell::default(),
             gateway_count: Cell::new(1),
+            membership: Cell::default(),
             store_responded_at: Cell::default(),
             outages: RefCell::default(),
             groups: RefCell::default(),
@@ -204,8 +207,11 @@
         self.site.borrow().clone()
     }
 
-    /// Sets the other gateways that the store lists.
+    /// Sets the gateways that the store lists.
     pub fn set_peers(&self, peers: BTreeSet<SocketAddr>) {
+        let mut membership = self.membership.get();
+        membership.apply_list(peers.contains(&self.settings().peer_address), self.now());
+        self.membership.set(membership);
         *self.peers.borrow_mut() = peers;
         self.update_gateway_count();
     }
@@ -224,6 +230,15 @@
         self.gateway_count.get()
     }
 
+    /// Whether this gateway has a share in a sum that is divided among all gateways, or among
+    /// `least` where there are fewer: it knows how many there are, and the others count it too.
+    pub fn has_share(&self, least: f64) -> bool {
+        let membership = self.membership.get();
+        let is_counted = self.gateway_count() as f64 <= least || membership.is_known(self.now());
+
+        membership.has_list() && is_counted
+    }
+
     /// Addresses of the other known gateways: those that the store lists and the seed peers.
     pub fn peers(&self) -> BTreeSet<SocketAddr> {
         let settings = self.settings();
