Entries: a start no longer renews the retries that had been saved up

It begins with one now. Ten starts of 50 requests each that all fail: 250 retries before, where 70 are allowed (computed from the code before: 20 and a tenth each); now within it. No sum is promised for entries with agents; targets are spared the load.

--- a/grebedeck-routing/src/retry.rs
+++ b/grebedeck-routing/src/retry.rs
@@ -2,6 +2,9 @@
 //!
 //! Without the cap, retries of a failing hall's requests would double the load of all targets.
 
+/// Tokens of a new bucket.
+const INITIAL_TOKENS: f64 = 1.0;
+
 /// Settings of a retry budget.
 #[derive(Clone, Debug)]
 pub struct RetryOptions {
@@ -25,11 +28,10 @@
 }
 
 impl RetryBudget {
-    /// Creates a full bucket.
+    /// Creates a bucket with the token of one retry. An earlier start of the process may just have
+    /// spent what it had saved up.
     pub fn new(options: RetryOptions) -> Self {
-        let tokens = options.max_tokens;
-
-        RetryBudget { options, tokens }
+        RetryBudget { options, tokens: INITIAL_TOKENS }
     }
 
     /// Deposits the tokens of a first attempt.
--- a/grebedeck-routing/tests/decisions.rs
+++ b/grebedeck-routing/tests/decisions.rs
@@ -100,6 +100,26 @@
     assert!(retries >= 1_000, "{retries}");
 }
 
+#[test]
+fn restarts_of_an_entry_do_not_renew_its_saved_up_retries() {
+    const STARTS: usize = 10;
+    const REQUESTS: usize = 50;
+    let options = RetryOptions::default();
+    let retries_of_start = |_| {
+        let mut budget = RetryBudget::new(options.clone());
+        (0..REQUESTS)
+            .filter(|_| {
+                budget.deposit();
+                budget.try_withdraw()
+            })
+            .count()
+    };
+    let retries: usize = (0..STARTS).map(retries_of_start).sum();
+    let allowed = (STARTS * REQUESTS) as f64 * options.tokens_per_request + options.max_tokens;
+
+    assert!(retries as f64 <= allowed, "{retries} of {allowed}");
+}
+
 #[test]
 fn a_failing_target_is_ejected_for_longer_each_time_and_recovers_by_probes() {
     let options = HealthOptions::default();
