A retry budget starts full where nothing can have been sent within the window

An empty start is needed only where an earlier start may have sent retries within the window. A gateway whose row is not in the first list that it reads had none; and a service that is first asked for later than a window after the start has had none either. Its budget holds the stored part of the share then, so the sum over new gateways stays within the allowance.

--- a/grebedeck-gateway/src/membership.rs
+++ b/grebedeck-gateway/src/membership.rs
@@ -16,6 +16,8 @@
 /// What the lists that were read tell about this gateway.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Membership {
+    /// Whether the first list did not include this gateway.
+    is_new: bool,
     /// Whether any list did not include this gateway, so that others may not know it.
     was_missing: bool,
     /// From when all others know it; `None` while it is not in the list.
@@ -26,6 +28,7 @@
     /// Applies a list; `is_listed` tells whether it includes this gateway.
     pub fn apply_list(&mut self, is_listed: bool, now: Moment) {
         if !is_listed {
+            self.is_new |= !self.has_list();
             self.was_missing = true;
             self.known_from = None;
             return;
@@ -35,6 +38,11 @@
         self.known_from.get_or_insert(now + delay);
     }
 
+    /// Whether no earlier start of this gateway has published itself.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Whether any list has been read.
     pub fn has_list(&self) -> bool {
         self.was_missing || self.known_from.is_some()
--- a/grebedeck-gateway/src/retry.rs
+++ b/grebedeck-gateway/src/retry.rs
@@ -4,7 +4,7 @@
 //! requests, plus a fixed allowance. A gateway knows neither what the others have sent nor what an
 //! earlier start of its own has sent within the same window. So it keeps to its part in every span
 //! of time, however short: requests and the passing of time add tokens to a bucket that starts
-//! empty. Whatever the times of restarts, the retries in a window are then at most what the buckets
+//! empty, unless nothing can have been sent within the window. Whatever the times of restarts, the retries in a window are then at most what the buckets
 //! held at its beginning, which is bounded by their capacity, and what was added within it.
 //!
 //! A retry that has been authorized may arrive seconds later, as it waits for a slot, a connection
@@ -110,6 +110,13 @@
         }
     }
 
+    /// Creates the budget of a service for which nothing can have been sent within the window.
+    pub fn unspent(share: RetryShare, now: Moment) -> Self {
+        let tokens = share.allowance * STORED_FRACTION;
+
+        SharedRetryBudget { tokens, ..SharedRetryBudget::new(share, now) }
+    }
+
     /// Replaces the share, such as by a smaller one as gateways are added. The counts stay.
     pub fn set_share(&mut self, share: RetryShare, now: Moment) {
         self.refill(now);
--- a/grebedeck-gateway/tests/retry.rs
+++ b/grebedeck-gateway/tests/retry.rs
@@ -263,6 +263,20 @@
     assert_eq!(retries, 6);
 }
 
+#[test]
+fn the_unspent_budgets_of_all_gateways_do_not_exceed_the_allowance() {
+    for gateways in [1, 4, 12, 53, 424] {
+        let take = |_| {
+            let mut budget = SharedRetryBudget::unspent(share(90.0).divide(gateways, 1.0), MS(1));
+            (0..1000).filter(|_| budget.try_acquire(MS(1))).count()
+        };
+        let retries: usize = (0..gateways).map(take).sum();
+
+        assert!(retries <= 90, "{retries} by {gateways} gateways");
+        assert!(gateways > 12 || retries >= 60, "{retries} by {gateways} gateways");
+    }
+}
+
 #[test]
 fn a_retry_that_is_not_sent_is_returned() {
     let mut budget = SharedRetryBudget::new(share(8.0), Duration::ZERO);
--- a/grebedeck/src/gateway/retries.rs
+++ b/grebedeck/src/gateway/retries.rs
@@ -201,8 +201,12 @@
             gateways = self.gateway_count(),
             uptime_ms = now.as_millis() as u64,
         });
-        // The clock starts with the process.
-        let budget = SharedRetryBudget::new(own, Moment::ZERO);
+        let budget = if self.may_have_earlier_start(own.window) {
+            // The clock starts with the process.
+            SharedRetryBudget::new(own, Moment::ZERO)
+        } else {
+            SharedRetryBudget::unspent(own, now)
+        };
         let state = ServiceBudget { budget, denials: None };
 
         act(services.entry(service.to_string()).or_insert(state))
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -230,6 +230,12 @@
         self.gateway_count.get()
     }
 
+    /// Whether an earlier start of this gateway may have sent requests since `period` ago.
+    pub fn may_have_earlier_start(&self, period: Duration) -> bool {
+        // The clock starts with the process.
+        !self.membership.get().is_new() && self.now() < period
+    }
+
     /// Whether this gateway has a share in a sum that is divided among all gateways, or among
     /// `least` where there are fewer: it knows how many there are, and the others count it too.
     pub fn has_share(&self, least: f64) -> bool {
