Retries: the head of the module tells when a retry ends

It still said that a retry is tracked until it is sent, as before retries were pending until their targets answer.

--- a/grebedeck/src/gateway/retries.rs
+++ b/grebedeck/src/gateway/retries.rs
@@ -1,7 +1,8 @@
 //! Retry budgets of the services, and the permits of single retries.
 //!
 //! The decisions are those of [`SharedRetryBudget`]. This module asks it, counts and logs what
-//! it decides, and tracks each retry from its authorization until it has been sent or given up.
+//! it decides, and tracks each retry from its authorization until its target has responded or it is
+//! given up.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
