Log line `suspected` names the parts of the request's prompt

Fingerprints alone do not tell requests that have a part in common from targets that end by themselves.

--- a/grebedeck-gateway/src/wire.rs
+++ b/grebedeck-gateway/src/wire.rs
@@ -29,6 +29,8 @@
     pub key_scheme: &'static str,
     /// A request's tokens: those of its prompt, and the maximum to generate.
     pub tokens: &'static str,
+    /// The parts of a request's prompt, in order.
+    pub prompt_parts: &'static str,
     /// A request's priority at a model's engine.
     pub priority: &'static str,
     /// Seconds after which a caller may retry; in a target's refusal, the time in which it wants no
--- a/grebedeck-routing/src/fingerprint.rs
+++ b/grebedeck-routing/src/fingerprint.rs
@@ -13,6 +13,33 @@
 /// collisions affect only the attacker's own requests.
 pub type Fingerprint = u128;
 
+/// The fingerprints under which a request can be suspected of crashing its targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fingerprints {
+    /// Fingerprint of the request.
+    pub request: Fingerprint,
+    /// Fingerprints of the parts of its prompt that it shares with other requests.
+    pub parts: Vec<Fingerprint>,
+}
+
+impl Fingerprints {
+    /// Returns all fingerprints, that of the request first.
+    pub fn iter(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
+    }
+
+    /// Returns whether `fingerprint` is among them.
+    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.iter().any(|own| own == fingerprint)
+    }
+}
+
+impl From<Fingerprint> for Fingerprints {
+    fn from(request: Fingerprint) -> Self {
+        Fingerprints { request, parts: Vec::new() }
+    }
+}
+
 /// Formats a fingerprint for logs and stores: 32 hexadecimal digits.
 pub fn to_hex(request: Fingerprint) -> String {
     format!("{request:032x}")
--- a/grebedeck/src/gateway/request.rs
+++ b/grebedeck/src/gateway/request.rs
@@ -7,7 +7,8 @@
 use grebedeck_gateway::{Admitted, HeaderNames, TargetEntry};
 use grebedeck_http::connection::MAX_COALESCED_BODY_BYTES;
 use grebedeck_http::{Headers, RequestHead};
-use grebedeck_routing::{Fingerprint, Identity};
+use grebedeck_routing::prompt::{part_fingerprint, shared_part_ids};
+use grebedeck_routing::{Fingerprint, Fingerprints, Identity};
 
 use super::buffer::Buffer;
 use super::trace::{Decision, Trace};
@@ -44,7 +45,9 @@
     pub trace: Trace,
     /// Headers that are sent to every target.
     headers: Headers,
-    fingerprint: OnceCell<Fingerprint>,
+    /// Ids of the parts of its prompt that it shares with other requests.
+    part_ids: Vec<String>,
+    fingerprints: OnceCell<Fingerprints>,
 }
 
 impl CallerRequest {
@@ -94,6 +97,7 @@
         let timeout = request.requested_timeout(names).unwrap_or(limit).min(limit);
         let deadline = request.arrived + timeout;
         let headers = forwarded_headers(&request, &admitted, names);
+        let part_ids = shared_part_ids(request.head.headers.all(names.prompt_parts));
         let trace = Trace::new(request.id(names), request.arrived);
         let decision = Decision::Admitted {
             route: admitted.rule.name.clone(),
@@ -112,26 +116,38 @@
             last_event_id: Cell::default(),
             trace,
             headers,
-            fingerprint: OnceCell::new(),
+            part_ids,
+            fingerprints: OnceCell::new(),
         }
     }
 
-    /// Fingerprint that the request shares with its caller's retries.
-    pub fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let head = &self.request.head;
-            let identity = Identity {
-                caller: self.admitted.organisation.as_deref().unwrap_or_default(),
-                method: &head.method,
-                host: head.headers.text("host").unwrap_or_default(),
-                path: &head.target,
-                body: &self.request.body,
-            };
-
-            identity.fingerprint()
+    /// Ids of the parts of the prompt that the request shares with others.
+    pub fn part_ids(&self) -> &[String] {
+        &self.part_ids
+    }
+
+    /// Fingerprints under which the request can be suspected of crashing its targets: its own,
+    /// which it shares with its caller's retries, and those of the parts of its prompt.
+    pub fn fingerprints(&self) -> &Fingerprints {
+        self.fingerprints.get_or_init(|| Fingerprints {
+            request: self.own_fingerprint(),
+            parts: self.part_ids.iter().map(|id| part_fingerprint(&self.service, id)).collect(),
         })
     }
 
+    fn own_fingerprint(&self) -> Fingerprint {
+        let head = &self.request.head;
+        let identity = Identity {
+            caller: self.admitted.organisation.as_deref().unwrap_or_default(),
+            method: &head.method,
+            host: head.headers.text("host").unwrap_or_default(),
+            path: &head.target,
+            body: &self.request.body,
+        };
+
+        identity.fingerprint()
+    }
+
     /// Whether the deadline has passed.
     pub fn is_past_deadline(&self, now: Moment) -> bool {
         now >= self.deadline
--- a/grebedeck/src/gateway/suspects.rs
+++ b/grebedeck/src/gateway/suspects.rs
@@ -73,7 +73,8 @@
         }
 
         self.decide_quarantine();
-        let clearance = self.quarantine.borrow_mut().clearance(request.fingerprint(), self.now());
+        let clearance =
+            self.quarantine.borrow_mut().clearance(request.fingerprints().request, self.now());
 
         match clearance {
             Clearance::Allow if self.crash_stops_others(&request.service) => {
@@ -94,7 +95,7 @@
     /// Checks a request whose target's crash would stop a whole group: one that was running during
     /// a recent crash is refused for a while, and one under a running probe waits for its result.
     fn cooldown_clearance(&self, request: &RoutedRequest) -> Clearance {
-        let (fingerprint, now) = (request.fingerprint(), self.now());
+        let (fingerprint, now) = (request.fingerprints().request, self.now());
         let quarantine = self.quarantine.borrow();
         let suspicion = quarantine.suspicion(fingerprint);
 
@@ -112,7 +113,7 @@
     }
 
     fn take_quarantine_trial(&self, request: &RoutedRequest) -> bool {
-        let fingerprint = request.fingerprint();
+        let fingerprint = request.fingerprints().request;
 
         if !self.quarantine.borrow_mut().take_trial(fingerprint, self.now()) {
             return false;
@@ -139,13 +140,18 @@
             return;
         }
 
-        let fingerprint = request.fingerprint();
+        let fingerprint = request.fingerprints().request;
         let listed = TargetStart::listed(&target.id, target.born_ms);
         let now = self.now();
         let start =
             self.quarantine.borrow_mut().record_broken_attempt(&listed, fingerprint, sent_at, now);
         let crashes = self.quarantine.borrow().suspicion(fingerprint).crashes;
-        let decision = Decision::Suspected { target: target.id.clone(), fingerprint, crashes };
+        let decision = Decision::Suspected {
+            target: target.id.clone(),
+            fingerprint,
+            crashes,
+            part_ids: request.part_ids().to_vec(),
+        };
         request.trace.add(now, decision);
 
         match start {
@@ -164,14 +170,14 @@
     /// Records that a request was answered, which clears it of suspicion.
     pub(super) fn record_request_answered(&self, request: &RoutedRequest) {
         if self.crash_stops_others(&request.service) {
-            self.crash_cooldown.borrow_mut().record_answer(request.fingerprint());
+            self.crash_cooldown.borrow_mut().record_answer(request.fingerprints().request);
         }
 
         if self.quarantine.borrow().is_idle() {
             return;
         }
 
-        let fingerprint = request.fingerprint();
+        let fingerprint = request.fingerprints().request;
 
         if self.quarantine.borrow_mut().record_answer(fingerprint, self.now()) {
             self.counters.quarantine.add("released");
@@ -252,7 +258,7 @@
         let now = self.now();
 
         for (service, ticket, request) in self.waiting.all() {
-            if request.fingerprint() != fingerprint {
+            if request.fingerprints().request != fingerprint {
                 continue;
             }
 
--- a/grebedeck/src/gateway/trace.rs
+++ b/grebedeck/src/gateway/trace.rs
@@ -27,6 +27,9 @@
 /// Most decisions kept per request; more than its attempts and waits make.
 const MAX_DECISIONS: usize = 24;
 
+/// Maximum number of parts of a prompt per log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// A decision on a request, with the values that led to it.
 #[derive(Clone, Debug)]
 pub enum Decision {
@@ -137,6 +140,8 @@
         fingerprint: Fingerprint,
         /// Earlier crashes attributed to the fingerprint.
         crashes: usize,
+        /// Ids of the parts of its prompt that it shares with other requests.
+        part_ids: Vec<String>,
     },
     /// The request may be retried.
     RetryAuthorized {
@@ -332,12 +337,13 @@
                     last_event_id = optional(*last_event_id),
                 });
             }
-            Decision::Suspected { target, fingerprint, crashes } => {
+            Decision::Suspected { target, fingerprint, crashes, part_ids } => {
                 log::info!("suspected", kv: {
                     request, at_ms,
                     target = target.as_str(),
                     fingerprint = to_hex(*fingerprint),
                     crashes = *crashes,
+                    parts = logged_ids(part_ids),
                 });
             }
             Decision::RetryAuthorized { retries_left, gateways } => {
@@ -352,6 +358,11 @@
     }
 }
 
+/// The first ids of a list, for a log line of bounded length.
+fn logged_ids(ids: &[String]) -> String {
+    ids[..ids.len().min(MAX_LOGGED_PARTS)].join(",")
+}
+
 /// Number for a log line; -1 if it is unknown.
 fn optional(number: Option<u64>) -> i64 {
     number.and_then(|n| i64::try_from(n).ok()).unwrap_or(-1)
--- a/grebedeck/tests/unreachable/mod.rs
+++ b/grebedeck/tests/unreachable/mod.rs
@@ -33,6 +33,7 @@
     authorization: "authorization",
     key_scheme: "Bearer",
     tokens: "tokens",
+    prompt_parts: "x-prompt-parts",
     priority: "priority",
 };
 
--- a/grebedeck/tests/withdrawn.rs
+++ b/grebedeck/tests/withdrawn.rs
@@ -119,7 +119,7 @@
 #[test]
 fn a_request_quarantined_after_it_got_its_slot_is_not_sent() {
     let is_quarantined = |gateway: &Gateway, _: &TargetEntry| {
-        gateway.restore_quarantined(request(gateway).fingerprint(), 0);
+        gateway.restore_quarantined(request(gateway).fingerprints().request, 0);
     };
 
     assert_eq!(send_after(is_quarantined), (FailureCause::Withdrawn, 0));
@@ -143,7 +143,7 @@
         }
 
         let began = gateway.now();
-        gateway.restore_quarantined(request.fingerprint(), 0);
+        gateway.restore_quarantined(request.fingerprints().request, 0);
         (found.await, gateway.now() - began)
     };
     let (reason, took) = async_std::task::block_on(tasks.run(quarantining));
