--- a/grebedeck-lab/tests/crashes.rs
+++ b/grebedeck-lab/tests/crashes.rs
@@ -26,6 +26,8 @@
 const NOTIFY_TIME: Duration = Duration::from_millis(250);
 /// Maximum number of runs after that time.
 const MAX_RUNS_AFTER: usize = 3;
+/// Part of a prompt that crashes targets.
+const POISON_PART: &str = "deadbeef";
 /// Number of times that the caller sends the poison request.
 const POISON_REQUESTS: usize = 24;
 /// Pause before each of them.
@@ -86,7 +88,7 @@
 
     fn answer(&self, mut stream: TcpStream) {
         while let Some(head) = read_head(&mut stream) {
-            if !head.contains("/deadly") {
+            if !head.contains("/deadly") && !has_poison_part(&head) {
                 let answer = "HTTP/1.1 200 S\r\ncontent-length: 2\r\n\r\nok";
 
                 if stream.write_all(answer.as_bytes()).is_err() {
@@ -136,6 +138,16 @@
     Ipv4Addr::new(127, 220, (std::process::id() % 250) as u8, target)
 }
 
+/// Whether a part of the prompt other than the last is the poison part.
+fn has_poison_part(head: &str) -> bool {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    let header = lines.find(|(name, _)| name.eq_ignore_ascii_case("grebedeck-prompt-parts"));
+
+    header.is_some_and(|(_, parts)| {
+        parts.rsplit_once(',').is_some_and(|(shared, _)| shared.contains(POISON_PART))
+    })
+}
+
 /// Reads the head of a request without a body.
 fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
@@ -236,6 +248,35 @@
     async_std::task::block_on(check_quarantine(Method::Put, "/deadly/stream"));
 }
 
+#[test]
+fn different_requests_with_a_poison_part_are_quarantined_and_their_other_parts_are_not() {
+    async_std::task::block_on(async {
+        let poison_runs: Arc<Mutex<PoisonRuns>> = Arc::default();
+        let site = start(&poison_runs).await;
+        let entries = site.entry_addresses();
+        let mut last_poison = 0;
+
+        for number in 0..POISON_REQUESTS {
+            let caller = Caller::new(entries[number % entries.len()], "northwind", "brittle");
+            let ask = async |parts: &str, path: &str| {
+                let mut request = caller.request(Method::Put, &format!("{path}/{number}"));
+                request
+                    .insert_header("grebedeck-prompt-parts", format!("c0:40,{parts}f{number}:9"));
+                caller.send(request).await.map(|answer| answer.status)
+            };
+
+            async_std::task::sleep(POISON_PAUSE).await;
+            assert_eq!(ask("", "/sound").await.ok(), Some(200), "{number}");
+            // An answer that is cut off is an error.
+            last_poison = ask("deadbeef:40,", "/other").await.unwrap_or(0);
+        }
+
+        assert_quarantined(&poison_runs);
+        assert_eq!(last_poison, 503);
+        site.stop().await;
+    });
+}
+
 #[test]
 fn a_new_entry_knows_of_the_quarantine() {
     async_std::task::block_on(async {
--- a/grebedeck-routing/benches/quarantine.rs
+++ b/grebedeck-routing/benches/quarantine.rs
@@ -1,5 +1,5 @@
-//! Cost of quarantine per request: nothing if no target crashed, otherwise a fingerprint and a
-//! lookup.
+//! Cost of quarantine per request: the parts of its prompt if no target crashed, otherwise also a
+//! fingerprint and a lookup.
 //!
 //! The lookup runs with 5,000 suspected requests of one crash each. It takes 9.3 µs if it scans all
 //! of them and 0.05 µs if it scans only the requests with three crashes or more.
@@ -9,12 +9,15 @@
 use std::time::Duration;
 
 use criterion::{Criterion, criterion_group, criterion_main};
+use grebedeck_routing::prompt::{prompt_fingerprints, shared_part_ids};
 use grebedeck_routing::{Identity, Quarantine, TargetStart};
 
 /// Number of crashes.
 const CRASHES: u128 = 50;
 /// Requests running during each crash.
 const REQUESTS_PER_CRASH: u128 = 100;
+/// Header with four shared parts.
+const PROMPT: &str = "5c1e07a2:800,91bd3f06:410,0a4402b7:40,77aa10c3:90,e4402b7d:250";
 /// Sizes of a typical and a large body.
 const BODY_SIZES_BYTES: [usize; 2] = [4 << 10, 1 << 20];
 
@@ -50,11 +53,21 @@
     criterion.bench_function("lookup without crashes", |bencher| {
         bencher.iter(|| black_box(&idle).is_idle());
     });
+    let mut history = Quarantine::default();
+    criterion.bench_function("parts of a request without crashes", |bencher| {
+        bencher.iter(|| {
+            let ids = shared_part_ids([black_box(PROMPT.as_bytes())]);
+            let prompt = prompt_fingerprints("notes", &ids);
+            history.record_run(&prompt);
+            history.record_unsuspected_answer(&prompt, now);
+        });
+    });
     let mut busy = after_crashes();
+    let unknown = u128::MAX.into();
     criterion.bench_function("lookup after crashes", |bencher| {
         bencher.iter(|| {
             busy.decide(now);
-            busy.clearance(black_box(u128::MAX), now)
+            busy.clearance(black_box(&unknown), now)
         });
     });
 }
--- a/grebedeck-routing/src/crashes.rs
+++ b/grebedeck-routing/src/crashes.rs
@@ -200,6 +200,38 @@
         self.cleared.get(&request).is_some_and(|cleared| *cleared >= at)
     }
 
+    /// Returns whether a request is known to have been answered.
+    pub fn is_answered(&self, request: Fingerprint) -> bool {
+        self.cleared.contains_key(&request)
+    }
+
+    /// Returns the targets that crashed under a request and have not been explained by an answer.
+    pub fn targets_under(&self, request: Fingerprint) -> Vec<&str> {
+        let is_under = |crash: &Crash| crash.runs.contains(&request);
+        let starts = self.crashes.iter().filter(|(_, crash)| is_under(crash));
+
+        starts.map(|(start, _)| start.target.as_str()).collect()
+    }
+
+    /// Returns the fingerprints that were running during every crash under a request, and the number
+    /// of these crashes.
+    pub fn companions(&self, request: Fingerprint) -> (Vec<Fingerprint>, usize) {
+        let mut crashes = self.crashes.values().filter(|crash| crash.runs.contains(&request));
+        let Some(first) = crashes.next() else {
+            return (Vec::new(), 0);
+        };
+        let mut companions: Vec<Fingerprint> =
+            first.runs.iter().copied().filter(|other| *other != request).collect();
+        let mut count = 1;
+
+        for crash in crashes {
+            companions.retain(|other| crash.runs.contains(other));
+            count += 1;
+        }
+
+        (companions, count)
+    }
+
     /// Returns the evidence against a request; `is_poison` identifies known poison requests.
     pub fn suspicion(
         &self,
--- a/grebedeck-routing/src/fingerprint.rs
+++ b/grebedeck-routing/src/fingerprint.rs
@@ -13,19 +13,28 @@
 /// collisions affect only the attacker's own requests.
 pub type Fingerprint = u128;
 
+/// The fingerprints of a request's prompt.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptFingerprints {
+    /// Fingerprint of the request's service.
+    pub service: Fingerprint,
+    /// Fingerprints of the parts that the request shares with others.
+    pub parts: Vec<Fingerprint>,
+}
+
 /// The fingerprints under which a request can be suspected of crashing its targets.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fingerprints {
     /// Fingerprint of the request.
     pub request: Fingerprint,
-    /// Fingerprints of the parts of its prompt that it shares with other requests.
-    pub parts: Vec<Fingerprint>,
+    /// Fingerprints of its prompt.
+    pub prompt: PromptFingerprints,
 }
 
 impl Fingerprints {
-    /// Returns all fingerprints, that of the request first.
+    /// Returns the fingerprints that can be suspected, that of the request first.
     pub fn iter(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        std::iter::once(self.request).chain(self.parts.iter().copied())
+        std::iter::once(self.request).chain(self.prompt.parts.iter().copied())
     }
 
     /// Returns whether `fingerprint` is among them.
@@ -36,7 +45,7 @@
 
 impl From<Fingerprint> for Fingerprints {
     fn from(request: Fingerprint) -> Self {
-        Fingerprints { request, parts: Vec::new() }
+        Fingerprints { request, ..Fingerprints::default() }
     }
 }
 
--- a/grebedeck-routing/src/prompt.rs
+++ b/grebedeck-routing/src/prompt.rs
@@ -7,7 +7,7 @@
 
 use grebedeck_core::DigestWriter;
 
-use crate::fingerprint::Fingerprint;
+use crate::fingerprint::{Fingerprint, PromptFingerprints};
 
 /// Maximum number of parts kept per request.
 pub const MAX_PARTS: usize = 64;
@@ -64,6 +64,14 @@
     (Fingerprint::from(PART_TAG) << TAG_SHIFT) | digest
 }
 
+/// Returns the fingerprints of a prompt for a service with these shared parts.
+pub fn prompt_fingerprints(service: &str, part_ids: &[String]) -> PromptFingerprints {
+    PromptFingerprints {
+        service: part_fingerprint(service, ""),
+        parts: part_ids.iter().map(|id| part_fingerprint(service, id)).collect(),
+    }
+}
+
 /// Returns whether a fingerprint is that of a part.
 pub fn is_part(fingerprint: Fingerprint) -> bool {
     fingerprint >> TAG_SHIFT == Fingerprint::from(PART_TAG)
--- a/grebedeck-routing/src/quarantine.rs
+++ b/grebedeck-routing/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Quarantine for poison requests: requests that crash every target that runs them.
+//! Quarantine for poison requests: requests that crash every target that runs them, alone or by a
+//! part of their prompts that they share with others.
 //!
 //! A caller may repeat a poison request again and again, through any process that accepts requests.
 //! Retried after each crash, one such request per second took down ten targets in turn. A model's
@@ -14,16 +15,28 @@
 //! one minute and once more ten minutes later. If both trials crash a target, there is no third
 //! one.
 //!
+//! Parts of prompts are suspected, quarantined and tried in the same way, under fingerprints of
+//! their own. A part that many requests have is running during most crashes, so two more rules
+//! apply to parts: one that was answered before is only considered after those that were not, and
+//! one that crashed targets in few of its runs (see [`crate::parts`]) not at all.
+//!
+//! Where two parts were running during the same crashes, the quarantine of one applies only to
+//! requests that have both: those with one of them show which is the cause.
+//!
 //! Processes exchange what they observe. Each decides on its own and reaches the same
 //! conclusion.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use grebedeck_core::{DigestWriter, Moment};
 
+use crate::cooldown::COOLDOWN;
 use crate::crashes::{CORRELATION_WINDOW, CRASH_LIMIT, CrashLog, Suspicion, TargetStart, age_ms};
-use crate::fingerprint::Fingerprint;
+use crate::fingerprint::{Fingerprint, Fingerprints, PromptFingerprints};
+use crate::parts::PartHistory;
+use crate::prompt::is_part;
 use crate::report::{ClearedReport, CrashReport, QuarantinedReport, Report};
 
 /// Time from a request's third crash to the decision on it, in which other crashes of the same
@@ -47,6 +60,13 @@
 pub const RETENTION: Duration = Duration::from_secs(24 * 3600);
 /// Maximum number of requests in quarantine; the least recently requested one is evicted.
 const MAX_QUARANTINED: usize = 1024;
+/// A part without an earlier answer can be the cause of crashes if at least one in this many of its
+/// runs ended in one. The crash of one rank stops the runs on all others.
+const MAX_RUNS_PER_CRASH: u32 = 8;
+/// The same for a part with an earlier answer.
+const MAX_ANSWERED_RUNS_PER_CRASH: u32 = 2;
+/// Time after [`DECISION_DELAY`] in which the decision of another process arrives.
+const NOTIFY_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of running and recent probes.
 const MAX_PROBES: usize = 1024;
 
@@ -63,6 +83,20 @@
     Refuse(Duration),
 }
 
+impl Clearance {
+    /// Returns the stricter of two clearances.
+    fn stricter(self, other: Clearance) -> Clearance {
+        match (self, other) {
+            (Clearance::Refuse(a), Clearance::Refuse(b)) => Clearance::Refuse(a.max(b)),
+            (refuse @ Clearance::Refuse(_), _) | (_, refuse @ Clearance::Refuse(_)) => refuse,
+            (Clearance::Wait(a), Clearance::Wait(b)) => Clearance::Wait(a.max(b)),
+            (wait @ Clearance::Wait(_), _) | (_, wait @ Clearance::Wait(_)) => wait,
+            (Clearance::Allow, Clearance::Allow) => Clearance::Allow,
+            _ => Clearance::Trial,
+        }
+    }
+}
+
 /// Result of probing a target on which an attempt broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeResult {
@@ -123,12 +157,36 @@
     }
 }
 
+/// Strength of the evidence against a candidate for quarantine.
+#[derive(Clone, Copy, Debug)]
+struct Strength {
+    is_unanswered: bool,
+    /// A request is preferred to the parts of its prompt, which others may share.
+    is_request: bool,
+    crash_share: f64,
+    crashes: usize,
+    request: Fingerprint,
+}
+
+impl Strength {
+    fn total_cmp(&self, other: &Strength) -> Ordering {
+        let answers = self.is_unanswered.cmp(&other.is_unanswered);
+
+        answers
+            .then(self.is_request.cmp(&other.is_request))
+            .then(self.crash_share.total_cmp(&other.crash_share))
+            .then(self.crashes.cmp(&other.crashes))
+            .then(self.request.cmp(&other.request))
+    }
+}
+
 /// Requests in quarantine, and the crashes and probes that may add more.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     log: CrashLog,
     entries: HashMap<Fingerprint, QuarantinedRequest>,
     probes: BTreeMap<TargetStart, Probe>,
+    parts: PartHistory,
     /// Crashes that this process observed itself.
     observed: BTreeSet<TargetStart>,
     updates: Report,
@@ -154,7 +212,7 @@
     pub fn record_broken_attempt(
         &mut self,
         listed: &TargetStart,
-        request: Fingerprint,
+        request: &Fingerprints,
         sent_at: Moment,
         now: Moment,
     ) -> Option<TargetStart> {
@@ -163,7 +221,7 @@
         let start = TargetStart { is_next: listed.is_next || is_next, ..listed.clone() };
 
         if self.log.crashed_at(&start).is_some() {
-            self.add_crash(&start, now, [request], now);
+            self.add_crash(&start, now, request.iter(), now);
             return None;
         }
 
@@ -183,7 +241,7 @@
             probe.runs.clear();
         }
 
-        probe.runs.insert(request);
+        probe.runs.extend(request.iter());
         let needs_probe = !std::mem::replace(&mut probe.is_open, true);
 
         needs_probe.then_some(start)
@@ -249,11 +307,14 @@
         runs: impl IntoIterator<Item = Fingerprint>,
         now: Moment,
     ) -> bool {
-        if !self.log.record(start, at, runs) {
+        let runs: Vec<Fingerprint> = runs.into_iter().collect();
+
+        if !self.log.record(start, at, runs.iter().copied()) {
             return false;
         }
 
         self.observed.insert(start.clone());
+        runs.into_iter().filter(|run| is_part(*run)).for_each(|part| self.add_part(part, now));
 
         if let Some(crash) = self.log.crash_report(start, now) {
             let is_other = |other: &CrashReport| other.start != *start;
@@ -264,8 +325,52 @@
         self.next_decision(now).is_some()
     }
 
-    /// Records that a request was answered, which clears it; returns whether it was in quarantine.
-    pub fn record_answer(&mut self, request: Fingerprint, now: Moment) -> bool {
+    /// Records that a part was running on a crashed target, and reports the last answer to it.
+    fn add_part(&mut self, part: Fingerprint, now: Moment) {
+        self.parts.record_crash(part);
+
+        if let Some(answered_at) = self.parts.get(part).answered_at
+            && !self.log.is_cleared_since(part, answered_at)
+        {
+            self.log.clear_request(part, answered_at);
+            let age_ms = age_ms(answered_at, now);
+            self.updates.cleared.push(ClearedReport { request: part, age_ms });
+        }
+    }
+
+    /// Records that a target has begun to run a request.
+    pub fn record_run(&mut self, prompt: &PromptFingerprints) {
+        self.parts.record_run(prompt);
+    }
+
+    /// Records a successful answer to a request that cannot be suspected, as nothing is.
+    pub fn record_unsuspected_answer(&mut self, prompt: &PromptFingerprints, now: Moment) {
+        self.parts.record_answer(prompt, now);
+    }
+
+    /// Records that a request was answered, which clears it, and also the parts of its prompt if
+    /// the answer is a success; returns what of it was in quarantine.
+    pub fn record_answer(
+        &mut self,
+        request: &Fingerprints,
+        is_success: bool,
+        now: Moment,
+    ) -> Vec<Fingerprint> {
+        if !is_success {
+            return self
+                .clear(request.request, now)
+                .then_some(request.request)
+                .into_iter()
+                .collect();
+        }
+
+        self.parts.record_answer(&request.prompt, now);
+
+        request.iter().filter(|fingerprint| self.clear(*fingerprint, now)).collect()
+    }
+
+    /// Clears a request or part; returns whether it was in quarantine.
+    fn clear(&mut self, request: Fingerprint, now: Moment) -> bool {
         for probe in self.probes.values_mut() {
             probe.runs.remove(&request);
         }
@@ -288,7 +393,22 @@
     }
 
     /// Returns whether a request may be sent. Callers call [`Quarantine::decide`] first.
-    pub fn clearance(&mut self, request: Fingerprint, now: Moment) -> Clearance {
+    pub fn clearance(&mut self, request: &Fingerprints, now: Moment) -> Clearance {
+        request.iter().fold(Clearance::Allow, |clearance, fingerprint| {
+            clearance.stricter(self.clearance_of(fingerprint, request, now))
+        })
+    }
+
+    fn clearance_of(
+        &mut self,
+        request: Fingerprint,
+        whole: &Fingerprints,
+        now: Moment,
+    ) -> Clearance {
+        if self.contains(request) && self.lacks_companion(request, whole) {
+            return Clearance::Allow;
+        }
+
         if let Some(entry) = self.entries.get_mut(&request) {
             entry.last_requested_at = now;
 
@@ -300,9 +420,23 @@
         }
 
         let suspicion = self.suspicion(request);
+        let may_wait = !is_part(request) || self.is_held(request) || self.is_plausible(request);
+
+        if !may_wait {
+            return Clearance::Allow;
+        }
 
         if suspicion.crashes >= CRASH_LIMIT {
-            return Clearance::Wait((suspicion.newest + DECISION_DELAY).saturating_sub(now));
+            let left = (suspicion.newest + DECISION_DELAY).saturating_sub(now);
+            let left_to_notify =
+                (suspicion.newest + DECISION_DELAY + NOTIFY_TIME).saturating_sub(now);
+
+            // A part that this process does not decide on may be decided on by another one.
+            return match left_to_notify {
+                Duration::ZERO if is_part(request) => Clearance::Allow,
+                _ if is_part(request) => Clearance::Wait(left_to_notify),
+                _ => Clearance::Wait(left),
+            };
         }
 
         match self.open_probes(request, now) {
@@ -313,21 +447,106 @@
         }
     }
 
-    /// Takes the trial of a request if it is due; returns whether the caller may make it.
-    pub fn take_trial(&mut self, request: Fingerprint, now: Moment) -> bool {
-        let Some(entry) = self.entries.get_mut(&request) else {
+    /// Returns what of a request is in quarantine.
+    pub fn quarantined(&self, request: &Fingerprints) -> Option<Fingerprint> {
+        let is_refused = |f: &Fingerprint| self.contains(*f) && !self.lacks_companion(*f, request);
+
+        request.iter().find(is_refused)
+    }
+
+    /// Returns whether a request lacks something that was running during every crash under its
+    /// quarantined part, and that may be the cause as well. Such a request shows which of the two
+    /// it is: an answer releases the part, and a crash is one that the other did not cause.
+    fn lacks_companion(&self, part: Fingerprint, request: &Fingerprints) -> bool {
+        if !is_part(part) {
             return false;
+        }
+
+        let (companions, crashes) = self.log.companions(part);
+        let is_lacking = |other: &Fingerprint| {
+            !self.contains(*other) && !self.was_answered(*other) && !request.contains(*other)
         };
 
-        if entry.next_trial().is_none_or(|at| at > now) {
+        crashes >= CRASH_LIMIT && companions.iter().any(is_lacking)
+    }
+
+    /// Returns the part because of which a request is held back, and for how much longer, or `None`
+    /// if it may be sent; for services where one crash stops many requests, see [`crate::cooldown`].
+    ///
+    /// Only a part without an earlier answer is held back, and only once enough requests for its
+    /// service were answered to know the common parts.
+    pub fn part_cooldown(
+        &self,
+        request: &Fingerprints,
+        now: Moment,
+    ) -> Option<(Fingerprint, Duration)> {
+        if !self.parts.knows_common_parts(request.prompt.service) {
+            return None;
+        }
+
+        let held = request.prompt.parts.iter().filter(|part| self.is_held(**part));
+        let left = held.filter_map(|part| {
+            let suspicion = self.suspicion(*part);
+            let left = (suspicion.newest + COOLDOWN).saturating_sub(now);
+            (suspicion.crashes > 0 && !left.is_zero()).then_some((*part, left))
+        });
+
+        left.max_by_key(|(_, left)| *left)
+    }
+
+    /// Returns the time left for probes of targets on which a request with an unanswered part of
+    /// this one broke, or `None` without any.
+    pub fn part_probe_time_left(&self, request: &Fingerprints, now: Moment) -> Option<Duration> {
+        let held = request.prompt.parts.iter().filter(|part| self.is_held(**part));
+
+        held.filter_map(|part| self.probe_time_left(*part, now)).max()
+    }
+
+    /// Returns whether a part has no earlier answer and so few runs that it may be the cause of a
+    /// crash.
+    fn is_held(&self, part: Fingerprint) -> bool {
+        !self.was_answered(part) && self.parts.get(part).runs <= MAX_RUNS_PER_CRASH
+    }
+
+    fn was_answered(&self, request: Fingerprint) -> bool {
+        self.log.is_answered(request) || self.parts.get(request).answered_at.is_some()
+    }
+
+    /// Returns whether so many runs of this process with a part ended in a crash that the part may
+    /// be the cause.
+    fn is_plausible(&self, part: Fingerprint) -> bool {
+        let max_runs =
+            if self.was_answered(part) { MAX_ANSWERED_RUNS_PER_CRASH } else { MAX_RUNS_PER_CRASH };
+
+        self.parts.get(part).has_crash_share(max_runs)
+    }
+
+    /// Takes the trial of a request if it is due; returns whether the caller may make it.
+    pub fn take_trial(&mut self, request: &Fingerprints, now: Moment) -> bool {
+        let quarantined: Vec<Fingerprint> = request
+            .iter()
+            .filter(|f| self.contains(*f) && !self.lacks_companion(*f, request))
+            .collect();
+        let is_due = |fingerprint: &Fingerprint| {
+            self.entries[fingerprint].next_trial().is_some_and(|at| at <= now)
+        };
+
+        if quarantined.is_empty() || !quarantined.iter().all(is_due) {
             return false;
         }
 
+        quarantined.into_iter().for_each(|fingerprint| self.record_trial(fingerprint, now));
+        true
+    }
+
+    fn record_trial(&mut self, request: Fingerprint, now: Moment) {
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return;
+        };
         entry.trials += 1;
         entry.tried_at = now;
         let entry = *entry;
         self.publish_entry(request, &entry, now);
-        true
     }
 
     /// Quarantines the requests with enough evidence against them; returns them with their numbers
@@ -467,6 +686,11 @@
         self.entries.iter().map(|(request, entry)| (*request, entry.trials))
     }
 
+    /// Returns the targets that crashed under a request or part.
+    pub fn targets_under(&self, request: Fingerprint) -> Vec<&str> {
+        self.log.targets_under(request)
+    }
+
     /// Returns the evidence against a request.
     pub fn suspicion(&self, request: Fingerprint) -> Suspicion {
         self.log.suspicion(request, |other| self.entries.contains_key(&other))
@@ -490,8 +714,11 @@
     }
 
     fn candidates(&self) -> Vec<(Fingerprint, Suspicion)> {
-        let suspects = self.log.repeat_suspects();
-        let suspicions = suspects.filter(|r| !self.contains(*r)).map(|r| (r, self.suspicion(r)));
+        let is_candidate = |request: &Fingerprint| {
+            !self.contains(*request) && (!is_part(*request) || self.is_plausible(*request))
+        };
+        let suspects = self.log.repeat_suspects().filter(is_candidate);
+        let suspicions = suspects.map(|request| (request, self.suspicion(request)));
 
         suspicions.filter(|(_, suspicion)| suspicion.crashes >= CRASH_LIMIT).collect()
     }
@@ -501,7 +728,17 @@
             |(_, suspicion): &(Fingerprint, Suspicion)| suspicion.newest + DECISION_DELAY <= now;
         let settled = self.candidates().into_iter().filter(is_settled);
 
-        settled.max_by_key(|(request, suspicion)| (suspicion.crashes, *request))
+        settled.max_by(|a, b| self.strength(a).total_cmp(&self.strength(b)))
+    }
+
+    fn strength(&self, (request, suspicion): &(Fingerprint, Suspicion)) -> Strength {
+        Strength {
+            is_unanswered: !self.was_answered(*request),
+            is_request: !is_part(*request),
+            crash_share: self.parts.get(*request).crash_share(),
+            crashes: suspicion.crashes,
+            request: *request,
+        }
     }
 
     /// Returns whether this process observed the deciding crash. If so, it is the one that
--- a/grebedeck-routing/tests/cooldown.rs
+++ b/grebedeck-routing/tests/cooldown.rs
@@ -15,7 +15,7 @@
     let start = TargetStart::listed(target, Some(1));
 
     for request in runs {
-        quarantine.record_broken_attempt(&start, *request, now, now);
+        quarantine.record_broken_attempt(&start, &(*request).into(), now, now);
     }
 
     quarantine.record_probe(&start, ProbeResult::Crashed, now);
--- a/grebedeck-routing/tests/quarantine.rs
+++ b/grebedeck-routing/tests/quarantine.rs
@@ -33,7 +33,12 @@
     /// Breaks attempts of the requests on a target whose probe finds that it crashed.
     fn crash(&mut self, target: usize, requests: &[Fingerprint]) {
         for request in requests {
-            self.quarantine.record_broken_attempt(&start(target), *request, self.now, self.now);
+            self.quarantine.record_broken_attempt(
+                &start(target),
+                &(*request).into(),
+                self.now,
+                self.now,
+            );
         }
 
         self.quarantine.record_probe(&start(target), ProbeResult::Crashed, self.now);
@@ -45,7 +50,7 @@
 
     fn clearance(&mut self, request: Fingerprint) -> Clearance {
         self.quarantine.decide(self.now);
-        self.quarantine.clearance(request, self.now)
+        self.quarantine.clearance(&request.into(), self.now)
     }
 
     fn is_refused(&mut self, request: Fingerprint) -> bool {
@@ -92,7 +97,7 @@
     process.advance(ms(60));
     process.crash(1, &[POISON]);
     process.advance(ms(60));
-    process.quarantine.record_broken_attempt(&start(2), POISON, process.now, process.now);
+    process.quarantine.record_broken_attempt(&start(2), &POISON.into(), process.now, process.now);
     assert_eq!(process.clearance(POISON), Clearance::Wait(PROBE_TIMEOUT));
 
     process.quarantine.record_probe(&start(2), ProbeResult::Alive, process.now);
@@ -107,7 +112,7 @@
         for target in 0..3 {
             process.quarantine.record_broken_attempt(
                 &start(target),
-                POISON,
+                &POISON.into(),
                 process.now,
                 process.now,
             );
@@ -130,7 +135,7 @@
         process.advance(ms(200));
 
         if target % 2 == 1 {
-            process.quarantine.record_answer(OTHER, process.now);
+            process.quarantine.record_answer(&OTHER.into(), true, process.now);
         }
 
         process.advance(ms(200));
@@ -150,7 +155,7 @@
             runs.iter().for_each(|request| {
                 process.quarantine.record_broken_attempt(
                     &crashed,
-                    *request,
+                    &(*request).into(),
                     process.now,
                     process.now,
                 );
@@ -213,8 +218,12 @@
 
     for _ in 0..3 {
         // The list still contains the old start.
-        let start =
-            process.quarantine.record_broken_attempt(&start(0), POISON, process.now, process.now);
+        let start = process.quarantine.record_broken_attempt(
+            &start(0),
+            &POISON.into(),
+            process.now,
+            process.now,
+        );
 
         if let Some(start) = start {
             process.quarantine.record_probe(&start, ProbeResult::Crashed, process.now);
@@ -286,10 +295,10 @@
     process.quarantine(POISON);
 
     for (trial, pause) in [FIRST_TRIAL_DELAY, SECOND_TRIAL_DELAY].into_iter().enumerate() {
-        assert!(!process.quarantine.take_trial(POISON, process.now));
+        assert!(!process.quarantine.take_trial(&POISON.into(), process.now));
         process.advance(pause);
         assert_eq!(process.clearance(POISON), Clearance::Trial, "{trial}");
-        assert!(process.quarantine.take_trial(POISON, process.now));
+        assert!(process.quarantine.take_trial(&POISON.into(), process.now));
         assert!(process.is_refused(POISON), "one trial at a time");
     }
 
@@ -299,7 +308,7 @@
     other.advance(RETENTION / 2);
     assert!(process.is_refused(POISON) && other.is_refused(POISON), "no third trial");
 
-    assert!(process.quarantine.record_answer(POISON, process.now));
+    assert_eq!(process.quarantine.record_answer(&POISON.into(), true, process.now), [POISON]);
     process.send_updates(&mut other);
     assert_eq!(process.clearance(POISON), Clearance::Allow);
     assert_eq!(other.clearance(POISON), Clearance::Allow);
@@ -314,7 +323,7 @@
     let mut other = Process { now: process.now, ..Process::default() };
     let stale = process.quarantine.snapshot(process.now);
     process.send_updates(&mut other);
-    process.quarantine.record_answer(POISON, process.now);
+    process.quarantine.record_answer(&POISON.into(), true, process.now);
     process.send_updates(&mut other);
     other.quarantine.apply_report(&stale, other.now);
 
@@ -356,7 +365,12 @@
         let one_off = 1000 + u128::from(crash) * 100;
 
         for request in one_off..one_off + 10 {
-            process.quarantine.record_broken_attempt(&crashed, request, process.now, process.now);
+            process.quarantine.record_broken_attempt(
+                &crashed,
+                &request.into(),
+                process.now,
+                process.now,
+            );
         }
 
         process.quarantine.record_probe(&crashed, ProbeResult::Crashed, process.now);
@@ -377,7 +391,7 @@
     process.crash(1, &(100..1100).collect::<Vec<_>>());
 
     for request in 100..1100 {
-        process.quarantine.record_answer(request, process.now);
+        process.quarantine.record_answer(&request.into(), true, process.now);
     }
 
     let parts = process.quarantine.snapshot(process.now).into_parts(2);
@@ -392,7 +406,7 @@
     process.crash(0, &[POISON]);
 
     for request in 100..10_000 {
-        process.quarantine.record_answer(request, process.now);
+        process.quarantine.record_answer(&request.into(), true, process.now);
     }
 
     assert!(process.quarantine.snapshot(process.now).cleared.is_empty());
@@ -492,12 +506,12 @@
                     let start =
                         TargetStart::listed(&format!("t{target}"), Some(now.as_millis() as u64));
                     runs.iter().for_each(|request| {
-                        process.quarantine.record_broken_attempt(&start, *request, now, now);
+                        process.quarantine.record_broken_attempt(&start, &(*request).into(), now, now);
                     });
                     process.quarantine.record_probe(&start, ProbeResult::Crashed, now);
                 }
                 Event::Answered(request) => {
-                    process.quarantine.record_answer(request, now);
+                    process.quarantine.record_answer(&request.into(), true, now);
                     // The answer is reported even if this process had nothing to clear.
                     let cleared = grebedeck_routing::report::ClearedReport { request, age_ms: 0 };
                     reports.push((now, Report { cleared: vec![cleared], ..Report::default() }));
--- a/grebedeck/src/entry/answer.rs
+++ b/grebedeck/src/entry/answer.rs
@@ -14,7 +14,7 @@
 use grebedeck_core::error::{protocol_error, timeout_error};
 use grebedeck_core::{AttemptId, Incarnation, Outcome, Reason, Result, TargetName};
 use grebedeck_net::{FrameReader, Stream};
-use grebedeck_routing::Fingerprint;
+use grebedeck_routing::Fingerprints;
 use http_types::headers::{HeaderName, HeaderValue};
 use http_types::{Body, Response, StatusCode};
 use serde_json::json;
@@ -37,14 +37,27 @@
     pub target: TargetName,
     /// Incarnation of its agent.
     pub incarnation: Incarnation,
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// Fingerprints of the request.
+    pub fingerprints: Arc<Fingerprints>,
+    /// Whether its answer is a success.
+    pub is_success: bool,
 }
 
 impl TargetRun {
+    /// Records that the target has begun to answer.
+    pub fn record_head(&mut self, head: &AnswerHead) {
+        self.is_success = (200..300).contains(&head.status);
+        self.suspects.record_run(&self.fingerprints);
+    }
+
     /// Records that the target crashed under the request.
     pub fn record_crash(&self, crash: u64) {
-        self.suspects.record_crash(&self.target, self.incarnation, crash, self.fingerprint);
+        self.suspects.record_crash(&self.target, self.incarnation, crash, &self.fingerprints);
+    }
+
+    /// Records that the answer is complete.
+    fn record_answer(&self) {
+        self.suspects.record_answer(&self.fingerprints, self.is_success);
     }
 }
 
@@ -82,7 +95,7 @@
             Ok(Some(_)) => {}
             Ok(None) => {
                 self.in_flight.set_success(true);
-                self.run.suspects.record_answer(self.run.fingerprint);
+                self.run.record_answer();
             }
             Err(_) => self.in_flight.set_success(false),
         }
--- a/grebedeck/src/entry/attempt.rs
+++ b/grebedeck/src/entry/attempt.rs
@@ -11,7 +11,7 @@
 use grebedeck_core::{AttemptId, Incarnation, Moment, Reason, Result};
 use grebedeck_net::codec::encode_into;
 use grebedeck_net::{FrameReader, Link, Stream};
-use grebedeck_routing::{AttemptEnd, Fingerprint, LoadReport};
+use grebedeck_routing::{AttemptEnd, Fingerprints, LoadReport};
 use http_types::Response;
 
 use super::answer::{AnswerStream, TargetRun, complete_response, stream_response};
@@ -42,8 +42,8 @@
     pub route: Arc<Route>,
     /// Id of the attempt.
     pub id: AttemptId,
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// Fingerprints of the request.
+    pub fingerprints: Arc<Fingerprints>,
     /// Revision under which the request was admitted.
     pub revision: u64,
     /// Whether it may wait in the target.
@@ -163,7 +163,8 @@
                     suspects: self.entry.suspects.clone(),
                     target: self.route.name.clone(),
                     incarnation: hello.incarnation,
-                    fingerprint: self.fingerprint,
+                    fingerprints: self.fingerprints.clone(),
+                    is_success: false,
                 };
                 self.handle_first_frame(first, reader, stream, in_flight, run).await
             }
@@ -237,7 +238,7 @@
         reader: FrameReader,
         stream: Stream,
         mut in_flight: InFlight,
-        run: TargetRun,
+        mut run: TargetRun,
     ) -> std::result::Result<StartedAnswer, AttemptEnd> {
         let head = match first {
             FromAgent::Verdict(verdict, report) => {
@@ -252,6 +253,7 @@
             }
         };
 
+        run.record_head(&head);
         let is_short = head.len_bytes.is_some_and(|len| len <= MAX_BUFFERED_ANSWER_BYTES);
         let mut answer =
             AnswerStream::new(self.id, self.route.agent_address, reader, stream, in_flight, run);
--- a/grebedeck/src/entry/dispatch.rs
+++ b/grebedeck/src/entry/dispatch.rs
@@ -5,7 +5,7 @@
 use grebedeck_config::Route;
 use grebedeck_core::{AttemptId, Moment, Outcome, RandomSource, Reason, Revision, TargetName};
 use grebedeck_routing::attempt::{AttemptTracker, retry_backoff};
-use grebedeck_routing::{AttemptEnd, Fingerprint, Next, StrikeAnswer};
+use grebedeck_routing::{AttemptEnd, Fingerprints, Next, StrikeAnswer};
 use http_types::Response;
 
 use super::attempt::{Attempt, SentTo, StartedAnswer};
@@ -18,7 +18,7 @@
 struct Dispatch {
     entry: Arc<EntryService>,
     request: CallerRequest,
-    fingerprint: Fingerprint,
+    fingerprints: Arc<Fingerprints>,
     /// Targets that this entry may select for the request.
     candidates: Vec<Arc<Route>>,
     revision: Revision,
@@ -51,7 +51,7 @@
             // A request that crashes its targets would take down one target after another if it
             // were retried after each crash.
             if let Err(remaining) =
-                dispatch.entry.suspects.wait_for_clearance(dispatch.fingerprint).await
+                dispatch.entry.suspects.wait_for_clearance(&dispatch.fingerprints).await
             {
                 return Err(tracker.outcome_if_unsent(Reason::Quarantined(remaining)));
             }
@@ -103,7 +103,7 @@
         let tried = Vec::new();
         Ok(Dispatch {
             entry,
-            fingerprint: request.fingerprint(),
+            fingerprints: Arc::new(request.fingerprints()),
             request,
             candidates,
             revision,
@@ -128,7 +128,7 @@
             entry: self.entry.clone(),
             route,
             id,
-            fingerprint: self.fingerprint,
+            fingerprints: self.fingerprints.clone(),
             revision: self.revision,
             may_wait: self.may_wait,
             deadline: self.deadline,
--- a/grebedeck/src/entry/request.rs
+++ b/grebedeck/src/entry/request.rs
@@ -8,7 +8,8 @@
 use futures::AsyncReadExt;
 use grebedeck_core::{OrganisationName, Reason, ServiceName, UnixMs};
 use grebedeck_net::http::end_to_end_headers;
-use grebedeck_routing::{Fingerprint, Identity, Key, RequestTraits};
+use grebedeck_routing::prompt::{prompt_fingerprints, shared_part_ids};
+use grebedeck_routing::{Fingerprint, Fingerprints, Identity, Key, RequestTraits};
 use http_types::{Method, Request};
 
 /// Header with the organisation.
@@ -24,6 +25,9 @@
 /// Header with the time when the caller issued the key, in Unix milliseconds.
 pub const KEY_ISSUED_HEADER: &str = "idempotency-issued-ms";
 
+/// Header with the parts of the prompt in order, as `ID:TOKENS` separated by commas.
+pub const PROMPT_PARTS_HEADER: &str = "grebedeck-prompt-parts";
+
 /// `Retry-After` of a refusal because the memory budget for bodies is exhausted.
 const BUDGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum length of a key.
@@ -127,8 +131,19 @@
         Ok(parsed)
     }
 
-    /// Fingerprint, which a caller's repetitions of the same request share.
-    pub fn fingerprint(&self) -> Fingerprint {
+    /// Fingerprints of the request, which its caller's repetitions share, and of the parts of its
+    /// prompt, which others may share.
+    pub fn fingerprints(&self) -> Fingerprints {
+        let values = self.headers.iter().filter(|(name, _)| name == PROMPT_PARTS_HEADER);
+        let part_ids = shared_part_ids(values.map(|(_, value)| value.as_bytes()));
+
+        Fingerprints {
+            request: self.own_fingerprint(),
+            prompt: prompt_fingerprints(&self.service, &part_ids),
+        }
+    }
+
+    fn own_fingerprint(&self) -> Fingerprint {
         let identity = Identity {
             caller: &self.organisation,
             method: &self.method,
--- a/grebedeck/src/entry/suspects.rs
+++ b/grebedeck/src/entry/suspects.rs
@@ -20,8 +20,9 @@
 use grebedeck_kernel::{Clock, Counter, Metrics, Service, log};
 use grebedeck_net::platform::{Instance, Role, Table, Transaction, TransactionEnd};
 use grebedeck_routing::fingerprint::{from_hex, to_hex};
+use grebedeck_routing::prompt::is_part;
 use grebedeck_routing::quarantine::{RETENTION, StoredChange};
-use grebedeck_routing::{Clearance, Fingerprint, Quarantine, Report, TargetStart};
+use grebedeck_routing::{Clearance, Fingerprint, Fingerprints, Quarantine, Report, TargetStart};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
@@ -82,7 +83,7 @@
     /// Waits until a request may be sent; fails with the time until it may be tried again.
     pub async fn wait_for_clearance(
         &self,
-        request: Fingerprint,
+        request: &Fingerprints,
     ) -> std::result::Result<(), Duration> {
         loop {
             let changed = self.changed.listen();
@@ -108,7 +109,7 @@
         }
     }
 
-    fn clearance(&self, request: Fingerprint) -> Clearance {
+    fn clearance(&self, request: &Fingerprints) -> Clearance {
         if self.lock().is_idle() {
             return Clearance::Allow;
         }
@@ -124,12 +125,12 @@
         target: &str,
         incarnation: Incarnation,
         crash: u64,
-        request: Fingerprint,
+        request: &Fingerprints,
     ) {
         // Crash numbers start anew in the agent's next incarnation, whose number is greater.
         let start = TargetStart::listed(target, Some(incarnation + crash));
         let now = self.clock.now();
-        let is_decision_pending = self.lock().record_crash(&start, [request], now);
+        let is_decision_pending = self.lock().record_crash(&start, request.iter(), now);
         self.counter.add("crash");
         self.notify_updates();
 
@@ -138,15 +139,25 @@
         }
     }
 
-    /// Records that a request was answered.
-    pub fn record_answer(&self, request: Fingerprint) {
-        if self.lock().is_idle() {
+    /// Records that a target has begun to run a request.
+    pub fn record_run(&self, request: &Fingerprints) {
+        if !request.prompt.parts.is_empty() {
+            self.lock().record_run(&request.prompt);
+        }
+    }
+
+    /// Records that a request was answered, which clears it, and the parts of its prompt too if the
+    /// answer is a success.
+    pub fn record_answer(&self, request: &Fingerprints, is_success: bool) {
+        if self.lock().is_idle() && request.prompt.parts.is_empty() {
             return;
         }
 
-        if self.lock().record_answer(request, self.clock.now()) {
+        let released = self.lock().record_answer(request, is_success, self.clock.now());
+
+        for fingerprint in released {
             self.counter.add("released");
-            let fingerprint = to_hex(request);
+            let fingerprint = to_hex(fingerprint);
             log::info!("quarantine released", kv: { fingerprint, cause = "answered" });
         }
 
@@ -211,9 +222,16 @@
     }
 
     fn record_quarantined(&self, request: Fingerprint, crashes: usize, from: &'static str) {
-        self.counter.add("quarantined");
+        let targets = self.lock().targets_under(request).join(",");
         let fingerprint = to_hex(request);
-        log::warn!("request quarantined", kv: { fingerprint, crashes, from });
+
+        if is_part(request) {
+            self.counter.add("part_quarantined");
+            log::warn!("prompt part quarantined", kv: { fingerprint, crashes, from, targets });
+        } else {
+            self.counter.add("quarantined");
+            log::warn!("request quarantined", kv: { fingerprint, crashes, from, targets });
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Quarantine> {
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -172,6 +172,7 @@
     };
 
     if cause == FailureCause::Broken {
+        gateway.record_run(request);
         gateway.record_broken_attempt(request, target, sent_at);
     }
 
@@ -319,6 +320,8 @@
         Verdict::Pass | Verdict::Failure => {}
     }
 
+    gateway.record_run(sent.request);
+
     Ok(OpenResponse {
         head,
         verdict,
--- a/grebedeck/src/gateway/request.rs
+++ b/grebedeck/src/gateway/request.rs
@@ -7,8 +7,8 @@
 use grebedeck_gateway::{Admitted, HeaderNames, TargetEntry};
 use grebedeck_http::connection::MAX_COALESCED_BODY_BYTES;
 use grebedeck_http::{Headers, RequestHead};
-use grebedeck_routing::prompt::{part_fingerprint, shared_part_ids};
-use grebedeck_routing::{Fingerprint, Fingerprints, Identity};
+use grebedeck_routing::prompt::{prompt_fingerprints, shared_part_ids};
+use grebedeck_routing::{Fingerprint, Fingerprints, Identity, PromptFingerprints};
 
 use super::buffer::Buffer;
 use super::trace::{Decision, Trace};
@@ -47,6 +47,7 @@
     headers: Headers,
     /// Ids of the parts of its prompt that it shares with other requests.
     part_ids: Vec<String>,
+    prompt: OnceCell<PromptFingerprints>,
     fingerprints: OnceCell<Fingerprints>,
 }
 
@@ -117,6 +118,7 @@
             trace,
             headers,
             part_ids,
+            prompt: OnceCell::new(),
             fingerprints: OnceCell::new(),
         }
     }
@@ -126,15 +128,27 @@
         &self.part_ids
     }
 
+    /// Id of the part with this fingerprint.
+    pub fn part_id(&self, fingerprint: Fingerprint) -> Option<&str> {
+        let at = self.prompt_fingerprints().parts.iter().position(|part| *part == fingerprint)?;
+
+        self.part_ids.get(at).map(String::as_str)
+    }
+
     /// Fingerprints under which the request can be suspected of crashing its targets: its own,
     /// which it shares with its caller's retries, and those of the parts of its prompt.
     pub fn fingerprints(&self) -> &Fingerprints {
         self.fingerprints.get_or_init(|| Fingerprints {
             request: self.own_fingerprint(),
-            parts: self.part_ids.iter().map(|id| part_fingerprint(&self.service, id)).collect(),
+            prompt: self.prompt_fingerprints().clone(),
         })
     }
 
+    /// Fingerprints of the prompt, which do not depend on the body.
+    pub fn prompt_fingerprints(&self) -> &PromptFingerprints {
+        self.prompt.get_or_init(|| prompt_fingerprints(&self.service, &self.part_ids))
+    }
+
     fn own_fingerprint(&self) -> Fingerprint {
         let head = &self.request.head;
         let identity = Identity {
--- a/grebedeck/src/gateway/response.rs
+++ b/grebedeck/src/gateway/response.rs
@@ -95,7 +95,8 @@
         }
 
         let target = &self.sent.target;
-        self.gateway.record_request_answered(self.sent.request);
+        let is_success = is_success && self.head.is_success();
+        self.gateway.record_request_answered(self.sent.request, is_success);
 
         if !self.gateway.is_earlier_start(target) {
             let now = self.gateway.now();
--- a/grebedeck/src/gateway/suspects.rs
+++ b/grebedeck/src/gateway/suspects.rs
@@ -1,4 +1,4 @@
-//! Detection and quarantine of requests that crash targets.
+//! Detection and quarantine of requests that crash targets, and of the parts of prompts that do.
 //!
 //! When an attempt breaks, the gateway probes the target.
 //! [`Quarantine`](grebedeck_routing::Quarantine) decides whether that was a crash, which requests
@@ -16,6 +16,7 @@
 use grebedeck_http::Connection;
 use grebedeck_kernel::log;
 use grebedeck_routing::fingerprint::to_hex;
+use grebedeck_routing::prompt::is_part;
 use grebedeck_routing::quarantine::ProbeResult;
 use grebedeck_routing::{Clearance, Fingerprint, Report, TargetStart};
 
@@ -46,7 +47,10 @@
 
             match self.clearance(request) {
                 Clearance::Allow | Clearance::Trial => return Ok(()),
-                Clearance::Refuse(left) => return Err(NoSlot::Quarantined(left)),
+                Clearance::Refuse(left) => {
+                    self.trace_held(request);
+                    return Err(NoSlot::Quarantined(left));
+                }
                 Clearance::Wait(wait) => {
                     self.counters.quarantine.add("held");
                     // Either way, the clearance is checked again.
@@ -73,8 +77,7 @@
         }
 
         self.decide_quarantine();
-        let clearance =
-            self.quarantine.borrow_mut().clearance(request.fingerprints().request, self.now());
+        let clearance = self.quarantine.borrow_mut().clearance(request.fingerprints(), self.now());
 
         match clearance {
             Clearance::Allow if self.crash_stops_others(&request.service) => {
@@ -84,6 +87,23 @@
         }
     }
 
+    /// Records in the request's trace why it is not sent.
+    fn trace_held(&self, request: &RoutedRequest) {
+        let (fingerprints, now) = (request.fingerprints(), self.now());
+        let quarantine = self.quarantine.borrow();
+        let quarantined = quarantine.quarantined(fingerprints);
+        let cooling = quarantine.part_cooldown(fingerprints, now).map(|(part, _)| part);
+        let fingerprint = quarantined.or(cooling).unwrap_or(fingerprints.request);
+
+        let decision = Decision::Held {
+            fingerprint,
+            part_id: request.part_id(fingerprint).map(str::to_string),
+            crashes: quarantine.targets_under(fingerprint).len(),
+            is_quarantined: quarantined.is_some(),
+        };
+        request.trace.add(now, decision);
+    }
+
     /// Returns whether a crash of one target of a service stops others, as ranks of a group do.
     fn crash_stops_others(&self, service: &str) -> bool {
         let table = self.table();
@@ -104,6 +124,15 @@
             return Clearance::Refuse(left);
         }
 
+        if let Some((_, left)) = quarantine.part_cooldown(request.fingerprints(), now) {
+            self.counters.quarantine.add("part_held_back");
+            return Clearance::Refuse(left);
+        }
+
+        if let Some(left) = quarantine.part_probe_time_left(request.fingerprints(), now) {
+            return Clearance::Wait(left);
+        }
+
         match quarantine.probe_time_left(fingerprint, now) {
             Some(left) if !self.crash_cooldown.borrow().was_answered_recently(fingerprint) => {
                 Clearance::Wait(left)
@@ -113,18 +142,27 @@
     }
 
     fn take_quarantine_trial(&self, request: &RoutedRequest) -> bool {
-        let fingerprint = request.fingerprints().request;
+        let fingerprints = request.fingerprints();
+        let tried = self.quarantine.borrow().quarantined(fingerprints);
 
-        if !self.quarantine.borrow_mut().take_trial(fingerprint, self.now()) {
+        if !self.quarantine.borrow_mut().take_trial(fingerprints, self.now()) {
             return false;
         }
 
         self.counters.quarantine.add("trial");
-        log::info!("quarantine trial", kv: { fingerprint = to_hex(fingerprint) });
+        let fingerprint = to_hex(tried.unwrap_or(fingerprints.request));
+        log::info!("quarantine trial", kv: { fingerprint });
         self.notify_updates();
         true
     }
 
+    /// Records that a target has begun to run a request.
+    pub(super) fn record_run(&self, request: &RoutedRequest) {
+        if !request.part_ids().is_empty() {
+            self.quarantine.borrow_mut().record_run(request.prompt_fingerprints());
+        }
+    }
+
     /// Records that an attempt, sent at `sent_at`, broke on a target. Ignored if the target is
     /// leaving, as it then ends without a crash.
     pub(super) fn record_broken_attempt(
@@ -140,11 +178,12 @@
             return;
         }
 
-        let fingerprint = request.fingerprints().request;
+        let fingerprints = request.fingerprints();
+        let fingerprint = fingerprints.request;
         let listed = TargetStart::listed(&target.id, target.born_ms);
         let now = self.now();
         let start =
-            self.quarantine.borrow_mut().record_broken_attempt(&listed, fingerprint, sent_at, now);
+            self.quarantine.borrow_mut().record_broken_attempt(&listed, fingerprints, sent_at, now);
         let crashes = self.quarantine.borrow().suspicion(fingerprint).crashes;
         let decision = Decision::Suspected {
             target: target.id.clone(),
@@ -167,19 +206,28 @@
         }
     }
 
-    /// Records that a request was answered, which clears it of suspicion.
-    pub(super) fn record_request_answered(&self, request: &RoutedRequest) {
+    /// Records that a request was answered, which clears it of suspicion, and the parts of its
+    /// prompt too if the answer is a success.
+    pub(super) fn record_request_answered(&self, request: &RoutedRequest, is_success: bool) {
         if self.crash_stops_others(&request.service) {
             self.crash_cooldown.borrow_mut().record_answer(request.fingerprints().request);
         }
 
+        // Without suspects the fingerprint of the whole request is not needed.
         if self.quarantine.borrow().is_idle() {
+            if is_success && !request.part_ids().is_empty() {
+                let (prompt, now) = (request.prompt_fingerprints(), self.now());
+                self.quarantine.borrow_mut().record_unsuspected_answer(prompt, now);
+            }
+
             return;
         }
 
-        let fingerprint = request.fingerprints().request;
+        let fingerprints = request.fingerprints();
+        let released =
+            self.quarantine.borrow_mut().record_answer(fingerprints, is_success, self.now());
 
-        if self.quarantine.borrow_mut().record_answer(fingerprint, self.now()) {
+        for fingerprint in released {
             self.counters.quarantine.add("released");
             log::info!("quarantine released", kv: {
                 fingerprint = to_hex(fingerprint), cause = "answered",
@@ -217,6 +265,7 @@
         }
 
         self.suspects_changed.notify(usize::MAX);
+        self.refuse_waiting();
         self.schedule_decision();
     }
 
@@ -250,19 +299,33 @@
         }
     }
 
-    /// Records that a request was quarantined, and refuses those of its copies that wait for a
-    /// slot.
+    /// Records that a request or a part of prompts was quarantined, and refuses those that wait.
     fn record_quarantined(&self, fingerprint: Fingerprint, crashes: usize, from: &'static str) {
-        self.counters.quarantine.add("quarantined");
-        log::warn!("request quarantined", kv: { fingerprint = to_hex(fingerprint), crashes, from });
+        let targets = self.quarantine.borrow().targets_under(fingerprint).join(",");
+        let is_part = is_part(fingerprint);
+        let fingerprint = to_hex(fingerprint);
+        self.counters.quarantine.add(if is_part { "part_quarantined" } else { "quarantined" });
+
+        if is_part {
+            log::warn!("prompt part quarantined", kv: { fingerprint, crashes, from, targets });
+        } else {
+            log::warn!("request quarantined", kv: { fingerprint, crashes, from, targets });
+        }
+
+        self.refuse_waiting();
+    }
+
+    /// Refuses the requests that wait for a slot and may no longer be sent.
+    fn refuse_waiting(&self) {
+        if self.quarantine.borrow().is_idle() {
+            return;
+        }
+
         let now = self.now();
 
         for (service, ticket, request) in self.waiting.all() {
-            if request.fingerprints().request != fingerprint {
-                continue;
-            }
-
             if let Clearance::Refuse(left) = self.clearance(&request) {
+                self.trace_held(&request);
                 let reason = NoSlot::Quarantined(left);
                 assignment::dequeue_and_reply(self, &service, ticket, Err(reason), now);
             }
@@ -285,6 +348,7 @@
 
         self.counters.quarantine.add("crash");
         self.notify_updates();
+        self.refuse_waiting();
 
         if let Some(left_out) = self.suspect_lines.borrow_mut().try_acquire_line(now) {
             let (target, service) = (target.id.as_str(), target.service.as_str());
--- a/grebedeck/src/gateway/trace.rs
+++ b/grebedeck/src/gateway/trace.rs
@@ -143,6 +143,17 @@
         /// Ids of the parts of its prompt that it shares with other requests.
         part_ids: Vec<String>,
     },
+    /// The request was not sent because it, or a part of its prompt, is suspected to crash targets.
+    Held {
+        /// Fingerprint of the request or the part.
+        fingerprint: Fingerprint,
+        /// Id of the part, if it is one.
+        part_id: Option<String>,
+        /// Number of crashes attributed to it.
+        crashes: usize,
+        /// Whether it is in quarantine.
+        is_quarantined: bool,
+    },
     /// The request may be retried.
     RetryAuthorized {
         /// Retries left in the service's budget.
@@ -346,6 +357,15 @@
                     parts = logged_ids(part_ids),
                 });
             }
+            Decision::Held { fingerprint, part_id, crashes, is_quarantined } => {
+                log::info!("held", kv: {
+                    request, at_ms,
+                    fingerprint = to_hex(*fingerprint),
+                    part = part_id.as_deref().unwrap_or("-"),
+                    crashes = *crashes,
+                    quarantined = *is_quarantined,
+                });
+            }
             Decision::RetryAuthorized { retries_left, gateways } => {
                 log::info!("retry authorized", kv: {
                     request, at_ms, retries_left = *retries_left, gateways = *gateways,
