Two gateways that quarantine different parts of a pair still send requests with one of them

What callers saw: after three crashes before the first answer, one gateway took the deadly part for the cause and another the part that all requests had.

Cause: a part counted as a possible cause beside a quarantined one only while it was not in quarantine itself. With both there, each was refused alone.

Why this works: what matters is whether the other part has been answered, not whether it is in quarantine. The new test failed before.

--- a/grebedeck-routing/src/quarantine.rs
+++ b/grebedeck-routing/src/quarantine.rs
@@ -463,9 +463,8 @@
         }
 
         let (companions, crashes) = self.log.companions(part);
-        let is_lacking = |other: &Fingerprint| {
-            !self.contains(*other) && !self.was_answered(*other) && !request.contains(*other)
-        };
+        let is_lacking =
+            |other: &Fingerprint| !self.was_answered(*other) && !request.contains(*other);
 
         crashes >= CRASH_LIMIT && companions.iter().any(is_lacking)
     }
--- a/grebedeck-routing/tests/parts.rs
+++ b/grebedeck-routing/tests/parts.rs
@@ -196,6 +196,31 @@
     assert_eq!(process.clearance(&[RARE]), Clearance::Allow);
 }
 
+#[test]
+fn requests_with_one_part_of_a_pair_are_sent_although_both_are_quarantined() {
+    let (mut first, mut second) = (Process::default(), Process::default());
+
+    for process in [&mut first, &mut second] {
+        (0..3).for_each(|_| process.crash(&[&[COMMON, POISON]], &[]));
+    }
+
+    // Each has its own runs, from which it concludes that another part is the cause.
+    (0..2).for_each(|_| first.crash(&[], &[&[POISON], &[POISON], &[POISON]]));
+    (0..2).for_each(|_| second.crash(&[], &[COMMON_ONLY; 3]));
+    first.quarantine.decide(first.now);
+    second.quarantine.decide(second.now);
+    let (from_first, from_second) =
+        (first.quarantine.take_updates(), second.quarantine.take_updates());
+    first.quarantine.apply_report(&from_second, first.now);
+    second.quarantine.apply_report(&from_first, second.now);
+
+    for process in [&mut first, &mut second] {
+        assert_eq!(process.quarantine.len().2, 2, "both parts are in quarantine");
+        assert_eq!(process.clearance(&[COMMON]), Clearance::Allow);
+        assert!(process.is_refused(&[COMMON, POISON]));
+    }
+}
+
 #[test]
 fn a_crash_under_one_of_two_parts_accuses_that_one() {
     let mut process = Process::default();
