Streams and answers without length or chunks: a crash no longer looks like their end

What callers saw: a stream that ended within an event, or whose target was gone at its end, was closed with its last chunk, as if it was whole; an answer of which half had come was delivered with a length of its own.

Cause: the end of the connection was taken as the end of the body, whatever the content, except for events of resumable streams; and such an end neither cleared nor accused.

Why this works: the end of the last event is tracked for every event stream. Where an answer ends with its connection, the gateway opens the next connection to the target at once: if it is refused, the answer was broken off, and the request is suspected; otherwise it was answered, and the connection replaces the one that ended.

--- a/grebedeck-gateway/src/events.rs
+++ b/grebedeck-gateway/src/events.rs
@@ -48,6 +48,33 @@
     }
 }
 
+/// Tells whether a stream that is passed on as it arrives has ended within an event.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventTracker {
+    /// Last bytes of the stream, the newest last; zero before the first.
+    tail: [u8; 3],
+}
+
+impl EventTracker {
+    /// Records the next chunk of the body.
+    pub fn push(&mut self, chunk: &[u8]) {
+        for byte in &chunk[chunk.len().saturating_sub(self.tail.len())..] {
+            self.tail.rotate_left(1);
+            self.tail[2] = *byte;
+        }
+    }
+
+    /// Whether nothing has arrived.
+    pub fn is_empty(&self) -> bool {
+        self.tail[2] == 0
+    }
+
+    /// Whether the latest event is whole.
+    pub fn is_between_events(&self) -> bool {
+        self.is_empty() || self.tail.ends_with(b"\n\n") || self.tail == *b"\n\r\n"
+    }
+}
+
 /// End offset of the first empty line.
 fn find_end(bytes: &[u8]) -> Option<usize> {
     let is_end =
--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -39,7 +39,7 @@
 pub use coordinator::Coordinators;
 pub use delay::RetryAfter;
 pub use evacuation::{Evacuations, HallEvent, HallStatus, HallStatuses};
-pub use events::{Event, EventBuffer};
+pub use events::{Event, EventBuffer, EventTracker};
 pub use feed::{ApplyChange, Feed, FeedState};
 pub use limit::{Limits, Permit};
 pub use membership::Membership;
--- a/grebedeck/src/gateway/response.rs
+++ b/grebedeck/src/gateway/response.rs
@@ -4,13 +4,15 @@
 use std::sync::Arc;
 
 use grebedeck_core::Moment;
-use grebedeck_gateway::{TargetEntry, Verdict};
+use grebedeck_gateway::{TargetEntry, TargetState, Verdict};
 use grebedeck_http::{BodyDecoder, Connection, HttpError, ResponseHead};
 
 use super::attempt::InFlight;
 use super::buffer::Buffer;
 use super::history::FailureCause;
-use super::options::{MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_MEMORY_WAIT};
+use super::options::{
+    CONNECT_TIMEOUT, MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_MEMORY_WAIT, SOCKET_BUFFER_BYTES,
+};
 use super::request::RoutedRequest;
 use super::service::Gateway;
 
@@ -76,6 +78,11 @@
             }
         }
 
+        if self.ended_by_crash().await {
+            self.record_broken_attempt();
+            return Err(FailureCause::Broken);
+        }
+
         let head = self.head.clone();
         let is_success = self.verdict != Verdict::Failure;
         self.finish(is_success);
@@ -83,22 +90,48 @@
         Ok((head, body))
     }
 
-    /// Ends an attempt whose body has been read to its end.
+    /// Whether the body has neither a length nor chunks, and so ends with its connection.
+    pub fn is_unframed(&self) -> bool {
+        !self.decoder.is_complete()
+    }
+
+    /// Whether the target was gone at the end of a body that ends with its connection. The new
+    /// connection that shows it replaces the one that ended.
+    pub async fn ended_by_crash(&self) -> bool {
+        let target = &self.sent.target;
+
+        // A target that is leaving may be gone in order.
+        if !self.is_unframed()
+            || target.state == TargetState::Leaving
+            || self.gateway.is_earlier_start(target)
+        {
+            return false;
+        }
+
+        match Connection::connect(target.address, CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                let max_idle = self.gateway.max_idle_connections(&target.service);
+
+                if connection.limit_receive_buffer(SOCKET_BUFFER_BYTES).is_ok() {
+                    self.gateway.pool.put_new(target, connection, max_idle, self.gateway.now());
+                }
+
+                false
+            }
+            Err(error) => error.is_connection_refused(),
+        }
+    }
+
+    /// Ends an attempt whose body has been read to its end, and whose target was not gone then.
     pub fn finish(mut self, is_success: bool) {
         self.in_flight.record_outcome(is_success);
         self.connection.end_exchange();
 
-        // A response that is delimited by the end of its connection looks the same if its target
-        // crashes.
-        if !self.decoder.is_complete() {
-            return;
-        }
-
         let target = &self.sent.target;
         let is_success = is_success && self.head.is_success();
         self.gateway.record_request_answered(self.sent.request, is_success);
 
-        if !self.gateway.is_earlier_start(target) {
+        if !self.is_unframed() && !self.gateway.is_earlier_start(target) {
             let now = self.gateway.now();
             let max_idle = self.gateway.max_idle_connections(&target.service);
             self.gateway.pool.put(target, self.connection, &self.head, max_idle, now);
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use grebedeck_core::Moment;
-use grebedeck_gateway::{EventBuffer, RequestKind, TargetEntry};
+use grebedeck_gateway::{EventBuffer, EventTracker, RequestKind, TargetEntry};
 use grebedeck_http::{Connection, ResponseHead, write_chunk};
 
 use super::attempt;
@@ -35,6 +35,9 @@
 /// takes as long as this.
 const BLOCKED_WRITE: Duration = Duration::from_millis(500);
 
+/// Content type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// How one target's part of a stream ended.
 enum PartEnd {
     /// The stream is complete; its status.
@@ -164,6 +167,7 @@
     /// Forwards events until this target's part ends.
     async fn forward(&mut self, mut opened: OpenResponse<'_>, target: &TargetEntry) -> PartEnd {
         let mut events = EventBuffer::default();
+        let mut tracker = EventTracker::default();
         let mut reserved = Buffer::new(&self.gateway.responses);
 
         loop {
@@ -180,6 +184,7 @@
             match next {
                 Err(_) => return PartEnd::TimedOut,
                 Ok(Ok(Some(part))) => {
+                    tracker.push(&part);
                     let written = self.forward_part(&opened.head, &mut events, &part).await;
 
                     if let Some(end) = self.part_end_after_write(written) {
@@ -196,8 +201,7 @@
                         return PartEnd::Moved;
                     }
                 }
-                // A response that ends within an event was truncated, whatever its framing says.
-                Ok(Ok(None)) if events.remainder().is_empty() || !self.is_resumable() => {
+                Ok(Ok(None)) if self.is_whole(&opened, &tracker).await => {
                     let rest = Bytes::copy_from_slice(events.remainder());
                     let head = opened.head.clone();
                     opened.finish(true);
@@ -212,6 +216,21 @@
         }
     }
 
+    /// Whether a stream that has ended is whole. One that ends within an event was truncated,
+    /// whatever its framing says; one that ends with its connection, also if it has no event or its
+    /// target is gone.
+    async fn is_whole(&self, opened: &OpenResponse<'_>, tracker: &EventTracker) -> bool {
+        let content_type = opened.head.headers.text("content-type").unwrap_or_default();
+        let has_events = self.is_resumable() || content_type.starts_with(EVENT_STREAM);
+        let is_cut = !tracker.is_between_events() || (tracker.is_empty() && opened.is_unframed());
+
+        if has_events && is_cut {
+            return false;
+        }
+
+        !opened.ended_by_crash().await
+    }
+
     fn record_break(&mut self, opened: OpenResponse<'_>, target: &TargetEntry) -> PartEnd {
         opened.record_broken();
         let (target, last_event_id) = (target.id.clone(), self.request.last_event_id.get());
