--- a/grebedeck/src/gateway/dump.rs
+++ b/grebedeck/src/gateway/dump.rs
@@ -4,6 +4,7 @@
 
 use grebedeck_gateway::{Availability, TargetEntry};
 use grebedeck_routing::fingerprint::to_hex;
+use grebedeck_routing::prompt::is_part;
 use serde_json::json;
 
 use super::halls::evacuated_view;
@@ -47,9 +48,14 @@
 
         let quarantine = self.quarantine.borrow();
         let (crashes, suspects, _) = quarantine.len();
-        let quarantined = quarantine.entries();
-        let quarantined =
-            quarantined.map(|(r, trials)| json!({ "fingerprint": to_hex(r), "trials": trials }));
+        let quarantined = quarantine.entries().map(|(fingerprint, trials)| {
+            json!({
+                "fingerprint": to_hex(fingerprint),
+                "kind": if is_part(fingerprint) { "part" } else { "request" },
+                "trials": trials,
+                "targets": quarantine.targets_under(fingerprint),
+            })
+        });
 
         json!({
             "name": self.settings().name,
