An answer that ends with its connection clears its request only once its target is seen to go on

What callers could see: a process that ends closes its connections before its listener, and a connection opened in between is accepted. Such an answer would have cleared the deadly part that had just crashed its target.

Cause: one accepted connection counted as a proof that the target is alive. The probe after a broken attempt waits 100 ms for that reason.

Why this works: the connection that follows such an answer is watched for 100 ms in the background. If it stays open it goes to the pool and the request is cleared; if not, the target is probed as after a broken attempt. The answer itself is not delayed.

--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -326,6 +326,7 @@
         head,
         verdict,
         connection,
+        next_connection: None,
         decoder,
         sent,
         in_flight,
--- a/grebedeck/src/gateway/response.rs
+++ b/grebedeck/src/gateway/response.rs
@@ -10,9 +10,7 @@
 use super::attempt::InFlight;
 use super::buffer::Buffer;
 use super::history::FailureCause;
-use super::options::{
-    CONNECT_TIMEOUT, MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_MEMORY_WAIT, SOCKET_BUFFER_BYTES,
-};
+use super::options::{CONNECT_TIMEOUT, MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_MEMORY_WAIT};
 use super::request::RoutedRequest;
 use super::service::Gateway;
 
@@ -33,6 +31,8 @@
     /// Classification of the head.
     pub verdict: Verdict,
     pub(super) connection: Connection,
+    /// Connection that replaces one that ended with the body.
+    pub(super) next_connection: Option<Connection>,
     pub(super) decoder: BodyDecoder,
     pub(super) sent: SentRequest<'a>,
     pub(super) in_flight: InFlight,
@@ -95,9 +95,8 @@
         !self.decoder.is_complete()
     }
 
-    /// Whether the target was gone at the end of a body that ends with its connection. The new
-    /// connection that shows it replaces the one that ended.
-    pub async fn ended_by_crash(&self) -> bool {
+    /// Whether the target was gone at the end of a body that ends with its connection.
+    pub async fn ended_by_crash(&mut self) -> bool {
         let target = &self.sent.target;
 
         // A target that is leaving may be gone in order.
@@ -110,12 +109,7 @@
 
         match Connection::connect(target.address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
-                let max_idle = self.gateway.max_idle_connections(&target.service);
-
-                if connection.limit_receive_buffer(SOCKET_BUFFER_BYTES).is_ok() {
-                    self.gateway.pool.put_new(target, connection, max_idle, self.gateway.now());
-                }
-
+                self.next_connection = Some(connection);
                 false
             }
             Err(error) => error.is_connection_refused(),
@@ -127,11 +121,20 @@
         self.in_flight.record_outcome(is_success);
         self.connection.end_exchange();
 
-        let target = &self.sent.target;
+        let SentRequest { request, target, sent_at } = &self.sent;
         let is_success = is_success && self.head.is_success();
-        self.gateway.record_request_answered(self.sent.request, is_success);
 
-        if !self.is_unframed() && !self.gateway.is_earlier_start(target) {
+        if self.is_unframed() {
+            if let Some(connection) = self.next_connection.take() {
+                self.gateway.confirm_answer(request, target, *sent_at, is_success, connection);
+            }
+
+            return;
+        }
+
+        self.gateway.record_request_answered(request, is_success);
+
+        if !self.gateway.is_earlier_start(target) {
             let now = self.gateway.now();
             let max_idle = self.gateway.max_idle_connections(&target.service);
             self.gateway.pool.put(target, self.connection, &self.head, max_idle, now);
--- a/grebedeck/src/gateway/stream.rs
+++ b/grebedeck/src/gateway/stream.rs
@@ -201,7 +201,7 @@
                         return PartEnd::Moved;
                     }
                 }
-                Ok(Ok(None)) if self.is_whole(&opened, &tracker).await => {
+                Ok(Ok(None)) if self.is_whole(&mut opened, &tracker).await => {
                     let rest = Bytes::copy_from_slice(events.remainder());
                     let head = opened.head.clone();
                     opened.finish(true);
@@ -219,7 +219,7 @@
     /// Whether a stream that has ended is whole. One that ends within an event was truncated,
     /// whatever its framing says; one that ends with its connection, also if it has no event or its
     /// target is gone.
-    async fn is_whole(&self, opened: &OpenResponse<'_>, tracker: &EventTracker) -> bool {
+    async fn is_whole(&self, opened: &mut OpenResponse<'_>, tracker: &EventTracker) -> bool {
         let content_type = opened.head.headers.text("content-type").unwrap_or_default();
         let has_events = self.is_resumable() || content_type.starts_with(EVENT_STREAM);
         let is_cut = !tracker.is_between_events() || (tracker.is_empty() && opened.is_unframed());
--- a/grebedeck/src/gateway/suspects.rs
+++ b/grebedeck/src/gateway/suspects.rs
@@ -18,10 +18,10 @@
 use grebedeck_routing::fingerprint::to_hex;
 use grebedeck_routing::prompt::is_part;
 use grebedeck_routing::quarantine::ProbeResult;
-use grebedeck_routing::{Clearance, Fingerprint, Report, TargetStart};
+use grebedeck_routing::{Clearance, Fingerprint, Fingerprints, Report, TargetStart};
 
 use super::assignment;
-use super::options::CONNECT_TIMEOUT;
+use super::options::{CONNECT_TIMEOUT, SOCKET_BUFFER_BYTES};
 use super::request::RoutedRequest;
 use super::service::Gateway;
 use super::slot::NoSlot;
@@ -223,7 +223,10 @@
             return;
         }
 
-        let fingerprints = request.fingerprints();
+        self.clear_suspicion(request.fingerprints(), is_success);
+    }
+
+    fn clear_suspicion(&self, fingerprints: &Fingerprints, is_success: bool) {
         let released =
             self.quarantine.borrow_mut().record_answer(fingerprints, is_success, self.now());
 
@@ -237,6 +240,50 @@
         self.notify_updates();
     }
 
+    /// Records the answer to a request that ended with its connection, once `connection`, which was
+    /// opened after it, has shown that the target goes on. Otherwise the target is probed as after
+    /// a broken attempt.
+    pub(super) fn confirm_answer(
+        self: &Rc<Self>,
+        request: &RoutedRequest,
+        target: &Arc<TargetEntry>,
+        sent_at: Moment,
+        is_success: bool,
+        mut connection: Connection,
+    ) {
+        let (gateway, target) = (self.clone(), target.clone());
+        let fingerprints = request.fingerprints().clone();
+        let confirmation = async move {
+            if timeout(MIN_OPEN_TIME, connection.wait_closed(1)).await.is_err() {
+                gateway.pool_new(&target, connection);
+                return gateway.clear_suspicion(&fingerprints, is_success);
+            }
+
+            let listed = TargetStart::listed(&target.id, target.born_ms);
+            let start = gateway.quarantine.borrow_mut().record_broken_attempt(
+                &listed,
+                &fingerprints,
+                sent_at,
+                gateway.now(),
+            );
+
+            if let Some(start) = start {
+                probe_target(gateway, target, start).await;
+            }
+        };
+
+        self.tasks.spawn(confirmation).detach();
+    }
+
+    /// Puts a new connection into the pool.
+    fn pool_new(&self, target: &TargetEntry, connection: Connection) {
+        let max_idle = self.max_idle_connections(&target.service);
+
+        if connection.limit_receive_buffer(SOCKET_BUFFER_BYTES).is_ok() {
+            self.pool.put_new(target, connection, max_idle, self.now());
+        }
+    }
+
     /// Wakes the tasks that send updates to other gateways and to the store, if there are any.
     fn notify_updates(&self) {
         if self.quarantine.borrow().has_updates() {
@@ -370,8 +417,7 @@
 
     if let Some(connection) = connection {
         // The probe's connection replaces the one that broke.
-        let max_idle = gateway.max_idle_connections(&target.service);
-        gateway.pool.put_new(&target, connection, max_idle, gateway.now());
+        gateway.pool_new(&target, connection);
     }
 
     gateway.record_probe(&target, &start, result);
