--- a/grebedeck-routing/src/quarantine.rs
+++ b/grebedeck-routing/src/quarantine.rs
@@ -399,6 +399,8 @@
         })
     }
 
+    /// Returns whether `whole` may be sent, as far as `request` is concerned: its own fingerprint or
+    /// that of a part.
     fn clearance_of(
         &mut self,
         request: Fingerprint,
@@ -712,6 +714,7 @@
         Some((open.len(), until))
     }
 
+    /// Returns the requests and parts with enough crashes for quarantine that may be their cause.
     fn candidates(&self) -> Vec<(Fingerprint, Suspicion)> {
         let is_candidate = |request: &Fingerprint| {
             !self.contains(*request) && (!is_part(*request) || self.is_plausible(*request))
