Test of entries with a poison part: sound requests must be served once the crashed targets are back

Traced by the answer's text; nothing was quarantined but the poison part. The test wanted every sound request served, also in the 0.6 s in which targets that had just crashed refuse connections, which no entry can promise. It now wants every one sent later served, and none refused for another reason, a quarantine above all.

--- a/grebedeck-lab/tests/crashes.rs
+++ b/grebedeck-lab/tests/crashes.rs
@@ -255,6 +255,7 @@
         let site = start(&poison_runs).await;
         let entries = site.entry_addresses();
         let mut last_poison = 0;
+        let mut sound = Vec::new();
 
         for number in 0..POISON_REQUESTS {
             let caller = Caller::new(entries[number % entries.len()], "northwind", "brittle");
@@ -262,17 +263,30 @@
                 let mut request = caller.request(Method::Put, &format!("{path}/{number}"));
                 request
                     .insert_header("grebedeck-prompt-parts", format!("c0:40,{parts}f{number}:9"));
-                caller.send(request).await.map(|answer| answer.status)
+                caller.send(request).await.map(|answer| (answer.status, answer.text()))
             };
 
             async_std::task::sleep(POISON_PAUSE).await;
-            assert_eq!(ask("", "/sound").await.ok(), Some(200), "{number}");
+            let sent = Instant::now();
+            sound.push((sent, ask("", "/sound").await.expect("an answer")));
             // An answer that is cut off is an error.
-            last_poison = ask("deadbeef:40,", "/other").await.unwrap_or(0);
+            last_poison = ask("deadbeef:40,", "/other").await.map_or(0, |(status, _)| status);
         }
 
         assert_quarantined(&poison_runs);
         assert_eq!(last_poison, 503);
+
+        let last_crash =
+            *poison_runs.lock().expect("mutex not poisoned").crashes.last().expect("one");
+        let after = sound.iter().filter(|(sent, _)| *sent > last_crash + DOWNTIME * 2);
+        assert!(after.clone().count() > 0, "sound requests were sent after the last crash");
+        after.for_each(|(_, (status, text))| assert_eq!(*status, 200, "{text}"));
+
+        // While targets are down both attempts may meet one of them.
+        let failed = sound.iter().filter(|(_, (status, _))| *status != 200);
+        failed.for_each(|(_, (_, text))| {
+            assert!(text.contains("no target could be reached"), "{text}")
+        });
         site.stop().await;
     });
 }
