Gateway: an answer whose target is gone after all is suspected by the same code as a broken attempt

Cause: the check of a connection that follows an unframed answer wrote the second half of `record_broken_attempt` again, without its guard for leaving targets and without telling others when the target was already known to have crashed.

Change: `suspect` and `ends_in_order` serve both, so the guard and the notification now hold there too.

--- a/grebedeck/src/gateway/suspects.rs
+++ b/grebedeck/src/gateway/suspects.rs
@@ -171,19 +171,12 @@
         target: &Arc<TargetEntry>,
         sent_at: Moment,
     ) {
-        let is_leaving = target.state == TargetState::Leaving
-            || self.with_targets(|targets| !targets.takes_work(target));
-
-        if is_leaving && !self.is_earlier_start(target) {
+        if self.ends_in_order(target) {
             return;
         }
 
-        let fingerprints = request.fingerprints();
-        let fingerprint = fingerprints.request;
-        let listed = TargetStart::listed(&target.id, target.born_ms);
-        let now = self.now();
-        let start =
-            self.quarantine.borrow_mut().record_broken_attempt(&listed, fingerprints, sent_at, now);
+        self.suspect(request.fingerprints(), target, sent_at);
+        let fingerprint = request.fingerprints().request;
         let crashes = self.quarantine.borrow().suspicion(fingerprint).crashes;
         let decision = Decision::Suspected {
             target: target.id.clone(),
@@ -191,7 +184,29 @@
             crashes,
             part_ids: request.part_ids().to_vec(),
         };
-        request.trace.add(now, decision);
+        request.trace.add(self.now(), decision);
+    }
+
+    /// Returns whether a target is leaving, and so ends without a crash.
+    fn ends_in_order(&self, target: &TargetEntry) -> bool {
+        let is_leaving = target.state == TargetState::Leaving
+            || self.with_targets(|targets| !targets.takes_work(target));
+
+        is_leaving && !self.is_earlier_start(target)
+    }
+
+    /// Suspects a request that was running on a target, and probes the target unless it is known to
+    /// have crashed.
+    fn suspect(
+        self: &Rc<Self>,
+        fingerprints: &Fingerprints,
+        target: &Arc<TargetEntry>,
+        sent_at: Moment,
+    ) {
+        let listed = TargetStart::listed(&target.id, target.born_ms);
+        let now = self.now();
+        let start =
+            self.quarantine.borrow_mut().record_broken_attempt(&listed, fingerprints, sent_at, now);
 
         match start {
             Some(start) => {
@@ -259,16 +274,8 @@
                 return gateway.clear_suspicion(&fingerprints, is_success);
             }
 
-            let listed = TargetStart::listed(&target.id, target.born_ms);
-            let start = gateway.quarantine.borrow_mut().record_broken_attempt(
-                &listed,
-                &fingerprints,
-                sent_at,
-                gateway.now(),
-            );
-
-            if let Some(start) = start {
-                probe_target(gateway, target, start).await;
+            if !gateway.ends_in_order(&target) {
+                gateway.suspect(&fingerprints, &target, sent_at);
             }
         };
 
