--- a/review/standins/src/process.rs
+++ b/review/standins/src/process.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Sends SIGKILL and does not wait for the end.
+    pub fn kill_now(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+        }
+    }
+
     pub fn is_running(&self) -> bool {
         self.child.is_some()
     }
