--- a/review/standins/src/process.rs
+++ b/review/standins/src/process.rs
@@ -40,17 +40,10 @@
             .stderr(errors)
             .spawn();
         let child = child.expect("the program was built");
-        self.note_id(child.id());
+        note_id(self.log.parent().expect("a folder"), child.id());
         self.child = Some(child);
     }
 
-    /// Notes the id, so that the script can end the process if this program is stopped.
-    fn note_id(&self, id: u32) {
-        let path = self.log.with_file_name("ids");
-        let mut file = File::options().create(true).append(true).open(path).expect("a list of ids");
-        let _ = writeln!(file, "{id}");
-    }
-
     /// Sends a signal.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
@@ -92,6 +85,13 @@
     }
 }
 
+/// Notes the id of a process, so that the script can end it if this program is stopped.
+pub fn note_id(folder: &Path, id: u32) {
+    let path = folder.join("ids");
+    let mut file = File::options().create(true).append(true).open(path).expect("a list of ids");
+    let _ = writeln!(file, "{id}");
+}
+
 /// A port that is free at all of these addresses, for TCP and UDP.
 pub fn free_port(addresses: &[IpAddr]) -> u16 {
     loop {
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -26,8 +27,18 @@
 impl Store {
     /// Serves the store at an address.
     pub fn serve(&self, address: SocketAddr) {
+        self.serve_unless(address, Arc::default());
+    }
+
+    /// Serves the store at an address for machines that it turns away (503) while `is_away` is set.
+    pub fn serve_unless(&self, address: SocketAddr, is_away: Arc<AtomicBool>) {
         let store = self.clone();
-        crate::http::serve(address, move |stream| store.serve_connection(stream));
+        crate::http::serve(address, move |stream| store.serve_connection(stream, &is_away));
+    }
+
+    /// Whether a row is there.
+    pub fn has(&self, table: &str, key: &str) -> bool {
+        self.lock().rows.contains_key(&(table.to_string(), key.to_string()))
     }
 
     fn lock(&self) -> MutexGuard<'_, Rows> {
@@ -54,9 +65,12 @@
         rows.log.push((version, table.into(), key.into()));
     }
 
-    fn serve_connection(&self, mut stream: TcpStream) {
+    fn serve_connection(&self, mut stream: TcpStream, is_away: &AtomicBool) {
         while let Some(request) = read_message(&mut stream) {
-            let (status, body) = self.answer(&request);
+            let (status, body) = match is_away.load(Ordering::Relaxed) {
+                true => (503, "{}".to_string()),
+                false => self.answer(&request, is_away),
+            };
 
             if !answer(&mut stream, status, "", &body) {
                 return;
@@ -64,13 +78,13 @@
         }
     }
 
-    fn answer(&self, request: &Message) -> (u16, String) {
+    fn answer(&self, request: &Message, is_away: &AtomicBool) -> (u16, String) {
         let table = request.parameter("table").unwrap_or_default();
         let number = |name| request.parameter(name).and_then(|v| v.parse().ok()).unwrap_or(0);
 
         match request.path() {
             "/-/rows-get" => (200, self.read(table, request.parameter("from").unwrap_or(""))),
-            "/-/rows-feed" => (200, self.watch(table, number("after"), number("wait_ms"))),
+            "/-/rows-feed" => self.watch(table, number("after"), number("wait_ms"), is_away),
             "/-/rows-tx" => self.transact(&request.body),
             _ => (404, "{}".into()),
         }
@@ -88,7 +102,13 @@
         page(&listed, rows.version)
     }
 
-    fn watch(&self, table: &str, after: u64, wait_ms: u64) -> String {
+    fn watch(
+        &self,
+        table: &str,
+        after: u64,
+        wait_ms: u64,
+        is_away: &AtomicBool,
+    ) -> (u16, String) {
         let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
 
         loop {
@@ -98,8 +118,12 @@
                 let listed: Vec<String> =
                     changed.map(|(v, t, key)| rows.change(*v, t, key)).collect();
 
+                if is_away.load(Ordering::Relaxed) {
+                    return (503, "{}".to_string());
+                }
+
                 if !listed.is_empty() || Instant::now() >= until {
-                    return page(&listed, rows.version);
+                    return (200, page(&listed, rows.version));
                 }
             }
 
