--- a/review/standins/src/bin/early_end.rs
+++ b/review/standins/src/bin/early_end.rs
@@ -155,7 +155,9 @@
     }
 
     if cut > 0 {
-        let text = format!("ORDER broken: {cut} of {ROUNDS} streams end as complete before event {EVENTS}");
+        let text = format!(
+            "ORDER broken: {cut} of {ROUNDS} streams end as complete before event {EVENTS}"
+        );
         return record.end(1, &text);
     }
 
@@ -218,7 +220,13 @@
     (status, ids, is_whole)
 }
 
-fn start_runner(root: &Path, folder: &Path, store: &Store, address: SocketAddr, id: String) -> Runner {
+fn start_runner(
+    root: &Path,
+    folder: &Path,
+    store: &Store,
+    address: SocketAddr,
+    id: String,
+) -> Runner {
     let child = Command::new(root.join("target/review/release/runner"))
         .args([address.to_string(), id.clone(), EVENTS.to_string(), PAUSE_MS.to_string()])
         .stdin(Stdio::null())
--- a/review/standins/src/bin/stale.rs
+++ b/review/standins/src/bin/stale.rs
@@ -142,7 +142,8 @@
             gateways.iter().map(|n| ask(front(n), change, &format!("b{change}-{n}"))).collect();
 
         if change == 0 && before.iter().any(|status| *status != Some(200)) {
-            return record.end(2, &format!("the case did not run: before, answers were {before:?}"));
+            return record
+                .end(2, &format!("the case did not run: before, answers were {before:?}"));
         }
 
         put_config(store, change + 1);
@@ -181,7 +182,9 @@
                 sent.get(&run.id).map(|at| at.saturating_duration_since(acknowledged))
             });
             let last = last.max().unwrap_or_default().as_secs_f64();
-            record.line(&format!("gateway {gateway}: the last request with it that ran was sent {last:.1} s later"));
+            record.line(&format!(
+                "gateway {gateway}: the last request with it that ran was sent {last:.1} s later"
+            ));
         }
 
         if let Some(first) = late.first() {
@@ -199,7 +202,10 @@
     }
 
     let worst = worst.as_secs_f64();
-    record.end(0, &format!("held: the last request with a key taken away was sent {worst:.1} s later"))
+    record.end(
+        0,
+        &format!("held: the last request with a key taken away was sent {worst:.1} s later"),
+    )
 }
 
 /// Sends a request with a key; returns the status.
@@ -240,8 +246,7 @@
 }
 
 fn start_gateway(root: &Path, folder: &Path, ports: &Ports, number: usize) -> Process {
-    let seeds: Vec<String> =
-        (0..3).map(|n| format!("\"{}:{}\"", machine(n), ports.peer)).collect();
+    let seeds: Vec<String> = (0..3).map(|n| format!("\"{}:{}\"", machine(n), ports.peer)).collect();
     let hall = HALLS[number % GATEWAYS];
     let settings = format!(
         "{{\"name\":\"edge-{number}\",\"hall\":\"{hall}\",\"caller_address\":\"{0}:{1}\",\
--- a/review/standins/src/bin/stall.rs
+++ b/review/standins/src/bin/stall.rs
@@ -17,16 +17,12 @@
 use review_standins::engines::{Engines, Fate, Group, LATE_UNTIL, RANKS};
 use review_standins::process::Process;
 use review_standins::record::Record;
+use review_standins::recover;
 use review_standins::site::Site;
 use review_standins::text::{number, word};
 
 /// Killed processes start again after this time.
 const RESTART: Duration = Duration::from_millis(500);
-/// `recover_s` of the site.
-const RECOVER: Duration = Duration::from_secs(12);
-/// How long requests are counted after that, and how long the last of them may take.
-const COUNTED: Duration = Duration::from_secs(10);
-const DEADLINE: Duration = Duration::from_secs(8);
 /// Pause between two requests of the clients.
 const PAUSE: Duration = Duration::from_millis(125);
 /// Most times that the processes are killed until the plans' numbers fall.
@@ -103,7 +99,7 @@
         Ok(at) => {
             let (served, asked) = clients::served(&book, began, began + Duration::from_secs(3));
             engines.record.line(&format!("before: {served} of {asked} requests were served"));
-            judge(&engines, &book, at, served * 4 >= asked && asked > 0)
+            recover::judge(&engines, &book, at, served * 4 >= asked && asked > 0)
         }
     };
     is_over.store(true, Ordering::Relaxed);
@@ -209,35 +205,3 @@
 
     Err("no plan was made")
 }
-
-fn judge(engines: &Engines, book: &clients::Book, at: Instant, was_served: bool) -> i32 {
-    if !was_served {
-        return engines.record.end(2, "the case did not run: too little was served before");
-    }
-
-    let from = at + RECOVER;
-    let to = from + COUNTED;
-    std::thread::sleep((to + DEADLINE).saturating_duration_since(Instant::now()));
-    let (served, asked) = clients::served(book, from, to);
-    let group = engines.lock();
-    let stands = group.pass_at.elapsed().as_secs();
-    let state = match group.held() {
-        Some(held) => format!(
-            "pass {held} is held, no pass has begun for {stands} s, and the ranks are armed for {:?}",
-            group.armed()
-        ),
-        None => format!("pass {} began {stands} s ago", group.pass),
-    };
-    drop(group);
-    engines.record.line(&state);
-    let text = format!(
-        "{served} of {asked} requests were served that were sent 12 s to 22 s after the last \
-         disruption; {state}"
-    );
-
-    if served * 4 < asked {
-        engines.record.end(1, &format!("RECOVER broken: {text}"))
-    } else {
-        engines.record.end(0, &format!("held: {text}"))
-    }
-}
--- a/review/standins/src/engines.rs
+++ b/review/standins/src/engines.rs
@@ -17,7 +17,7 @@
 /// Events of a whole stream; each pass makes one.
 pub const EVENTS: u64 = 28;
 /// Length of a pass.
-const PASS: Duration = Duration::from_millis(60);
+pub const PASS: Duration = Duration::from_millis(60);
 const COPY: Duration = Duration::from_millis(40);
 /// Age of a report that another machine gets.
 const REPORT_LAG: Duration = Duration::from_millis(200);
@@ -66,6 +66,8 @@
     engines: Vec<Engine>,
     pub pass: u64,
     pub pass_at: Instant,
+    /// Length of a pass at present.
+    pub pass_length: Duration,
     /// The rank whose experts are in demand; all are alike if there is none.
     pub wanted: Option<usize>,
     /// Whether the group always has requests, without those of clients.
@@ -98,15 +100,13 @@
 
 impl Engines {
     pub fn new(record: Record, app: u16, is_busy: bool) -> Self {
-        let first = Engine {
-            content: initial_map(),
-            counts: vec![0; SETS * EXPERTS],
-            ..Engine::default()
-        };
+        let first =
+            Engine { content: initial_map(), counts: vec![0; SETS * EXPERTS], ..Engine::default() };
         let group = Group {
             engines: vec![first; RANKS],
             pass: 0,
             pass_at: Instant::now(),
+            pass_length: PASS,
             wanted: None,
             is_busy,
             late: Vec::new(),
@@ -337,7 +337,7 @@
         let is_held = self.engines.iter().any(|engine| engine.held == Some(next));
         let has_work = self.is_busy || self.engines.iter().any(|engine| engine.running > 0);
 
-        if now >= self.pass_at + PASS && !is_held && has_work {
+        if now >= self.pass_at + self.pass_length && !is_held && has_work {
             self.begin_pass(record);
         }
     }
@@ -373,7 +373,8 @@
         let differs = |e: &Engine| e.map != first.map || e.content != first.content;
 
         if let Some(other) = self.engines.iter().position(differs) {
-            let text = format!("pass {pass} begins, and the maps of the ranks are {:?}", self.maps());
+            let text =
+                format!("pass {pass} begins, and the maps of the ranks are {:?}", self.maps());
             record.line(&text);
 
             if self.differing.is_none() {
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod http;
 pub mod process;
 pub mod record;
+pub mod recover;
 pub mod site;
 pub mod store;
 pub mod text;
--- a/review/standins/src/process.rs
+++ b/review/standins/src/process.rs
@@ -47,8 +47,8 @@
     /// Sends a signal.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let id = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+            let kill = format!("kill -{name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &kill]).status();
         }
     }
 
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -102,13 +102,7 @@
         page(&listed, rows.version)
     }
 
-    fn watch(
-        &self,
-        table: &str,
-        after: u64,
-        wait_ms: u64,
-        is_away: &AtomicBool,
-    ) -> (u16, String) {
+    fn watch(&self, table: &str, after: u64, wait_ms: u64, is_away: &AtomicBool) -> (u16, String) {
         let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
 
         loop {
@@ -168,8 +162,5 @@
 }
 
 fn page(rows: &[String], version: u64) -> String {
-    format!(
-        "{{\"rows\":[{}],\"more\":false,\"ver\":{version},\"now_ms\":1}}",
-        rows.join(",")
-    )
+    format!("{{\"rows\":[{}],\"more\":false,\"ver\":{version},\"now_ms\":1}}", rows.join(","))
 }
