--- a/review/standins-2/src/bin/versions.rs
+++ b/review/standins-2/src/bin/versions.rs
@@ -17,7 +17,7 @@
 /// `big_config`, `count = 350`: as many routes more, each time.
 const BIG_CONFIG: usize = 350;
 /// How often the configuration grows by many routes.
-const BIG_CONFIGS: usize = 6;
+const BIG_CONFIGS: usize = 7;
 /// Routes at the start, as on cedarline-hq (`idle_routes`).
 const IDLE_ROUTES: usize = 110;
 /// `config_storm`, `for_s = 1.5, gap_s = 0.06`, the densest of cedarline-hq.
--- a/review/standins-2/src/process.rs
+++ b/review/standins-2/src/process.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::Result;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -20,6 +21,21 @@
     format!("127.{}.{}", 40 + id / 250 % 200, 1 + id % 250)
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, value: u64, ...) -> i32;
+}
+
+/// Has the kernel end a process with the script, should the script itself be killed.
+fn end_with_parent() -> Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// A port of an address that is free now.
 pub fn free_port(ip: &str) -> Result<u16> {
     Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
@@ -108,15 +124,7 @@
 
     /// Starts the process.
     pub fn start(&mut self) -> Result<()> {
-        let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(PROGRAM)
-            .arg("gateway")
-            .env_clear()
-            .env("GREBEDECK_CONFIG", &self.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        let child = spawn("gateway", &self.settings, &self.log)?;
         self.child = Some(child);
         Ok(())
     }
@@ -190,6 +198,81 @@
     }
 }
 
+/// The process beside a rank.
+pub struct RankProcess {
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl RankProcess {
+    /// Writes a rank process's settings: `deploy/rank.json`, filled for a `side` machine.
+    pub fn create(
+        ip: &str,
+        name: &str,
+        target: SocketAddr,
+        group_port: u16,
+        store: SocketAddr,
+        folder: &Path,
+    ) -> Result<RankProcess> {
+        let metrics = free_port(ip)?;
+        let text = format!(
+            r#"{{
+  "name": "{name}",
+  "hall": "burnaby-hall",
+  "ip": "{ip}",
+  "target_address": "{target}",
+  "service": "huvo11a",
+  "group_port": {group_port},
+  "metrics_address": "{ip}:{metrics}",
+  "store_address": "{store}"
+}}
+"#
+        );
+        let settings = folder.join(format!("{name}.json"));
+        std::fs::write(&settings, text)?;
+
+        Ok(RankProcess { settings, log: folder.join(format!("{name}.log")), child: None })
+    }
+
+    /// Starts the process.
+    pub fn start(&mut self) -> Result<()> {
+        self.child = Some(spawn("rank", &self.settings, &self.log)?);
+        Ok(())
+    }
+
+    /// Sends SIGKILL and waits for the end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for RankProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Starts a role as the deploy file says.
+fn spawn(role: &str, settings: &Path, log: &Path) -> Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    let mut command = Command::new(PROGRAM);
+    // SAFETY: the call is safe between fork and exec.
+    unsafe { command.pre_exec(end_with_parent) };
+
+    command
+        .arg(role)
+        .env_clear()
+        .env("GREBEDECK_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()
+}
+
 /// Whether the disruption is played.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
