--- a/review/standins-2/src/bin/gone.rs
+++ b/review/standins-2/src/bin/gone.rs
@@ -17,7 +17,7 @@
 const SILENT_FOR: Duration = Duration::from_millis(500);
 /// How long the runner serves on after its entry has gone.
 const SERVES_ON: Duration = Duration::from_millis(4600);
-const CLIENTS: usize = 6;
+const CLIENTS: usize = 12;
 const WORK: Duration = Duration::from_millis(60);
 
 fn config() -> String {
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -2,7 +2,6 @@
 //! deployment. They speak what the users' pages say.
 
 pub mod client;
-pub mod engine;
 pub mod http;
 pub mod json;
 pub mod process;
--- a/review/standins-2/src/process.rs
+++ b/review/standins-2/src/process.rs
@@ -198,64 +198,6 @@
     }
 }
 
-/// The process beside a rank.
-pub struct RankProcess {
-    settings: PathBuf,
-    log: PathBuf,
-    child: Option<Child>,
-}
-
-impl RankProcess {
-    /// Writes a rank process's settings: `deploy/rank.json`, filled for a `side` machine.
-    pub fn create(
-        ip: &str,
-        name: &str,
-        target: SocketAddr,
-        group_port: u16,
-        store: SocketAddr,
-        folder: &Path,
-    ) -> Result<RankProcess> {
-        let metrics = free_port(ip)?;
-        let text = format!(
-            r#"{{
-  "name": "{name}",
-  "hall": "burnaby-hall",
-  "ip": "{ip}",
-  "target_address": "{target}",
-  "service": "huvo11a",
-  "group_port": {group_port},
-  "metrics_address": "{ip}:{metrics}",
-  "store_address": "{store}"
-}}
-"#
-        );
-        let settings = folder.join(format!("{name}.json"));
-        std::fs::write(&settings, text)?;
-
-        Ok(RankProcess { settings, log: folder.join(format!("{name}.log")), child: None })
-    }
-
-    /// Starts the process.
-    pub fn start(&mut self) -> Result<()> {
-        self.child = Some(spawn("rank", &self.settings, &self.log)?);
-        Ok(())
-    }
-
-    /// Sends SIGKILL and waits for the end.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-impl Drop for RankProcess {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// Starts a role as the deploy file says.
 fn spawn(role: &str, settings: &Path, log: &Path) -> Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
