--- a/review/standins-2/src/bin/gone.rs
+++ b/review/standins-2/src/bin/gone.rs
@@ -90,6 +90,7 @@
             host: "ficu95.example".to_string(),
             key: "n2ctnfzs989anu6wsjnb".to_string(),
             deadline: Duration::from_millis(1500),
+            headers: String::new(),
         };
         let (name, period) = (format!("c{at}-"), Duration::from_millis(80));
         threads.push(clients.start(name, gateway.front, call, period, record));
--- a/review/standins-2/src/bin/versions.rs
+++ b/review/standins-2/src/bin/versions.rs
@@ -127,6 +127,7 @@
             host: "ficu95.example".to_string(),
             key: format!("key{at:017}"),
             deadline: Duration::from_millis(1500),
+            headers: String::new(),
         };
         let front = gateways[at % GATEWAYS].front;
         let period = Duration::from_millis(100);
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -28,6 +28,8 @@
     pub host: String,
     pub key: String,
     pub deadline: Duration,
+    /// Further header lines, each with its end.
+    pub headers: String,
 }
 
 #[derive(Clone, Default)]
@@ -80,7 +82,12 @@
 }
 
 /// Sends one request and reads its answer.
-fn exchange(wire: &mut Option<Wire>, gateway: SocketAddr, call: &Call, id: &str) -> Option<u16> {
+pub fn exchange(
+    wire: &mut Option<Wire>,
+    gateway: SocketAddr,
+    call: &Call,
+    id: &str,
+) -> Option<u16> {
     let mut open = match wire.take() {
         Some(open) => open,
         None => Wire::new(TcpStream::connect_timeout(&gateway, CONNECT).ok()?),
@@ -88,17 +95,18 @@
     let body = if call.method == "POST" { "b".repeat(600) } else { String::new() };
     let text = format!(
         "{} {} HTTP/1.1\r\nHost: {}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\n\
-         Authorization: Bearer {}\r\nContent-Length: {}\r\n\r\n{body}",
+         Authorization: Bearer {}\r\n{}Content-Length: {}\r\n\r\n{body}",
         call.method,
         call.path,
         call.host,
         call.deadline.as_millis(),
         call.key,
+        call.headers,
         body.len()
     );
     open.stream.set_read_timeout(Some(call.deadline + Duration::from_secs(1))).ok()?;
     open.stream.write_all(text.as_bytes()).ok()?;
-    let answer = open.read().ok()?;
+    let answer = open.read_answer().ok()?;
     let closes = answer.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
 
     if !closes {
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -81,4 +81,37 @@
         self.ahead = rest;
         Ok(message)
     }
+
+    /// Reads the next answer, which may come in chunks.
+    pub fn read_answer(&mut self) -> Result<Message> {
+        let mut answer = self.read()?;
+
+        if answer.header("transfer-encoding").is_none() {
+            return Ok(answer);
+        }
+
+        loop {
+            let line_end = loop {
+                match self.ahead.windows(2).position(|w| w == b"\r\n") {
+                    Some(at) => break at,
+                    None => self.fill()?,
+                }
+            };
+            let line = String::from_utf8_lossy(&self.ahead[..line_end]).to_string();
+            let invalid = || Error::new(ErrorKind::InvalidData, "length of a chunk");
+            let length = usize::from_str_radix(&line, 16).map_err(|_| invalid())?;
+
+            while self.ahead.len() < line_end + 2 + length + 2 {
+                self.fill()?;
+            }
+
+            let from = line_end + 2;
+            answer.body.extend_from_slice(&self.ahead[from..from + length]);
+            self.ahead.drain(..from + length + 2);
+
+            if length == 0 {
+                return Ok(answer);
+            }
+        }
+    }
 }
