--- a/review/standins-2/src/bin/oversize.rs
+++ b/review/standins-2/src/bin/oversize.rs
@@ -176,6 +176,8 @@
     record.show(&format!("before the kill {served_before} of {all_before} requests were served"));
     record.show(&format!("from 12 s after all were back {served_after} of {all_after}"));
     record.show(&format!("{rejected} requests were rejected by runners as too large"));
+    let paced: usize = gateways.iter().map(|gateway| gateway.log_lines("\"paced\"").len()).sum();
+    record.show(&format!("{paced} lines in the gateways' logs give `paced` as the reason"));
     let is_broken = served_before * 4 >= all_before && served_after * 4 < all_after;
     record.show(if is_broken { "rule RECOVER: broken" } else { "rule RECOVER: held" });
 
