gateway: keep one version of the configuration for followers

Cause: the feed that a gateway keeps for followers bounded the number of changes and not their size, and a change of the configuration holds all of it. Evidence: the dump's new `feeds` on the old behaviour showed 12.6 MB of changes after 22 versions and 151 MB after 267, beside 37 and 248 MB resident; with the feed mended both stay flat, so neither requests nor the allocator held the rest.

A change now names the part of the state that it replaces, and makes kept changes of that part redundant; kept changes are bounded in bytes as well; the feed, its newest change and the process share one configuration; only the newest of several versions in one answer of the store is decoded.

--- a/grebedeck-gateway/src/lib.rs
+++ b/grebedeck-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod retry;
 pub mod routes;
 pub mod site;
+pub mod size;
 pub mod source;
 pub mod stall;
 pub mod targets;
@@ -40,7 +41,7 @@
 pub use delay::RetryAfter;
 pub use evacuation::{Evacuations, HallEvent, HallStatus, HallStatuses};
 pub use events::{Event, EventBuffer, EventTracker};
-pub use feed::{ApplyChange, Feed, FeedState};
+pub use feed::{ApplyChange, Feed, FeedSize, FeedState};
 pub use limit::{Limits, Permit};
 pub use membership::Membership;
 pub use outage::{Availability, Outage, OutageOptions};
@@ -54,6 +55,7 @@
     CallerLimits, EngineSpec, Organisation, RequestKind, RouteRule, ServiceSpec, Site,
     WeightedService,
 };
+pub use size::HeldBytes;
 pub use source::{
     GatewayEntry, GatewayInfo, GatewayListing, OperatorChange, OperatorState, SiteStore, Snapshot,
     StoreVersion, TargetChange, Unreadable, Watched,
--- a/grebedeck-gateway/src/source.rs
+++ b/grebedeck-gateway/src/source.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use grebedeck_core::error::platform_error;
@@ -76,7 +77,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OperatorState {
     /// Newest valid configuration.
-    pub site: Option<Site>,
+    pub site: Option<Arc<Site>>,
     /// Evacuated halls, which get no new requests.
     pub evacuated: Vec<HallName>,
     /// Keys with invalid values; the other keys are still read.
@@ -87,7 +88,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OperatorChange {
     /// A newer configuration.
-    Site(Site),
+    Site(Arc<Site>),
     /// A hall was evacuated.
     Evacuated {
         /// The store's version of the evacuation.
@@ -120,7 +121,7 @@
 
 impl OperatorState {
     /// Returns the configuration, or an error if there is only an invalid one.
-    pub fn into_site(self) -> Result<Option<Site>> {
+    pub fn into_site(self) -> Result<Option<Arc<Site>>> {
         match (self.site, self.unreadable.first()) {
             (None, Some(first)) => platform_error(format!("{}: {}", first.key, first.error)),
             (site, _) => Ok(site),
--- a/grebedeck-gateway/tests/relay.rs
+++ b/grebedeck-gateway/tests/relay.rs
@@ -1,11 +1,13 @@
 //! Selection of relays for the store's contents, and the feeds that relays serve to followers.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use grebedeck_gateway::{
-    Feed, FeedState, ListedTarget, RelayOptions, RelaySelector, Snapshot, Source, TargetChange,
-    TargetEntry, TargetListing, TargetState, Watched,
+    Feed, FeedSize, FeedState, HeldBytes, ListedTarget, OperatorChange, OperatorState,
+    RelayOptions, RelaySelector, RequestKind, RouteRule, Site, Snapshot, Source, TargetChange,
+    TargetEntry, TargetListing, TargetState, Watched, WeightedService,
 };
 use proptest::prelude::*;
 
@@ -210,7 +212,122 @@
     assert_eq!((feed.state(), feed.age(MS(30))), (FeedState::Fresh, MS(0)));
 }
 
+fn site(version: u64, routes: usize) -> Arc<Site> {
+    let rule = |at: usize| RouteRule {
+        name: format!("route-{at}"),
+        host: "a.example".into(),
+        path_prefix: format!("/{at}/"),
+        kind: RequestKind::Safe,
+        time_limit: MS(1000),
+        objective: MS(100),
+        pause_limit: None,
+        priority: 1,
+        services: vec![WeightedService { service: "plain".into(), weight: 1 }],
+        max_targets: 2,
+        is_public: false,
+    };
+
+    Arc::new(Site { version, routes: (0..routes).map(rule).collect(), ..Site::default() })
+}
+
+/// Failure: a feed kept every version of a large configuration until the process was killed for
+/// its memory.
+#[test]
+fn a_feed_keeps_one_version_of_the_configuration() {
+    let mut feed: Feed<OperatorState> = Feed::default();
+    feed.replace(Snapshot { version: 1, value: OperatorState::default() }, MS(0));
+    let largest_bytes = site(0, 500).held_bytes();
+
+    for version in 2..1000 {
+        let change = OperatorChange::Site(site(version, 500));
+        feed.extend(&Watched::Changed { version, changes: vec![change] }, MS(version));
+        let FeedSize { changes, changes_bytes, state_bytes } = feed.size();
+        assert_eq!(changes, 1, "version {version}");
+        assert!(changes_bytes + state_bytes < 3 * largest_bytes, "version {version}");
+    }
+
+    // A follower gets the newest version from any version that it had.
+    for after in [1, 500, 998] {
+        let changes = vec![OperatorChange::Site(site(999, 500))];
+        assert_eq!(feed.changes_after(after), Watched::Changed { version: 999, changes });
+    }
+
+    assert_eq!(feed.changes_after(999), Watched::Quiet);
+}
+
+/// Failure: several versions in one answer of the store, and evacuations between them.
+#[test]
+fn a_redundant_change_is_not_kept_and_the_others_are() {
+    let hall = |version, hall: &str| OperatorChange::Evacuated { version, hall: hall.into() };
+    let reopened = |version| OperatorChange::Reopened { version, hall: "north".into() };
+    let mut feed: Feed<OperatorState> = Feed::default();
+    feed.replace(Snapshot { version: 1, value: OperatorState::default() }, MS(0));
+    let first = vec![OperatorChange::Site(site(1, 3)), hall(2, "north"), hall(3, "south")];
+    feed.extend(&Watched::Changed { version: 3, changes: first }, MS(0));
+    let second = vec![OperatorChange::Site(site(2, 3)), reopened(5)];
+    feed.extend(&Watched::Changed { version: 5, changes: second }, MS(0));
+
+    let kept = vec![hall(3, "south"), OperatorChange::Site(site(2, 3)), reopened(5)];
+    assert_eq!(feed.changes_after(1), Watched::Changed { version: 5, changes: kept });
+    let read = feed.read().expect("the feed was read").value;
+    assert_eq!((read.site, read.evacuated), (Some(site(2, 3)), vec!["south".to_string()]));
+}
+
+/// Load: targets whose entries change all the time, and targets that come and go for good.
+#[test]
+fn the_memory_of_a_feed_is_bounded_under_churn() {
+    let mut feed: Feed<TargetListing> = Feed::default();
+    feed.replace(empty_snapshot(0), MS(0));
+    let mut most_bytes = 0;
+
+    for version in 1..12_000_u64 {
+        let id = if version % 3 == 0 { version } else { version % 50 };
+        let mut entry = entry(1, 4);
+        entry.id = format!("target-{id:030}");
+        let removed = TargetChange::Removed { version, id: entry.id.clone() };
+        let set = TargetChange::Set(ListedTarget { version, entry });
+        let changes = if version % 3 == 0 { vec![set, removed] } else { vec![set] };
+        feed.extend(&changed(version, changes), MS(version));
+        most_bytes = most_bytes.max(feed.size().changes_bytes);
+    }
+
+    assert!(most_bytes <= 1 << 20, "{most_bytes}");
+    assert_eq!(feed.size().state_bytes, feed.read().expect("was read").value.held_bytes());
+    assert_eq!(feed.changes_after(1), Watched::HistoryGone);
+    assert_ne!(feed.changes_after(11_990), Watched::HistoryGone);
+}
+
 proptest! {
+    /// The state of a follower equals that of its relay, from whichever version it continues.
+    #[test]
+    fn a_follower_of_a_feed_gets_the_same_state(
+        steps in prop::collection::vec((0..6u8, 0..4u32), 1..100),
+        followed_at in 0..100usize,
+    ) {
+        let mut feed: Feed<TargetListing> = Feed::default();
+        feed.replace(empty_snapshot(0), MS(0));
+        let mut follower = feed.clone();
+
+        for (step, (id, slots)) in steps.into_iter().enumerate() {
+            let version = step as u64 + 1;
+            let change = if slots == 0 { removed(version, id) } else { set(version, id, slots) };
+            feed.extend(&changed(version, vec![change]), MS(0));
+
+            if step == followed_at {
+                follower.extend(&feed.changes_after(0), MS(0));
+            }
+        }
+
+        let version = follower.read().expect("was read").version;
+        follower.extend(&feed.changes_after(version), MS(0));
+        let listed = |feed: &Feed<TargetListing>| {
+            let mut targets = feed.read().expect("was read").value.targets;
+            targets.sort_by(|one, other| one.entry.id.cmp(&other.entry.id));
+            targets
+        };
+        prop_assert_eq!(listed(&follower), listed(&feed));
+    }
+
     /// The state of a feed equals that of the store after any sequence of changes.
     #[test]
     fn a_feed_equals_the_store(steps in prop::collection::vec((0..6u8, 0..4u32), 1..200)) {
--- a/grebedeck/src/gateway/dump.rs
+++ b/grebedeck/src/gateway/dump.rs
@@ -68,6 +68,7 @@
             "retry_budgets": self.retry_budgets_dump(),
             "evacuated": evacuated_view(targets.evacuations()),
             "halls_version": targets.evacuations().version(),
+            "feeds": self.relay.dump(),
             "kept_bytes": { "bodies": self.bodies.dump(), "answers": self.responses.dump() },
             "crashes": crashes,
             "suspects": suspects,
--- a/grebedeck/src/gateway/peers.rs
+++ b/grebedeck/src/gateway/peers.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task::sleep;
@@ -57,7 +58,7 @@
 /// State that a gateway serves to its peers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct PeerState {
-    site: Option<Site>,
+    site: Option<Arc<Site>>,
     halls: HallStatuses,
     targets_version: StoreVersion,
     targets: TargetListing,
--- a/grebedeck/src/gateway/relay.rs
+++ b/grebedeck/src/gateway/relay.rs
@@ -22,9 +22,9 @@
 use grebedeck_core::{Error, Moment, Result, UnixMs};
 use grebedeck_gateway::source::{QuarantineEntry, QuarantineListing};
 use grebedeck_gateway::{
-    ApplyChange, Feed, FeedState, GatewayEntry, GatewayListing, OperatorChange, OperatorState,
-    RelayOptions, RelaySelector, SiteStore, Snapshot, Source, StoreVersion, TargetChange,
-    TargetListing, Watched,
+    ApplyChange, Feed, FeedSize, FeedState, GatewayEntry, GatewayListing, OperatorChange,
+    OperatorState, RelayOptions, RelaySelector, SiteStore, Snapshot, Source, StoreVersion,
+    TargetChange, TargetListing, Watched,
 };
 use grebedeck_http::{Client, RequestHead};
 use grebedeck_kernel::log;
@@ -32,6 +32,7 @@
 use grebedeck_routing::Fingerprint;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::json;
 
 use super::options::GatewaySettings;
 use super::service::Gateway;
@@ -116,6 +117,14 @@
         self.operator_age.get()
     }
 
+    /// Memory of the feeds, for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        json!({
+            "operator": feed_dump(self.operator.borrow().size()),
+            "targets": feed_dump(self.targets.borrow().size()),
+        })
+    }
+
     /// Records that the stored quarantine has been read.
     pub fn set_quarantine_known(&self) {
         self.is_quarantine_known.set(true);
@@ -193,6 +202,12 @@
     }
 }
 
+fn feed_dump(size: FeedSize) -> serde_json::Value {
+    let FeedSize { changes, changes_bytes, state_bytes } = size;
+
+    json!({ "changes": changes, "changes_bytes": changes_bytes, "state_bytes": state_bytes })
+}
+
 /// State in the store that relays pass on.
 trait Relayable:
     ApplyChange<Change: Serialize + DeserializeOwned> + Serialize + DeserializeOwned
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -71,7 +71,7 @@
     pub(super) receives_rank_loads: Cell<bool>,
     /// Retry budgets of the services.
     pub(super) retries: RetryState,
-    site: RefCell<Option<Site>>,
+    site: RefCell<Option<Arc<Site>>>,
     /// The relay that this gateway follows, and the feeds for gateways that follow it.
     pub(super) relay: RelayState,
     peers: RefCell<BTreeSet<SocketAddr>>,
@@ -179,7 +179,7 @@
     }
 
     /// Puts a configuration in force if it is newer than the current one; returns whether it was.
-    pub fn apply_site(&self, site: &Site, from: &str) -> bool {
+    pub fn apply_site(&self, site: &Arc<Site>, from: &str) -> bool {
         let before = self.table.borrow().version();
 
         if site.version <= before {
@@ -203,7 +203,7 @@
     }
 
     /// Configuration in force.
-    pub fn site(&self) -> Option<Site> {
+    pub fn site(&self) -> Option<Arc<Site>> {
         self.site.borrow().clone()
     }
 
--- a/grebedeck/src/rank/calls.rs
+++ b/grebedeck/src/rank/calls.rs
@@ -1,6 +1,7 @@
 //! I/O of a rank process: calls to engines and to the store, and datagrams to other processes.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use grebedeck_core::{Error, GroupId, Rank, Result};
 use grebedeck_experts::engine::PlacementNo;
@@ -26,7 +27,7 @@
     },
     Part(Result<(PlacementNo, RankPart)>),
     Targets(Result<TargetListing>),
-    Site(Result<Option<Site>>),
+    Site(Result<Option<Arc<Site>>>),
 }
 
 impl<S: SiteStore, E: RankEngine> Driver<S, E> {
