gateway: a target that left is gone within the time to catch up

One call to the store had got no answer; the same came without trouble of the store where open connections went silent.

Cause: a target missing after a failed call was kept for two seconds from the process's next read, which is up to 2.4 s after the store's return and more where the next call met another silent connection. `store lost`, `store back` and `target missing from list` show that order; the last one now tells `kept_ms`.

The return lies between the start of the last failed call and the first answer. A missing target is now kept for two seconds from the answer and not beyond catch_up_ms from the moment until which store and connection were sound; in a long outage that leaves the two seconds whole (property test over outages of 1.2 to 8 s). The watch of the list leaves room for what surrounds it, and a time-out closes the client's idle connections.

--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -3,6 +3,9 @@
 //! A target is identified by its id and, if it reports one, its start time; addresses are reused by
 //! others. The list lags, and while the store is unavailable entries expire although their targets
 //! are alive. Such a target is kept until the store has been back for long enough to list it again.
+//! When the store came back is not known: it lies between the start of the last call that failed
+//! and the first answer. A target that is missing is kept for the relist limit from the answer, but
+//! not beyond the time to catch up from that call, after which a target that left counts as gone.
 //!
 //! Others may write entries as well. An unreadable entry names no usable target: a target already
 //! known under its id gets no new work until a readable entry arrives, and all other entries stay
@@ -172,10 +175,10 @@
     updated: Vec<Arc<TargetEntry>>,
     /// Services named in the configuration, once it is known.
     services: Option<BTreeSet<ServiceName>>,
-    /// Whether the last call to the store failed.
-    is_store_failing: bool,
-    /// When the list was first updated after the last failed call to the store.
-    store_recovered_at: Option<Moment>,
+    /// When the process must have caught up with the store, if the last call to it failed.
+    caught_up_by: Option<Moment>,
+    /// Until when targets that are missing may be listed again, since the last failure of the store.
+    relist_until: Option<Moment>,
     evacuations: Evacuations,
     /// Targets that announced in a response that they are shutting down, whatever the list says.
     leaving: LeavingNotices,
@@ -265,9 +268,10 @@
         vec![ListEvent::AnnouncedLeaving(target.id.clone())]
     }
 
-    /// Records a failed call to the store.
-    pub fn record_store_failure(&mut self) {
-        self.is_store_failing = true;
+    /// Records a failed call to the store. From `caught_up_by` on, a target that is missing from the
+    /// list is gone.
+    pub fn record_store_failure(&mut self, caught_up_by: Moment) {
+        self.caught_up_by = self.caught_up_by.max(Some(caught_up_by));
     }
 
     /// Updates the evacuated halls.
@@ -307,8 +311,8 @@
         self.indexed_at = now;
         self.applied_at = (now, self.applied_at.0);
 
-        if std::mem::take(&mut self.is_store_failing) {
-            self.store_recovered_at = Some(now);
+        if let Some(caught_up_by) = self.caught_up_by.take() {
+            self.relist_until = Some(caught_up_by.min(now + RELIST_LIMIT));
         }
     }
 
@@ -392,6 +396,11 @@
         self.serving(&target.service).is_some_and(|all| all.iter().any(|t| t.is_same_start(target)))
     }
 
+    /// When a target that is missing from the list is removed; `None` if it is listed or unknown.
+    pub fn removal_due_at(&self, id: &str) -> Option<Moment> {
+        self.known.get(id)?.removal_due_at
+    }
+
     /// Whether a start of a target announced in a response that it is shutting down.
     pub fn has_announced_leaving(&self, target: &TargetEntry) -> bool {
         self.leaving.contains(target, self.indexed_at)
@@ -531,10 +540,9 @@
             return None;
         }
 
-        let relist_deadline = self.store_recovered_at.map(|at| at + RELIST_LIMIT);
         let is_serving = known.entry.state == TargetState::Serving && !was_unreadable;
 
-        match relist_deadline {
+        match self.relist_until {
             Some(at) if at > now && is_serving => {
                 known.removal_due_at = Some(at);
                 Some(ListEvent::Lapsed(id.to_string()))
--- a/grebedeck-gateway/tests/targets.rs
+++ b/grebedeck-gateway/tests/targets.rs
@@ -82,7 +82,7 @@
 fn a_target_that_expired_during_a_store_failure_is_kept_until_the_relist_limit() {
     let mut list = TargetList::default();
     list.apply_snapshot(10, vec![listed(9, "a", 1), listed(10, "b", 2)], MS(0));
-    list.record_store_failure();
+    list.record_store_failure(MS(4000));
     let events = list.apply_snapshot(30, vec![listed(30, "b", 2)], MS(1500));
 
     assert_eq!(events, [ListEvent::Lapsed("a".into())]);
@@ -93,11 +93,66 @@
     assert_eq!(serving(&list), ["b"]);
 }
 
+/// Failure: one call to the store got no answer and was noticed late. The store had been back for
+/// seconds, and the target that had left was kept for two more.
+#[test]
+fn a_target_that_left_is_removed_by_the_time_to_catch_up() {
+    let before = vec![listed(9, "a", 1), listed(10, "b", 2), listed(10, "c", 3)];
+    let mut list = TargetList::default();
+    list.apply_snapshot(10, before, MS(0));
+    list.record_store_failure(MS(3000));
+    let events = list.apply_snapshot(30, vec![listed(30, "b", 2), listed(10, "c", 3)], MS(2500));
+
+    assert_eq!(events, [ListEvent::Lapsed("a".into())]);
+    assert_eq!(list.removal_due_at("a"), Some(MS(3000)));
+    assert_eq!(list.tick(MS(3000)), [ListEvent::Removed("a".into())]);
+    // One that leaves later is removed at once.
+    assert_eq!(list.apply_changes(31, vec![removed(31, "c")], MS(3001)).len(), 1);
+    assert_eq!(serving(&list), ["b"]);
+}
+
+proptest! {
+    /// Whatever the calls to the store meet: a target whose entry lapsed and is back within two
+    /// seconds of the store's return is never removed, and one that left is gone in time.
+    #[test]
+    fn targets_are_kept_while_they_may_be_listed_again_and_no_longer(
+        away_ms in 1200..8000u64,
+        backoff_ms in 100..500u64,
+        call_ms in 50..400u64,
+        is_alive in any::<bool>(),
+        back_ms in 0..1900u64,
+    ) {
+        const CATCH_UP_MS: u64 = 2900;
+        let mut list = TargetList::default();
+        list.apply_snapshot(10, vec![listed(10, "a", 1)], MS(0));
+        let mut call_at = 0;
+
+        // Calls fail one after the other until the store is back.
+        while call_at < away_ms {
+            list.record_store_failure(MS(call_at + CATCH_UP_MS));
+            call_at += call_ms + backoff_ms;
+        }
+
+        let mut now = call_at;
+
+        while now < away_ms + 3000 {
+            let is_back = is_alive && now >= away_ms + back_ms;
+            let entries = if is_back { vec![listed(20, "a", 1)] } else { Vec::new() };
+            list.apply_snapshot(now, entries, MS(now));
+            list.tick(MS(now));
+            prop_assert!(!is_alive || serving(&list) == ["a"], "removed at {}", now);
+            now += 20;
+        }
+
+        prop_assert_eq!(serving(&list).is_empty(), !is_alive);
+    }
+}
+
 #[test]
 fn an_expired_target_that_is_listed_again_is_kept() {
     let mut list = TargetList::default();
     list.apply_snapshot(10, vec![listed(10, "a", 1)], MS(0));
-    list.record_store_failure();
+    list.record_store_failure(MS(4000));
     list.apply_snapshot(30, Vec::new(), MS(1500));
     list.apply_changes(31, vec![TargetChange::Set(listed(31, "a", 1))], MS(2000));
 
--- a/grebedeck-http/src/client.rs
+++ b/grebedeck-http/src/client.rs
@@ -120,18 +120,34 @@
         body: &[u8],
         time_limit: Duration,
     ) -> Result<Response> {
-        let exchange = send_and_read_head(&mut connection, head, body);
-        let head_and_decoder =
-            timeout(time_limit, exchange).await.unwrap_or(Err(HttpError::TimedOut))?;
-        let response = self.read_body(&mut connection, head_and_decoder).await?;
+        let response = self.exchange(&mut connection, head, body, time_limit).await;
 
-        if response.head.keeps_alive() {
-            let mut idle = self.idle.borrow_mut();
-            idle.push(connection);
-            idle.truncate(MAX_IDLE_CONNECTIONS);
+        match &response {
+            Ok(response) if response.head.keeps_alive() => {
+                let mut idle = self.idle.borrow_mut();
+                idle.push(connection);
+                idle.truncate(MAX_IDLE_CONNECTIONS);
+            }
+            // What silenced this connection may have silenced the idle ones too.
+            Err(HttpError::TimedOut) => self.idle.borrow_mut().clear(),
+            _ => {}
         }
 
-        Ok(response)
+        response
+    }
+
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        head: &RequestHead,
+        body: &[u8],
+        time_limit: Duration,
+    ) -> Result<Response> {
+        let exchange = send_and_read_head(connection, head, body);
+        let head_and_decoder =
+            timeout(time_limit, exchange).await.unwrap_or(Err(HttpError::TimedOut))?;
+
+        self.read_body(connection, head_and_decoder).await
     }
 
     /// Reads a body without a limit on the total time, which would limit its size on a slow link:
--- a/grebedeck-http/tests/client.rs
+++ b/grebedeck-http/tests/client.rs
@@ -1,10 +1,12 @@
 //! Time limits of a client's calls.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, sleep};
-use futures::AsyncWriteExt;
+use futures::{AsyncReadExt, AsyncWriteExt};
 use grebedeck_http::{Client, HttpError};
 
 /// Limit on pauses, well above scheduling delays of a busy machine.
@@ -51,3 +53,44 @@
     let body = task::block_on(call(PARTS - 2));
     assert!(matches!(body, Err(HttpError::TimedOut)), "{body:?}");
 }
+
+/// Answers each call but those of one path.
+async fn serve(mut stream: TcpStream) {
+    let mut request = [0; 1024];
+
+    while let Ok(1..) = stream.read(&mut request).await {
+        if request.starts_with(b"GET /silent") {
+            sleep(LIMIT * 5).await;
+        }
+
+        sleep(PART_PAUSE).await;
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(answer).await.expect("a completed write");
+    }
+}
+
+/// Failure: all open connections went silent at once, and each call waited for another of them.
+#[test]
+fn idle_connections_are_closed_after_a_time_out_on_another() {
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let client = Client::new(listener.local_addr().expect("an address"), LIMIT);
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let count = accepted.clone();
+        task::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                count.fetch_add(1, Ordering::Relaxed);
+                task::spawn(serve(stream));
+            }
+        });
+
+        // Two calls at the same time leave two idle connections.
+        let both = futures::future::join(client.get("/a", LIMIT), client.get("/b", LIMIT)).await;
+        assert!(both.0.is_ok() && both.1.is_ok());
+        let silent = client.get("/silent", LIMIT).await;
+        assert!(matches!(silent, Err(HttpError::TimedOut)), "{silent:?}");
+        assert!(client.get("/a", LIMIT).await.is_ok());
+        assert_eq!(accepted.load(Ordering::Relaxed), 3, "the second idle connection is not used");
+    });
+}
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -16,6 +16,11 @@
 /// Interval between removals of idle connections and lapsed targets: well below the two seconds
 /// within which a lapsed target must be listed again.
 pub const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(250);
+/// First backoff after a failed call to the store.
+pub const STORE_MIN_BACKOFF: Duration = Duration::from_millis(100);
+/// Minimum time that the store is asked to wait for a change of the list of targets, however short
+/// the time to catch up is.
+const MIN_STORE_WAIT: Duration = Duration::from_millis(100);
 /// Timeout of connecting to a target: a few round trips between halls, and less than the second
 /// after which a lost SYN is retransmitted.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -305,6 +310,17 @@
         millis(self.catch_up_ms) * 2 / 3
     }
 
+    /// How long the store is asked to wait for a change of the list of targets. If a response is
+    /// lost, the pause before the watch, the watch and the next read fit into the time to catch up,
+    /// with the housekeeping that removes the targets that have gone.
+    pub fn targets_wait(&self) -> Duration {
+        let timeouts = millis(self.store_limit_ms) * 2;
+        let pauses = self.targets_poll_interval() + STORE_MIN_BACKOFF + HOUSEKEEPING_PERIOD;
+        let left = millis(self.catch_up_ms).saturating_sub(timeouts + pauses);
+
+        left.clamp(MIN_STORE_WAIT, self.store_wait().max(MIN_STORE_WAIT))
+    }
+
     /// How long a relay lets its followers wait for changes by operators, and itself waits for the
     /// store. A relay that the store has stopped answering is thus noticed, and another one asked,
     /// within half of the time to catch up.
--- a/grebedeck/src/gateway/service.rs
+++ b/grebedeck/src/gateway/service.rs
@@ -435,7 +435,11 @@
                 log::info!("target leaving", kv: { target = id.as_str(), from = "target" });
             }
             ListEvent::Lapsed(id) => {
-                log::warn!("target missing from list", kv: { target = id.as_str() });
+                let due_at = self.with_targets(|targets| targets.removal_due_at(id));
+                let kept = due_at.unwrap_or_default().saturating_sub(self.now());
+                log::warn!("target missing from list", kv: {
+                    target = id.as_str(), kept_ms = kept.as_millis() as u64,
+                });
             }
             ListEvent::Removed(id) => {
                 log::info!("target removed", kv: { target = id.as_str() });
--- a/grebedeck/src/gateway/watch.rs
+++ b/grebedeck/src/gateway/watch.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use async_std::task::sleep;
-use grebedeck_core::Result;
+use grebedeck_core::{Moment, Result};
 use grebedeck_gateway::{SiteStore, StoreVersion, TargetList, Watched};
 use grebedeck_kernel::log;
 
+use super::options::{HOUSEKEEPING_PERIOD, STORE_MIN_BACKOFF};
 use super::service::Gateway;
+use crate::settings::millis;
 
-/// First backoff after a failed call.
-const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum backoff, so that changes are known soon after the store returns.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -35,7 +35,7 @@
             log::warn!("store lost", kv: { what = self.what, error = error.to_string() });
         }
 
-        let wait = MIN_BACKOFF * (1 << self.failures.min(4));
+        let wait = STORE_MIN_BACKOFF * (1 << self.failures.min(4));
         self.failures = self.failures.saturating_add(1);
         sleep(wait.min(MAX_BACKOFF)).await;
     }
@@ -111,6 +111,8 @@
     gateway.relay.wait_for_gateways().await;
     let mut backoff = Backoff::new("targets");
     let mut after = None;
+    // Should the next call fail: the store, or the connection to it, was sound until then.
+    let mut sound_at = gateway.now();
 
     loop {
         match next_targets(&gateway, &store, after).await {
@@ -118,6 +120,7 @@
                 backoff.reset();
                 gateway.counters.store_calls.add("answered");
                 after = next;
+                sound_at = gateway.now();
 
                 // A relay has already waited between its own calls.
                 if !gateway.relay.follows_relay() {
@@ -127,16 +130,27 @@
             Err(error) => {
                 after = None;
                 gateway.counters.store_calls.add("failed");
-                gateway.update_targets(|targets, _| {
-                    targets.record_store_failure();
-                    Vec::new()
-                });
+                record_targets_failure(&gateway, sound_at);
                 backoff.wait_after_failure(&error).await;
+                sound_at = gateway.now();
             }
         }
     }
 }
 
+/// Records that a call for the list of targets failed, of which the store or the connection was
+/// sound until `sound_at`.
+fn record_targets_failure(gateway: &Gateway, sound_at: Moment) {
+    let catch_up = millis(gateway.settings().catch_up_ms);
+    // Targets are removed by housekeeping, up to a period late.
+    let caught_up_by = sound_at + catch_up.saturating_sub(HOUSEKEEPING_PERIOD);
+
+    gateway.update_targets(|targets, _| {
+        targets.record_store_failure(caught_up_by);
+        Vec::new()
+    });
+}
+
 /// Reads a snapshot of the target list, or waits for changes after a version. Returns the version
 /// to continue from, or `None` if a snapshot has to be read.
 async fn next_targets<S: SiteStore>(
@@ -155,7 +169,7 @@
         return Ok(Some(snapshot.version));
     };
 
-    match store.watch_targets(after, gateway.settings().store_wait()).await? {
+    match store.watch_targets(after, gateway.settings().targets_wait()).await? {
         Watched::Changed { version, changes } => {
             gateway.update_targets(|targets, now| targets.apply_changes(version, changes, now));
 
