rank: fence the ranks before a pass is released unarmed

A report is an engine's state only until the next late order. A holder that does not know what was sent now completes an arming of which it sees a part, and otherwise has each engine accept a placement with a higher number, after which engines refuse all earlier ones. An arming that takes over a second or meets a later placement is given up in the same way; before, it had no end. Ranks are disarmed only once another one is fenced, so that a late order to disarm harms no later holder.

--- a/grebedeck-experts/src/engine.rs
+++ b/grebedeck-experts/src/engine.rs
@@ -92,6 +92,11 @@
         /// The first pass with it.
         pass: PassNo,
     },
+    /// Do not switch to a placement that the rank is armed for.
+    Disarm {
+        /// The placement's number.
+        placement_no: PlacementNo,
+    },
     /// Keep a pass from beginning.
     Hold {
         /// The pass.
--- a/grebedeck-experts/src/rollout.rs
+++ b/grebedeck-experts/src/rollout.rs
@@ -36,6 +36,7 @@
 mod bulk;
 mod changeover;
 mod election;
+mod fence;
 mod holder;
 mod lead;
 pub mod message;
--- a/grebedeck-experts/src/rollout/action.rs
+++ b/grebedeck-experts/src/rollout/action.rs
@@ -29,8 +29,11 @@
         /// The rank.
         rank: Rank,
     },
-    /// Read which experts the node's own engine holds.
-    ReadPart,
+    /// Read which experts a rank's engine holds.
+    ReadPart {
+        /// The rank.
+        rank: Rank,
+    },
     /// Log and count an event.
     Event(RankEvent),
 }
@@ -92,6 +95,13 @@
         /// The pass.
         pass: PassNo,
     },
+    /// The ranks are fenced, as a changeover could not be completed.
+    RanksFenced {
+        /// The held pass.
+        pass: PassNo,
+        /// The fence's number.
+        placement_no: PlacementNo,
+    },
     /// A held pass was released.
     PassReleased {
         /// The pass.
--- a/grebedeck-experts/src/rollout/changeover.rs
+++ b/grebedeck-experts/src/rollout/changeover.rs
@@ -1,17 +1,24 @@
 //! The changeover as its holder drives it, until the held pass is released.
 //!
 //! The holder alone decides. First, every node has to answer that it is present and ready; if one
-//! is silent or refuses, the pass is released with no rank armed. Then all ranks are armed, which
-//! cannot be undone: the pass is released once every rank's engine reports that it is armed. An
-//! absent rank is armed first, remotely: as long as no other rank is armed, the pass can still be
-//! released if that rank's engine has moved on to another placement, which no node can rule out on
-//! its behalf. A holder that has lost its state in a restart asks all nodes, or their engines,
-//! whether any rank is armed, and continues from there.
+//! is silent or refuses, the pass is released with no rank armed. Then all ranks are armed, and the
+//! pass is released once every rank's engine reports that it is armed. An absent rank is armed
+//! first, remotely: as long as no other rank is armed, the pass can still be released if that
+//! rank's engine has moved on to another placement, which no node can rule out on its behalf.
+//!
+//! An order without an answer may be carried out at any time until the pass begins, so a report is
+//! an engine's state only up to then. Once orders to arm may have been sent, the pass is
+//! released in two ways only: all ranks are armed, or each rank that could be armed is fenced. A
+//! [`Fence`] is a placement with a higher number than all others: once an engine has accepted it,
+//! it refuses all earlier placements. A holder that has lost its state in a restart does not know
+//! what was sent: it completes the arming if a rank is armed, and fences all ranks otherwise. An
+//! arming that does not come to an end is given up in the same way.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use grebedeck_core::{Moment, Rank};
 
+use super::fence::{Fence, Fencing};
 use super::message::{Changeover, ChangeoverStep, Term};
 use super::options::NodeOptions;
 use crate::engine::{Armed, GroupEpoch, PassNo, PlacementNo, RankAction, RankOrder, RankReport};
@@ -37,6 +44,9 @@
     contacted_at: BTreeMap<Rank, Moment>,
     sent_at: Option<Moment>,
     released_at: Option<Moment>,
+    /// The fence, once it is known.
+    fence: Option<Fence>,
+    fencing: Fencing,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +59,8 @@
     Recover,
     /// Every rank is to be armed.
     Arm(PlacementNo),
+    /// No rank is to be armed any more.
+    Fence,
     /// The pass is to be released.
     Release,
 }
@@ -134,6 +146,8 @@
             contacted_at: BTreeMap::new(),
             sent_at: None,
             released_at: None,
+            fence: None,
+            fencing: Fencing::default(),
         }
     }
 
@@ -147,7 +161,27 @@
 
     /// Whether ranks may be armed for the pass.
     pub(super) fn is_arming(&self) -> bool {
-        matches!(self.phase, Phase::Arm(_) | Phase::ArmAbsent(_) | Phase::Recover)
+        !matches!(self.phase, Phase::Ready(_) | Phase::Release)
+    }
+
+    /// Whether the holder needs a [`Fence`].
+    pub(super) fn needs_fence(&self) -> bool {
+        self.phase == Phase::Fence && self.fence.is_none()
+    }
+
+    /// Sets the fence that the holder needs.
+    pub(super) fn set_fence(&mut self, fence: Fence) {
+        self.fence = Some(fence);
+    }
+
+    /// Highest number of a placement that an engine has reported.
+    pub(super) fn highest_placement_no(&self) -> PlacementNo {
+        let seen = |r: &RankReport| {
+            let armed = r.armed.map(|a| a.placement_no);
+            r.prepared.max(armed).max(Some(r.placement))
+        };
+
+        self.reports.values().filter_map(seen).max().unwrap_or_default()
     }
 
     pub(super) fn phase_since(&self) -> Moment {
@@ -184,8 +218,22 @@
         self.reports.insert(report.rank, report);
     }
 
-    /// Records that a rank's engine has accepted an order to arm it.
-    pub(super) fn record_armed(&mut self, rank: Rank, order: &RankOrder) {
+    /// Records that a rank's engine has accepted an order.
+    pub(super) fn record_accepted(&mut self, rank: Rank, order: &RankOrder) {
+        if order.epoch == self.epoch
+            && let (RankAction::Prepare { placement_no, .. }, Some(fence)) =
+                (&order.action, &self.fence)
+            && *placement_no == fence.placement_no
+        {
+            self.fencing.record_fenced(rank);
+        }
+
+        if let (RankAction::Disarm { .. }, Some(report)) =
+            (&order.action, self.reports.get_mut(&rank))
+        {
+            report.armed = None;
+        }
+
         let RankAction::Arm { placement_no, pass } = order.action else {
             return;
         };
@@ -213,6 +261,7 @@
             }
             Phase::Recover => self.read_silent(now, options, &mut actions),
             Phase::Arm(placement_no) => self.arm(placement_no, now, options, &mut actions),
+            Phase::Fence => self.fence(now, options, &mut actions),
             Phase::Release => self.release_pass(now, options, &mut actions),
         }
 
@@ -238,6 +287,7 @@
             Phase::Ready(_) => !self.answered.contains(rank),
             Phase::Recover => !self.reports.contains_key(rank),
             Phase::Arm(placement_no) => !self.is_armed_at(*rank, placement_no),
+            Phase::Fence => self.fencing.is_open(*rank, &self.reports),
             // Nodes that miss this message ask the holder, or see the pass begin.
             Phase::Release | Phase::ArmAbsent(_) => false,
         };
@@ -257,6 +307,7 @@
             Phase::ArmAbsent(placement_no) if self.is_absent_armed(placement_no) => {
                 self.set_phase(Phase::Arm(placement_no), now);
             }
+            Phase::ArmAbsent(_) if self.is_arming_late(now, options) => self.begin_fence(now),
             // The engine will never be armed for this placement, and no other rank is armed.
             Phase::ArmAbsent(placement_no) if self.is_absent_overtaken(placement_no) => {
                 self.set_phase(Phase::Release, now);
@@ -267,25 +318,56 @@
             {
                 self.set_phase(Phase::Release, now);
             }
-            Phase::Recover if self.reports.len() == usize::from(self.size) && self.may_decide() => {
-                let next = match self.armed_for_pass() {
-                    Some(placement_no) => Phase::Arm(placement_no),
-                    None => Phase::Release,
-                };
-                self.set_phase(next, now);
-            }
+            Phase::Recover if self.reports.len() == usize::from(self.size) => self.resume(now),
             Phase::Arm(placement_no) if self.is_armed(placement_no) => {
                 self.set_phase(Phase::Release, now);
             }
+            Phase::Arm(placement_no)
+                if self.is_overtaken(placement_no) || self.is_arming_late(now, options) =>
+            {
+                self.begin_fence(now);
+            }
+            Phase::Fence => self.decide_fence(now),
             _ => {}
         }
     }
 
-    /// Whether a holder that lost its state may act on the engines' reports: once a rank is armed,
-    /// or once the held pass is the next one. An order to arm from before the restart may be
-    /// carried out later still, and is refused as soon as the pass has begun.
-    fn may_decide(&self) -> bool {
-        self.armed_for_pass().is_some() || self.is_next()
+    /// Continues the changeover of an earlier start of the process. Orders that it sent may still be
+    /// carried out: to arm ranks, or else to release the pass, as it sent both only if all were
+    /// armed. So ranks are armed only if one of them is.
+    fn resume(&mut self, now: Moment) {
+        let armed = self.reports.values().filter_map(|r| r.armed);
+        let armed_no = armed.filter(|a| a.pass == self.pass).map(|a| a.placement_no).next();
+
+        match armed_no {
+            Some(placement_no) => self.set_phase(Phase::Arm(placement_no), now),
+            None if self.reports.values().any(is_armable) => self.begin_fence(now),
+            None => self.set_phase(Phase::Release, now),
+        }
+    }
+
+    fn begin_fence(&mut self, now: Moment) {
+        self.fencing = Fencing::new(self.highest_placement_no());
+        self.contacted_at.clear();
+        self.set_phase(Phase::Fence, now);
+    }
+
+    fn decide_fence(&mut self, now: Moment) {
+        let placement_no = self.fencing.armed_by_all(self.size, self.pass, &self.reports);
+
+        if self.fencing.is_complete(self.size, &self.reports) || placement_no.is_some() {
+            self.set_phase(Phase::Release, now);
+        }
+    }
+
+    /// Whether arming takes so long that it is given up.
+    fn is_arming_late(&self, now: Moment, options: &NodeOptions) -> bool {
+        now >= self.phase_since + options.for_all(options.arming_timeout, self.size)
+    }
+
+    /// Whether a rank's engine has copied a later placement and can never be armed for this one.
+    fn is_overtaken(&self, placement_no: PlacementNo) -> bool {
+        self.reports.values().any(|report| is_overtaken(report, placement_no))
     }
 
     /// Whether the held pass is the next one.
@@ -303,12 +385,6 @@
         self.answered.len() == usize::from(self.size)
     }
 
-    fn armed_for_pass(&self) -> Option<PlacementNo> {
-        let armed = self.reports.values().filter_map(|r| r.armed);
-
-        armed.filter(|a| a.pass == self.pass).map(|a| a.placement_no).next()
-    }
-
     fn is_armed_at(&self, rank: Rank, placement_no: PlacementNo) -> bool {
         let target = Armed { placement_no, pass: self.pass };
 
@@ -330,7 +406,7 @@
     fn is_absent_overtaken(&self, placement_no: PlacementNo) -> bool {
         let report = self.absent.and_then(|rank| self.reports.get(&rank));
 
-        report.is_some_and(|r| r.prepared > Some(placement_no) || r.placement > placement_no)
+        report.is_some_and(|report| is_overtaken(report, placement_no))
     }
 
     fn read_absent(
@@ -353,8 +429,7 @@
         options: &NodeOptions,
         actions: &mut Vec<HeldPassAction>,
     ) {
-        // A holder that is killed now and finds no rank armed after its restart releases the pass.
-        // An order that is carried out late has to be refused by then.
+        // The later the order, the less time is left for it to be carried out late.
         if let Some(rank) = self.absent.filter(|_| self.is_next())
             && self.may_contact(rank, now, options)
         {
@@ -418,6 +493,28 @@
         }
     }
 
+    /// Fences the ranks that could be armed, each with its next order.
+    fn fence(&mut self, now: Moment, options: &NodeOptions, actions: &mut Vec<HeldPassAction>) {
+        let Some(fence) = self.fence.clone() else {
+            return;
+        };
+
+        for rank in 0..self.size {
+            let action = self.fencing.next_action(rank, self.size, &self.reports, &fence);
+
+            if let Some(action) = action
+                && self.may_contact(rank, now, options)
+            {
+                let order = RankOrder { epoch: self.epoch, action };
+                actions.push(HeldPassAction::Order(rank, order));
+
+                if rank != self.own {
+                    actions.push(HeldPassAction::ReadReport(rank));
+                }
+            }
+        }
+    }
+
     fn release_pass(
         &mut self,
         now: Moment,
@@ -450,7 +547,8 @@
             }
             Phase::Recover => ChangeoverStep::Recover,
             Phase::Arm(placement_no) => ChangeoverStep::Arm { placement_no },
-            Phase::Release => ChangeoverStep::Over,
+            // Nodes are not to arm their ranks any more.
+            Phase::Fence | Phase::Release => ChangeoverStep::Over,
         };
 
         Changeover {
@@ -464,6 +562,18 @@
     }
 }
 
+/// Whether an order to arm could bring another placement into use, by an engine's report.
+fn is_armable(report: &RankReport) -> bool {
+    let armed = report.armed.map(|armed| armed.placement_no);
+
+    armed.or(report.prepared).is_some_and(|no| no != report.placement)
+}
+
+/// Whether an engine has copied a later placement and refuses to be armed for this one.
+fn is_overtaken(report: &RankReport, placement_no: PlacementNo) -> bool {
+    report.prepared > Some(placement_no) || report.placement > placement_no
+}
+
 /// Whether an engine can be armed, by its own report.
 fn is_ready(report: &RankReport, placement_no: PlacementNo, pass: PassNo) -> bool {
     let is_bound = report.armed.is_some() || report.held.is_some();
--- a/grebedeck-experts/src/rollout/holder.rs
+++ b/grebedeck-experts/src/rollout/holder.rs
@@ -7,6 +7,7 @@
 
 use super::action::{Action, RankEvent};
 use super::changeover::{HeldPass, HeldPassAction, RequestedHold};
+use super::fence::Fence;
 use super::message::{Changeover, ChangeoverAnswer, ChangeoverStep, Message, Stage};
 use super::node::Node;
 use crate::engine::RankReport;
@@ -57,6 +58,7 @@
         actions: &mut Vec<Action<A>>,
     ) {
         self.begin_held_pass(report, now, actions);
+        self.provide_fence(actions);
         let Some(mut held_pass) = self.held_pass.take() else {
             return;
         };
@@ -88,6 +90,25 @@
         }
     }
 
+    /// Provides the fence that a changeover needs, once the placement in use is known.
+    fn provide_fence(&mut self, actions: &mut Vec<Action<A>>) {
+        let Some(held_pass) = self.held_pass.as_ref().filter(|held_pass| held_pass.needs_fence())
+        else {
+            return;
+        };
+        let Some(placement) = self.placement_in_use().cloned() else {
+            return;
+        };
+        let pass = held_pass.pass();
+        let placement_no = self.placement_no_above(held_pass.highest_placement_no());
+        self.last_proposed_no = placement_no;
+
+        if let Some(held_pass) = &mut self.held_pass {
+            held_pass.set_fence(Fence { placement_no, placement });
+            actions.push(Action::Event(RankEvent::RanksFenced { pass, placement_no }));
+        }
+    }
+
     pub(super) fn begin_held_pass(
         &mut self,
         report: &RankReport,
--- a/grebedeck-experts/src/rollout/lead.rs
+++ b/grebedeck-experts/src/rollout/lead.rs
@@ -23,6 +23,11 @@
 /// Datagrams that arrive later than that are too old to be of use anyway.
 const STALE_STATUS_WINDOW: Duration = Duration::from_secs(1);
 
+/// Pause after the second plan in a row that was given up while ranks were armed, as passes are held
+/// meanwhile. It doubles with each further one.
+const MIN_PLAN_PAUSE: Duration = Duration::from_secs(1);
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+
 /// What keeps a leader from making a new plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlanBlock {
@@ -38,6 +43,8 @@
         /// The rank.
         rank: Rank,
     },
+    /// Plans were given up while ranks were armed, and the next one is put off.
+    Paused,
 }
 
 /// State of a node while it leads.
@@ -56,6 +63,10 @@
     /// When each rank's node itself was last heard from.
     pub(super) heard_at: BTreeMap<Rank, Moment>,
     pub(super) remote: RemoteAccess,
+    /// Plans in a row that were given up while ranks were armed.
+    given_up: u32,
+    /// When the next plan may be made.
+    plans_from: Moment,
 }
 
 #[derive(Clone, Debug)]
@@ -115,9 +126,30 @@
             statuses: BTreeMap::new(),
             heard_at: BTreeMap::new(),
             remote: RemoteAccess::default(),
+            given_up: 0,
+            plans_from: now,
         }
     }
 
+    /// Puts off the next plan, unless the last one is the first that was given up.
+    fn pause_plans(&mut self, now: Moment) {
+        let pause = match self.given_up {
+            0 => Duration::ZERO,
+            before => MIN_PLAN_PAUSE * 2u32.pow((before - 1).min(MAX_PAUSE_DOUBLINGS)),
+        };
+        self.given_up = self.given_up.saturating_add(1);
+        self.plans_from = now + pause;
+    }
+
+    /// Returns the first rank whose engine has prepared a later placement.
+    fn first_overtaken(&self, placement_no: PlacementNo) -> Option<Rank> {
+        let is_overtaken =
+            |(status, _): &(Status, Moment)| status.report.prepared > Some(placement_no);
+        let mut overtaken = self.statuses.iter().filter(|(_, status)| is_overtaken(status));
+
+        overtaken.next().map(|(rank, _)| *rank)
+    }
+
     pub(super) fn discard_plan(&mut self, now: Moment) {
         self.started_at = now;
         self.statuses.clear();
@@ -302,6 +334,10 @@
             return Some(PlanBlock::UnderWay);
         }
 
+        if now < lead.plans_from {
+            return Some(PlanBlock::Paused);
+        }
+
         if let Some(rank) = lead.first_not_following(own, now, &self.options) {
             return Some(PlanBlock::NotFollowing { rank });
         }
@@ -368,7 +404,12 @@
             [Some(r.placement), r.prepared, armed, s.refused].into_iter().flatten().max()
         };
         let statuses = self.lead.iter().flat_map(|l| l.statuses.values());
-        let seen = statuses.filter_map(|(s, _)| seen(s)).max().unwrap_or(0);
+
+        self.placement_no_above(statuses.filter_map(|(s, _)| seen(s)).max().unwrap_or(0))
+    }
+
+    /// Returns a number above `seen` that no other node generates.
+    pub(super) fn placement_no_above(&self, seen: PlacementNo) -> PlacementNo {
         // A node that led before may have assigned a number that no engine has had yet.
         let highest = seen.max(self.last_proposed_no);
 
@@ -510,8 +551,15 @@
         if own.placement == placement_no {
             let duration = plan.released_at.unwrap_or(now) - lead.stage_since;
             lead.set_plan(Plan::Idle, now);
+            lead.given_up = 0;
             self.arming.record(duration);
             actions.push(Action::Event(RankEvent::PlacementInUse { placement_no, pass }));
+        } else if own.pass >= pass && lead.first_overtaken(placement_no).is_some() {
+            // The holder has given the arming up. Each further attempt could hold passes as long.
+            lead.pause_plans(now);
+            lead.set_plan(Plan::Idle, now);
+            let reason = "given up while arming";
+            actions.push(Action::Event(RankEvent::PlanAbandoned { placement_no, reason }));
         } else if own.pass >= pass && holds < options.max_hold_attempts {
             // The pass has begun with the old placement, so another one is held. No two holds are
             // ever under way at once.
--- a/grebedeck-experts/src/rollout/node.rs
+++ b/grebedeck-experts/src/rollout/node.rs
@@ -253,7 +253,7 @@
         }
 
         if let (Some(held_pass), OrderOutcome::Taken) = (&mut self.held_pass, outcome) {
-            held_pass.record_armed(rank, order);
+            held_pass.record_accepted(rank, order);
         }
 
         if let (Some(lead), RankAction::Hold { pass }, OrderOutcome::Taken) =
--- a/grebedeck-experts/src/rollout/options.rs
+++ b/grebedeck-experts/src/rollout/options.rs
@@ -36,6 +36,9 @@
     /// How long a holder waits for a node, to arm its own rank or to answer after the holder's
     /// restart, before it turns to that rank's engine.
     pub remote_access_delay: Duration,
+    /// How long ranks may take to be armed before the changeover is given up: less than the gap of
+    /// 2 s after which callers abandon their streams.
+    pub arming_timeout: Duration,
     /// How long a holder waits for its leader's directive on a hold that it sees.
     pub hold_grace: Duration,
     /// Assumed time from ordering a hold until all ranks are armed, until one was measured: some
@@ -65,6 +68,7 @@
             ready_timeout: Duration::from_millis(80),
             changeover_retry_delay: Duration::from_millis(25),
             remote_access_delay: Duration::from_millis(80),
+            arming_timeout: Duration::from_millis(1000),
             hold_grace: Duration::from_millis(100),
             initial_arm_time: Duration::from_millis(60),
             round_trip_per_rank: Duration::from_micros(500),
--- a/grebedeck-experts/src/rollout/parts.rs
+++ b/grebedeck-experts/src/rollout/parts.rs
@@ -7,6 +7,7 @@
 
 use super::action::Action;
 use super::bulk::placement_bytes;
+use super::changeover::HeldPass;
 use super::message::{Message, RankPart};
 use super::node::Node;
 use crate::engine::{INITIAL_PLACEMENT, PlacementNo, RankReport};
@@ -33,11 +34,9 @@
         }
     }
 
-    /// Handles the part of a placement that the node's own engine holds.
-    pub fn on_own_part(&mut self, placement_no: PlacementNo, part: RankPart) {
-        if let Some(rank) = self.report.as_ref().map(|r| r.rank) {
-            self.add_part(placement_no, rank, part);
-        }
+    /// Handles the part of a placement that a rank's engine holds.
+    pub fn on_part(&mut self, rank: Rank, placement_no: PlacementNo, part: RankPart) {
+        self.add_part(placement_no, rank, part);
     }
 
     /// Stores the placement that engines start with.
@@ -124,17 +123,24 @@
             self.parts_placement_no == report.placement && self.parts.contains_key(&report.rank);
 
         if !has_own_part {
-            actions.push(Action::ReadPart);
-        }
-
-        if self.lead.is_none() {
-            return;
+            actions.push(Action::ReadPart { rank: report.rank });
         }
 
         let is_missing = |rank: &Rank| {
             self.parts_placement_no != report.placement || !self.parts.contains_key(rank)
         };
 
+        if self.held_pass.as_ref().is_some_and(HeldPass::needs_fence) {
+            // The group stands still, and some nodes may be away.
+            let others = (0..report.size).filter(|rank| *rank != report.rank && is_missing(rank));
+            actions.extend(others.map(|rank| Action::ReadPart { rank }));
+            return;
+        }
+
+        if self.lead.is_none() {
+            return;
+        }
+
         for (_, to) in self.known_peers().filter(|(rank, _)| is_missing(rank)) {
             let message = Message::AskPart { placement_no: report.placement };
             actions.push(Action::Send { to: to.clone(), message });
@@ -160,7 +166,7 @@
                 let message = Message::Part { placement_no, rank, part };
                 actions.push(Action::Send { to, message });
             }
-            None => actions.push(Action::ReadPart),
+            None => actions.push(Action::ReadPart { rank }),
         }
     }
 
--- a/grebedeck-experts/tests/rollout/engine.rs
+++ b/grebedeck-experts/tests/rollout/engine.rs
@@ -80,6 +80,14 @@
                 self.armed = Some(Armed { placement_no: *placement_no, pass: *first });
                 true
             }
+            RankAction::Disarm { placement_no } => {
+                if self.placement == *placement_no {
+                    return false;
+                }
+
+                self.armed = self.armed.filter(|armed| armed.placement_no != *placement_no);
+                true
+            }
             RankAction::Hold { pass: held } => {
                 let is_other = self.held.is_some_and(|h| h > pass && h != *held);
 
--- a/grebedeck-experts/tests/rollout/group.rs
+++ b/grebedeck-experts/tests/rollout/group.rs
@@ -11,7 +11,7 @@
 use grebedeck_core::{Moment, RandomSource, Rank};
 use grebedeck_experts::engine::{PassNo, PlacementNo};
 use grebedeck_experts::rollout::{Action, Message, Node, NodeOptions, RankEvent};
-use grebedeck_experts::{OrderOutcome, RankOrder, RankReport};
+use grebedeck_experts::{OrderOutcome, RankAction, RankOrder, RankReport};
 
 use crate::engine::Engine;
 use crate::shape::{SMALL_SHAPE, Shape};
@@ -73,7 +73,7 @@
     Message { from: usize, message: Message<usize> },
     Ordered { rank: Rank, order: RankOrder, end: OrderOutcome },
     Report(RankReport),
-    Part(PlacementNo, Vec<Vec<u16>>),
+    Part(Rank, PlacementNo, Vec<Vec<u16>>),
 }
 
 enum Delivery {
@@ -123,6 +123,12 @@
     proposed_at: Moment,
     /// Bytes that each machine has sent and received, by kind of message.
     pub traffic: BTreeMap<(usize, &'static str), u64>,
+    /// Rank at which orders to arm get no answer, and are carried out just before a held pass is
+    /// released.
+    pub withheld_at: Option<Rank>,
+    withheld: Vec<RankOrder>,
+    /// When the group has had work last; an idle group begins no pass.
+    pub idle_until: Moment,
 }
 
 const PASS_LENGTH: Duration = Duration::from_millis(50);
@@ -179,9 +185,24 @@
             proposal_times: Vec::new(),
             proposed_at: Duration::ZERO,
             traffic: BTreeMap::new(),
+            withheld_at: None,
+            withheld: Vec::new(),
+            idle_until: Duration::ZERO,
         }
     }
 
+    /// Returns the number of orders that were withheld.
+    pub fn withheld(&self) -> usize {
+        self.withheld.len()
+    }
+
+    /// Returns the rank at which a pass is held.
+    pub fn holder(&self) -> Option<usize> {
+        let is_holding = |m: &Machine| m.engine.held.is_some_and(|held| held > self.pass);
+
+        self.machines.iter().position(is_holding)
+    }
+
     /// Runs until a point in time.
     pub fn run_until(&mut self, end: Moment) {
         while self.now < end {
@@ -258,7 +279,7 @@
         let next = self.pass + 1;
         let is_held = self.machines.iter().any(|m| m.engine.is_holding(next, self.defect));
 
-        if self.now < self.pass_at + self.pass_length || is_held {
+        if self.now < self.pass_at + self.pass_length || is_held || self.now < self.idle_until {
             return;
         }
 
@@ -325,7 +346,7 @@
                     machine.report_at = now;
                 }
                 Event::Report(report) => actions.extend(node.on_report(report, now)),
-                Event::Part(placement_no, part) => node.on_own_part(placement_no, part),
+                Event::Part(rank, placement_no, part) => node.on_part(rank, placement_no, part),
             }
         }
 
@@ -369,12 +390,7 @@
                     }
                 }
             }
-            Action::ReadPart => {
-                let engine = &self.machines[at].engine;
-                let placement = engine.placements.get(&engine.placement);
-                let part = placement.map(|p| p.part_of(at as Rank)).unwrap_or_default();
-                self.schedule(ms(1), Delivery::ToNode(at, Event::Part(engine.placement, part)));
-            }
+            Action::ReadPart { rank } => self.read_part(at, rank),
             Action::Event(RankEvent::PlanAbandoned { .. }) => self.plans_abandoned += 1,
             Action::Event(RankEvent::HoldRequested { .. }) => self.held_at = self.now,
             Action::Event(RankEvent::PlanResumed { .. }) => self.plans_resumed += 1,
@@ -383,6 +399,20 @@
         }
     }
 
+    fn read_part(&mut self, at: usize, rank: Rank) {
+        let of = usize::from(rank);
+
+        if of != at && !(self.knows_engine(at, rank) && self.can_reach(at, of)) {
+            return;
+        }
+
+        let engine = &self.machines[of].engine;
+        let placement = engine.placements.get(&engine.placement);
+        let part = placement.map(|p| p.part_of(rank)).unwrap_or_default();
+        let event = Event::Part(rank, engine.placement, part);
+        self.schedule(ms(if of == at { 1 } else { 3 }), Delivery::ToNode(at, event));
+    }
+
     /// Returns the first node that leads.
     pub fn leader(&self) -> Option<usize> {
         self.machines.iter().position(|m| m.node.as_ref().is_some_and(Node::is_leading))
@@ -422,6 +452,11 @@
         }
 
         let to = usize::from(rank);
+
+        if self.withhold(at, rank, &order) {
+            return;
+        }
+
         let late = self.faults.late_orders;
         let is_late = self.now < self.faults.until && self.chance(late);
 
@@ -443,6 +478,29 @@
         }
     }
 
+    /// Withholds an order to arm, and carries out those that were withheld before a pass is released.
+    fn withhold(&mut self, at: usize, rank: Rank, order: &RankOrder) -> bool {
+        let is_arm = matches!(order.action, RankAction::Arm { .. });
+
+        if is_arm && self.withheld_at == Some(rank) {
+            self.withheld.push(order.clone());
+            let end = OrderOutcome::Unknown;
+            let event = Event::Ordered { rank, order: order.clone(), end };
+            self.schedule(ms(150), Delivery::ToNode(at, event));
+            return true;
+        }
+
+        if matches!(order.action, RankAction::Release { .. })
+            && let Some(withheld_at) = self.withheld_at
+        {
+            for order in std::mem::take(&mut self.withheld) {
+                self.execute_order(usize::from(withheld_at), &order);
+            }
+        }
+
+        false
+    }
+
     fn execute_order(&mut self, to: usize, order: &RankOrder) -> OrderOutcome {
         let (pass, now) = (self.pass, self.now);
         let engine = &mut self.machines[to].engine;
--- a/grebedeck-experts/tests/rollout/main.rs
+++ b/grebedeck-experts/tests/rollout/main.rs
@@ -4,6 +4,7 @@
 mod absent;
 mod engine;
 mod group;
+mod late;
 mod lead;
 mod recovery;
 mod shape;
--- a/grebedeck/src/rank/calls.rs
+++ b/grebedeck/src/rank/calls.rs
@@ -25,7 +25,7 @@
         order: RankOrder,
         outcome: OrderOutcome,
     },
-    Part(Result<(PlacementNo, RankPart)>),
+    Part(Rank, Result<(PlacementNo, RankPart)>),
     Targets(Result<TargetListing>),
     Site(Result<Option<Arc<Site>>>),
 }
@@ -85,6 +85,12 @@
             .detach();
     }
 
+    pub(super) fn read_part(&self, rank: Rank) {
+        if let Some(engine) = self.engine_of(rank) {
+            self.spawn(async move { CallResult::Part(rank, engine.part().await) });
+        }
+    }
+
     fn engine_of(&self, rank: Rank) -> Option<E> {
         match self.node.address_of(rank) {
             Some(address) if *address == self.settings.target_address => Some(self.engine.clone()),
--- a/grebedeck/src/rank/counters.rs
+++ b/grebedeck/src/rank/counters.rs
@@ -71,6 +71,7 @@
             RankEvent::PlacementInUse { .. } => "placement_in_use",
             RankEvent::PlanAbandoned { .. } => "placement_given_up",
             RankEvent::HeldPassFound { .. } => "held_pass_found",
+            RankEvent::RanksFenced { .. } => "ranks_fenced",
             RankEvent::PassReleased { .. } => "pass_let_go",
         };
 
--- a/grebedeck/src/rank/diagnostics.rs
+++ b/grebedeck/src/rank/diagnostics.rs
@@ -58,6 +58,9 @@
             log::warn!("placement given up", kv: { placement_no, reason });
         }
         RankEvent::HeldPassFound { pass } => log::warn!("held pass found", kv: { pass }),
+        RankEvent::RanksFenced { pass, placement_no } => {
+            log::warn!("ranks fenced", kv: { pass, placement_no });
+        }
         RankEvent::PassReleased { pass, placement_no, held_for } => {
             let (held_ms, armed_no) = (held_for.as_millis() as u64, placement_no.unwrap_or(0));
             log::info!("pass released", kv: { pass, armed_no, held_ms });
--- a/grebedeck/src/rank/driver.rs
+++ b/grebedeck/src/rank/driver.rs
@@ -370,11 +370,14 @@
                     self.report_counts(counts).await;
                 }
             }
-            CallResult::Part(part) => match part {
-                Ok((placement_no, part)) => self.node.on_own_part(placement_no, part),
-                Err(error) => {
+            CallResult::Part(rank, part) => match part {
+                Ok((placement_no, part)) => self.node.on_part(rank, placement_no, part),
+                Err(error) if self.node.report().is_some_and(|own| own.rank == rank) => {
                     log::warn!("own experts not read", kv: { error = error.to_string() });
                 }
+                Err(error) => {
+                    log::warn!("experts not read", kv: { rank, error = error.to_string() });
+                }
             },
             CallResult::OrderDone { rank, order, outcome } => {
                 self.counters.record_order(outcome);
@@ -453,9 +456,7 @@
                 Action::Send { to, message } => self.send(to, Body::Rollout(message)).await,
                 Action::Order { rank, order } => self.send_order(rank, order),
                 Action::ReadReport { rank } => self.read_report(rank),
-                Action::ReadPart => {
-                    self.call_engine(|engine| async move { CallResult::Part(engine.part().await) });
-                }
+                Action::ReadPart { rank } => self.read_part(rank),
                 Action::Event(event) => {
                     if matches!(event, RankEvent::EpochChanged(_)) {
                         self.balance.reset();
--- a/grebedeck/src/rank/obstacle.rs
+++ b/grebedeck/src/rank/obstacle.rs
@@ -29,6 +29,7 @@
             Obstacle::Rollout(PlanBlock::UnderWay) => "plan_under_way",
             Obstacle::Rollout(PlanBlock::NotFollowing { .. }) => "rank_not_following",
             Obstacle::Rollout(PlanBlock::Bound { .. }) => "rank_bound",
+            Obstacle::Rollout(PlanBlock::Paused) => "plans_paused",
         }
     }
 
