http: limit bytes outside of heads and bodies, and let other tasks run

A target with interim answers or trailers without end was read until the deadline and beyond it, and callers of other requests waited; callers with trailers without end were read for 10 s.

Lengths were limited where bytes are kept, and not where they are dropped: interim heads, trailers, lines around chunks, skipped answers to other requests. A reader that always finds data now gives way after 32 reads, so that its time-outs and other requests are served. Calls to the store, peers and engines end as well where a body drips.

The tests of the client cover ten kinds of responses without end.

--- a/grebedeck-http/src/body.rs
+++ b/grebedeck-http/src/body.rs
@@ -10,6 +10,13 @@
 
 /// Maximum length of a chunk-size line or trailer line.
 const MAX_LINE_BYTES: usize = 4096;
+/// Maximum length of all trailers.
+const MAX_TRAILER_BYTES: u64 = 16 << 10;
+/// Maximum length of the lines around chunks, not counting [`MAX_CHUNK_OVERHEAD`] for each byte of
+/// data.
+const MAX_CHUNK_LINE_BYTES: u64 = 16 << 10;
+/// Bytes of lines that each byte of data allows. A chunk of one byte has five.
+const MAX_CHUNK_OVERHEAD: u64 = 8;
 
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,6 +113,12 @@
 #[derive(Clone, Debug)]
 pub struct BodyDecoder {
     state: State,
+    /// Length of the chunks' data so far.
+    data_bytes: u64,
+    /// Length of the lines around chunks so far.
+    line_bytes: u64,
+    /// Length of the trailers so far.
+    trailer_bytes: u64,
 }
 
 impl BodyDecoder {
@@ -118,7 +131,7 @@
             Framing::UntilClose => State::UntilClose,
         };
 
-        BodyDecoder { state }
+        BodyDecoder { state, data_bytes: 0, line_bytes: 0, trailer_bytes: 0 }
     }
 
     /// Removes the next part of the body from the front of the buffer.
@@ -138,12 +151,14 @@
                     let (data, remaining) = split_data(buffer, remaining);
                     self.state =
                         if remaining == 0 { State::ChunkEnd } else { State::ChunkData(remaining) };
+                    self.data_bytes += data.len() as u64;
                     return Ok(Decoded::Data(data));
                 }
                 State::ChunkSize | State::ChunkEnd | State::Trailers => {
                     let Some(line) = take_line(buffer)? else {
                         return Ok(Decoded::NeedMore);
                     };
+                    self.count_line(&line)?;
                     self.state = self.after_line(&line)?;
                 }
             }
@@ -169,6 +184,24 @@
         self.state == State::Ended
     }
 
+    /// Counts a line, which is no data: without a limit, a peer could send lines without end.
+    fn count_line(&mut self, line: &[u8]) -> Result<()> {
+        let length_bytes = line.len() as u64 + 2;
+        let (counted, max_bytes) = match self.state {
+            State::Trailers => (&mut self.trailer_bytes, MAX_TRAILER_BYTES),
+            _ => {
+                let allowed_bytes = self.data_bytes.saturating_mul(MAX_CHUNK_OVERHEAD);
+                (&mut self.line_bytes, MAX_CHUNK_LINE_BYTES.saturating_add(allowed_bytes))
+            }
+        };
+        *counted += length_bytes;
+
+        match *counted > max_bytes {
+            true => Err(HttpError::Malformed("too many bytes outside of the data")),
+            false => Ok(()),
+        }
+    }
+
     fn after_line(&self, line: &[u8]) -> Result<State> {
         match self.state {
             State::ChunkSize => match chunk_size(line)? {
--- a/grebedeck-http/src/client.rs
+++ b/grebedeck-http/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 
@@ -15,6 +15,10 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum length of a response's body: several times that of a large configuration.
 const MAX_BODY_BYTES: usize = 32 << 20;
+/// Minimum rate of a response's body, in bytes per second: a fiftieth of the slowest known link.
+const MIN_BODY_BYTES_PER_S: f64 = 20_000.0;
+/// Time in which a body need not come at that rate, in timeouts of silence.
+const BODY_GRACE_TIMEOUTS: u32 = 4;
 /// Maximum number of idle connections: one for a watch request and one for other calls.
 const MAX_IDLE_CONNECTIONS: usize = 2;
 
@@ -150,18 +154,23 @@
         self.read_body(connection, head_and_decoder).await
     }
 
-    /// Reads a body without a limit on the total time, which would limit its size on a slow link:
-    /// with one of 0.4 s, a configuration of 1,500 routes never arrives over a link of 8 Mbit/s,
-    /// however often it is requested.
+    /// Reads a body without a fixed limit on the total time, which would limit its size on a slow
+    /// link: with one of 0.4 s, a configuration of 1,500 routes never arrives over a link of 8
+    /// Mbit/s, however often it is requested. What has arrived allows more time, so that a body
+    /// that comes byte by byte ends as well.
     async fn read_body(
         &self,
         connection: &mut Connection,
         (head, mut decoder): (ResponseHead, BodyDecoder),
     ) -> Result<Response> {
         let mut body = Vec::new();
+        let began_at = Instant::now();
 
         loop {
-            let next = timeout(self.silence_timeout, connection.read_body(&mut decoder)).await;
+            let earned = Duration::from_secs_f64(body.len() as f64 / MIN_BODY_BYTES_PER_S);
+            let allowed = self.silence_timeout * BODY_GRACE_TIMEOUTS + earned;
+            let left = allowed.saturating_sub(began_at.elapsed()).min(self.silence_timeout);
+            let next = timeout(left, connection.read_body(&mut decoder)).await;
 
             match next.unwrap_or(Err(HttpError::TimedOut))? {
                 None => return Ok(Response { head, body }),
@@ -185,7 +194,7 @@
     bytes.extend_from_slice(request_body);
     connection.write_all(&bytes).await?;
 
-    let head = connection.read_response_head(MAX_HEAD_BYTES).await?;
+    let head = connection.read_final_head(MAX_HEAD_BYTES).await?;
     let decoder = BodyDecoder::new(response_framing(&head, &request.method)?);
 
     Ok((head, decoder))
--- a/grebedeck-http/src/connection.rs
+++ b/grebedeck-http/src/connection.rs
@@ -27,6 +27,11 @@
 /// connections.
 const MAX_READ_BYTES: usize = 4096;
 
+/// Maximum number of reads in a row that find data. After that the reader lets other tasks run, as
+/// a peer that sends without end would otherwise keep its thread from them and from time-outs.
+const MAX_READS_IN_ROW: u32 = 32;
+/// Maximum number of interim responses before a final one.
+const MAX_INTERIM_RESPONSES: usize = 16;
 /// Maximum length of a body that is copied behind its head, as a copy up to this length is cheaper
 /// than another system call.
 pub const MAX_COALESCED_BODY_BYTES: usize = 16 << 10;
@@ -43,6 +48,8 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Reads that found data since the last one that had to wait.
+    reads_in_row: u32,
     close_mode: CloseMode,
 }
 
@@ -63,7 +70,12 @@
         // With Nagle's algorithm, small writes would wait for the peer's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
 
-        Connection { stream, buffer: BytesMut::new(), close_mode: CloseMode::Graceful }
+        Connection {
+            stream,
+            buffer: BytesMut::new(),
+            reads_in_row: 0,
+            close_mode: CloseMode::Graceful,
+        }
     }
 
     /// Connects to an address within `time_limit`. The connection later fails if the peer is silent
@@ -107,11 +119,19 @@
     ///
     /// Cancel-safe: data is in the buffer as soon as it is read, so dropping the future loses none.
     pub async fn read_more(&mut self) -> Result<usize> {
-        let Connection { stream, buffer, .. } = self;
+        let Connection { stream, buffer, reads_in_row, .. } = self;
 
         let read = poll_fn(|cx| {
+            if *reads_in_row >= MAX_READS_IN_ROW {
+                *reads_in_row = 0;
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+
             let mut bytes = [0; MAX_READ_BYTES];
-            let read = ready!(Pin::new(&mut &*stream).poll_read(cx, &mut bytes));
+            let polled = Pin::new(&mut &*stream).poll_read(cx, &mut bytes);
+            *reads_in_row = if polled.is_ready() { *reads_in_row + 1 } else { 0 };
+            let read = ready!(polled);
             buffer.extend_from_slice(&bytes[..read.as_ref().copied().unwrap_or(0)]);
             Poll::Ready(read)
         });
@@ -141,6 +161,19 @@
         }
     }
 
+    /// Reads the head of a final response; skips interim ones (1xx), up to a limit.
+    pub async fn read_final_head(&mut self, max_bytes: usize) -> Result<ResponseHead> {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
+            let head = self.read_response_head(max_bytes).await?;
+
+            if head.status >= 200 {
+                return Ok(head);
+            }
+        }
+
+        Err(HttpError::Malformed("interim responses without end"))
+    }
+
     async fn read_more_of_head(&mut self, max_bytes: usize) -> Result<()> {
         if self.buffer.len() >= max_bytes {
             return Err(HttpError::HeadTooLarge(max_bytes));
@@ -169,6 +202,21 @@
         }
     }
 
+    /// Reads the rest of a body, of at most `max_bytes`, and discards it.
+    pub async fn skip_body(&mut self, decoder: &mut BodyDecoder, max_bytes: usize) -> Result<()> {
+        let mut skipped_bytes = 0;
+
+        while let Some(part) = self.read_body(decoder).await? {
+            skipped_bytes += part.len();
+
+            if skipped_bytes > max_bytes {
+                return Err(HttpError::BodyTooLarge(max_bytes));
+            }
+        }
+
+        Ok(())
+    }
+
     /// Reads the rest of a body, of at most `max_bytes`.
     pub async fn read_whole(
         &mut self,
@@ -236,6 +284,7 @@
 
     /// Whether the connection is open, without an error and without unsolicited data.
     pub fn is_idle(&mut self) -> bool {
+        self.reads_in_row = 0;
         self.buffer.is_empty() && self.read_more().now_or_never().is_none()
     }
 
--- a/grebedeck-http/tests/client.rs
+++ b/grebedeck-http/tests/client.rs
@@ -94,3 +94,59 @@
         assert_eq!(accepted.load(Ordering::Relaxed), 3, "the second idle connection is not used");
     });
 }
+
+/// Calls a server that sends `begin`, and then `more` again and again, with a pause each time.
+async fn call_endless(begin: &'static str, more: &'static str, pause: Duration) -> HttpError {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    task::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the call");
+        // Without a pause, many at a time.
+        let more = more.repeat(if pause.is_zero() { 1000 } else { 1 });
+        let mut text = begin;
+
+        while stream.write_all(text.as_bytes()).await.is_ok() {
+            text = &more;
+
+            if !pause.is_zero() {
+                sleep(pause).await;
+            }
+        }
+    });
+
+    let client = Client::new(address, SILENCE);
+    client.get("/", SILENCE).await.expect_err("no response is complete")
+}
+
+/// Limit on pauses of the calls to servers that send without end.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Time within which such a call fails, whatever comes.
+const ENDS_WITHIN: Duration = Duration::from_secs(5);
+
+/// Failure: a server sends bytes that are no response, or a response that has no end. The store, peers
+/// and engines are called with this client.
+#[test]
+fn responses_without_end_are_given_up() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    const LAST: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    const OPEN: &str = "HTTP/1.1 200 OK\r\n\r\n";
+    const NO_WAIT: Duration = Duration::ZERO;
+    let drip = SILENCE / 3;
+
+    for (begin, more, pause) in [
+        ("", "HTTP/1.1 100 Continue\r\n\r\n", NO_WAIT),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n", drip),
+        ("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n", NO_WAIT),
+        ("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n", drip),
+        ("", "garbage", NO_WAIT),
+        (LAST, "x-more: 1\r\n", NO_WAIT),
+        (LAST, "x-more: 1\r\n", drip),
+        (CHUNKED, "1;x=y\r\nd\r\n", drip),
+        (OPEN, "data", NO_WAIT),
+        (OPEN, "d", drip),
+    ] {
+        let call = call_endless(begin, more, pause);
+        let error = task::block_on(async_std::future::timeout(ENDS_WITHIN, call));
+        assert!(error.is_ok(), "{begin:?}, then {more:?} each {pause:?}: still reading");
+    }
+}
--- a/grebedeck-http/tests/messages.rs
+++ b/grebedeck-http/tests/messages.rs
@@ -149,3 +149,34 @@
         assert_eq!(decode(Framing::Chunked, bytes.as_bytes(), &[100]), None, "{bytes:?}");
     }
 }
+
+/// Feeds lines without end after a beginning; returns how many bytes were taken until an error.
+fn taken_until_error(begin: &str, line: &str) -> usize {
+    let mut decoder = BodyDecoder::new(Framing::Chunked);
+    let mut buffer = BytesMut::from(begin.as_bytes());
+    let mut taken_bytes = 0;
+
+    while taken_bytes < 1 << 20 {
+        match decoder.decode(&mut buffer) {
+            Err(_) => return taken_bytes,
+            Ok(Decoded::End) => panic!("the body has no end"),
+            Ok(_) => {}
+        }
+
+        buffer.extend_from_slice(line.as_bytes());
+        taken_bytes += line.len();
+    }
+
+    taken_bytes
+}
+
+/// Failure: trailers without end were read until the deadline, hundreds of megabytes of one response.
+#[test]
+fn lines_without_end_are_errors() {
+    let extension = format!("1;x={}\r\nd\r\n", "y".repeat(1000));
+
+    assert!(taken_until_error("0\r\n", "X-More: 1\r\n") < 20 << 10);
+    assert!(taken_until_error("", &extension) < 40 << 10);
+    // Chunks of a single byte are no error.
+    assert_eq!(taken_until_error("", "1\r\nd\r\n"), (1 << 20) + 5);
+}
--- a/grebedeck/src/gateway/attempt.rs
+++ b/grebedeck/src/gateway/attempt.rs
@@ -12,7 +12,9 @@
 use grebedeck_http::{BodyDecoder, Connection, Decoded, HttpError, ResponseHead, response_framing};
 
 use super::history::{AttemptFailure, FailureCause, Refusal};
-use super::options::{CONNECT_TIMEOUT, MAX_RESPONSE_HEAD_BYTES, SOCKET_BUFFER_BYTES};
+use super::options::{
+    CONNECT_TIMEOUT, MAX_BUFFERED_RESPONSE_BYTES, MAX_RESPONSE_HEAD_BYTES, SOCKET_BUFFER_BYTES,
+};
 use super::refusing::refusal_cause;
 use super::request::RoutedRequest;
 use super::response::{OpenResponse, SentRequest};
@@ -212,7 +214,7 @@
     let id = request.request.id(&gateway.names);
 
     for _ in 0..=MAX_STALE_RESPONSES {
-        let head = read_final_head(connection).await?;
+        let head = connection.read_final_head(MAX_RESPONSE_HEAD_BYTES).await?;
         let echoed = head.headers.text(gateway.names.request_id);
 
         if head.status != MISDIRECTED {
@@ -226,23 +228,12 @@
         let framing = response_framing(&head, &request.request.head.method)?;
         let mut decoder = BodyDecoder::new(framing);
 
-        while connection.read_body(&mut decoder).await?.is_some() {}
+        connection.skip_body(&mut decoder, MAX_BUFFERED_RESPONSE_BYTES).await?;
     }
 
     Err(HttpError::Malformed("answers of other requests"))
 }
 
-/// Reads a head that is not interim (1xx).
-async fn read_final_head(connection: &mut Connection) -> Result<ResponseHead, HttpError> {
-    loop {
-        let head = connection.read_response_head(MAX_RESPONSE_HEAD_BYTES).await?;
-
-        if head.status >= 200 {
-            return Ok(head);
-        }
-    }
-}
-
 /// Records the load, limit and refusal that a target states in its response. Ignored if another
 /// target has the address, as the statements are then about that one.
 fn record_target_state(
