gateway: remove a missing target at its time, not at the next housekeeping

By the worst case of calls that fail one after the other, a target whose entry lapsed could be removed 1.85 s after the store's return, as a period of housekeeping was subtracted from the time to catch up. The choice of a target now removes what is due, so the whole time to catch up is used: 2.1 s remain in that case.

--- a/grebedeck-gateway/src/targets.rs
+++ b/grebedeck-gateway/src/targets.rs
@@ -179,6 +179,8 @@
     caught_up_by: Option<Moment>,
     /// Until when targets that are missing may be listed again, since the last failure of the store.
     relist_until: Option<Moment>,
+    /// When the next target that is missing is removed.
+    next_removal_at: Option<Moment>,
     evacuations: Evacuations,
     /// Targets that announced in a response that they are shutting down, whatever the list says.
     leaving: LeavingNotices,
@@ -292,6 +294,11 @@
         now > self.indexed_at + age && self.evacuations.has_transition_between(self.indexed_at, now)
     }
 
+    /// Whether a target that is missing has to be removed.
+    pub fn has_due_removal(&self, now: Moment) -> bool {
+        self.next_removal_at.is_some_and(|at| at <= now)
+    }
+
     /// Records that all hall updates up to a version of the store are known.
     pub fn advance_halls_version(&mut self, version: StoreVersion) {
         self.evacuations.advance_to(version);
@@ -568,6 +575,7 @@
 
     fn rebuild_index(&mut self) {
         self.rebuild_addresses();
+        self.next_removal_at = self.known.values().filter_map(|k| k.removal_due_at).min();
         let mut by_service: HashMap<ServiceName, Vec<Arc<TargetEntry>>> = HashMap::new();
         let mut newest: HashMap<SocketAddr, StoreVersion> = HashMap::new();
 
--- a/grebedeck-gateway/tests/targets.rs
+++ b/grebedeck-gateway/tests/targets.rs
@@ -105,6 +105,7 @@
 
     assert_eq!(events, [ListEvent::Lapsed("a".into())]);
     assert_eq!(list.removal_due_at("a"), Some(MS(3000)));
+    assert!(!list.has_due_removal(MS(2999)) && list.has_due_removal(MS(3000)));
     assert_eq!(list.tick(MS(3000)), [ListEvent::Removed("a".into())]);
     // One that leaves later is removed at once.
     assert_eq!(list.apply_changes(31, vec![removed(31, "c")], MS(3001)).len(), 1);
@@ -120,9 +121,9 @@
         backoff_ms in 100..500u64,
         call_ms in 50..400u64,
         is_alive in any::<bool>(),
-        back_ms in 0..1900u64,
+        back_ms in 0..2000u64,
     ) {
-        const CATCH_UP_MS: u64 = 2900;
+        const CATCH_UP_MS: u64 = 3000;
         let mut list = TargetList::default();
         list.apply_snapshot(10, vec![listed(10, "a", 1)], MS(0));
         let mut call_at = 0;
--- a/grebedeck/src/gateway/halls.rs
+++ b/grebedeck/src/gateway/halls.rs
@@ -139,10 +139,13 @@
         self.with_targets(|targets| targets.is_evacuated(service))
     }
 
-    /// Removes lapsed targets and applies due changes of halls if housekeeping is late: a process
-    /// that was suspended may select a target before housekeeping runs.
+    /// Removes lapsed targets that are due, and applies due changes of halls if housekeeping is late:
+    /// a process that was suspended may select a target before housekeeping runs.
     pub(super) fn refresh_if_stale(&self) {
-        let is_late = self.with_targets(|t| t.is_index_stale(HOUSEKEEPING_PERIOD, self.now()));
+        let now = self.now();
+        let is_late = self.with_targets(|targets| {
+            targets.has_due_removal(now) || targets.is_index_stale(HOUSEKEEPING_PERIOD, now)
+        });
 
         if is_late {
             self.remove_lapsed_targets();
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -311,11 +311,10 @@
     }
 
     /// How long the store is asked to wait for a change of the list of targets. If a response is
-    /// lost, the pause before the watch, the watch and the next read fit into the time to catch up,
-    /// with the housekeeping that removes the targets that have gone.
+    /// lost, the pause before the watch, the watch and the next read fit into the time to catch up.
     pub fn targets_wait(&self) -> Duration {
         let timeouts = millis(self.store_limit_ms) * 2;
-        let pauses = self.targets_poll_interval() + STORE_MIN_BACKOFF + HOUSEKEEPING_PERIOD;
+        let pauses = self.targets_poll_interval() + STORE_MIN_BACKOFF;
         let left = millis(self.catch_up_ms).saturating_sub(timeouts + pauses);
 
         left.clamp(MIN_STORE_WAIT, self.store_wait().max(MIN_STORE_WAIT))
--- a/grebedeck/src/gateway/watch.rs
+++ b/grebedeck/src/gateway/watch.rs
@@ -9,7 +9,7 @@
 use grebedeck_gateway::{SiteStore, StoreVersion, TargetList, Watched};
 use grebedeck_kernel::log;
 
-use super::options::{HOUSEKEEPING_PERIOD, STORE_MIN_BACKOFF};
+use super::options::STORE_MIN_BACKOFF;
 use super::service::Gateway;
 use crate::settings::millis;
 
@@ -141,9 +141,7 @@
 /// Records that a call for the list of targets failed, of which the store or the connection was
 /// sound until `sound_at`.
 fn record_targets_failure(gateway: &Gateway, sound_at: Moment) {
-    let catch_up = millis(gateway.settings().catch_up_ms);
-    // Targets are removed by housekeeping, up to a period late.
-    let caught_up_by = sound_at + catch_up.saturating_sub(HOUSEKEEPING_PERIOD);
+    let caught_up_by = sound_at + millis(gateway.settings().catch_up_ms);
 
     gateway.update_targets(|targets, _| {
         targets.record_store_failure(caught_up_by);
