--- a/grebedeck-experts/tests/rollout/group/faults.rs
+++ b/grebedeck-experts/tests/rollout/group/faults.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use grebedeck_core::RandomSource;
+use grebedeck_core::{RandomSource, Rank};
+use grebedeck_experts::{OrderOutcome, RankAction, RankOrder};
 
 use super::{Faults, Group, ms};
 
@@ -62,6 +63,17 @@
         self.kill_for(at, pause);
     }
 
+    /// Has a rank's engine copy a placement with a higher number than all others, as a late order of a
+    /// plan that was forgotten does.
+    pub fn overtake(&mut self, rank: Rank) {
+        let highest_no = self.machines.iter().map(|m| m.engine.highest_no).max().unwrap_or(0);
+        let placement = self.shape.initial(self.machines.len());
+        let action = RankAction::Prepare { placement_no: highest_no + (1 << 20), placement };
+        let epoch = self.machines[usize::from(rank)].engine.epoch;
+        let outcome = self.execute_order(usize::from(rank), &RankOrder { epoch, action });
+        assert_eq!(outcome, OrderOutcome::Taken, "an unarmed rank accepts a higher number");
+    }
+
     /// Drops all messages to and from a node for this time.
     pub fn isolate_node(&mut self, at: usize, length: Duration) {
         self.machines[at].isolated_until = self.now + length;
--- a/grebedeck-experts/tests/rollout/late.rs
+++ b/grebedeck-experts/tests/rollout/late.rs
@@ -60,6 +60,33 @@
     }
 }
 
+/// Failure: while the other ranks were armed, a late order of a forgotten plan had one rank copy a later
+/// placement. It could never be armed, and the pass stayed held.
+#[test]
+fn an_arming_that_one_rank_can_never_follow_is_given_up() {
+    for size in [3, 6, 16] {
+        for seed in 0..5 {
+            let mut group = Group::new(size, seed, NO_FAULTS, Defect::Nothing);
+            let rank = size as u16 - 1;
+            group.run_until(secs(4));
+            group.withheld_at = Some(rank);
+
+            while group.withheld() == 0 {
+                group.run_until(group.now() + Duration::from_millis(1));
+            }
+
+            group.overtake(rank);
+            group.withheld_at = None;
+            group.max_pass_gap = Duration::ZERO;
+            let changes = group.placement_changes;
+            group.run_until(group.now() + secs(6));
+            let gap = group.max_pass_gap;
+            assert!(gap < secs(2), "{size} ranks, seed {seed}: no pass for {gap:?}");
+            assert!(group.placement_changes > changes, "{size} ranks, seed {seed}: no change");
+        }
+    }
+}
+
 /// Draws all that the platform allows: groups of 2 to 16 that are idle at times, passes of 20 ms to
 /// 1.8 s, lost messages, late orders, and holders that are killed twice and more.
 fn run_random(seed: u64) {
