http, gateway: remove a dead reader and a copy of a dump

Connection::read_whole had no caller left beside skip_body, which does the same without keeping the data. FeedSize serializes itself instead of being copied field by field for the dump, with the same keys. The bounds of targets_wait read as a minimum and a maximum, the same value.

--- a/grebedeck-gateway/src/feed.rs
+++ b/grebedeck-gateway/src/feed.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use grebedeck_core::Moment;
+use serde::Serialize;
 
 use crate::size::HeldBytes;
 use crate::source::{OperatorChange, OperatorState, Snapshot, StoreVersion, TargetChange, Watched};
@@ -119,7 +120,7 @@
 }
 
 /// Memory that a feed holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct FeedSize {
     /// Number of kept changes.
     pub changes: usize,
--- a/grebedeck-http/src/connection.rs
+++ b/grebedeck-http/src/connection.rs
@@ -217,25 +217,6 @@
         Ok(())
     }
 
-    /// Reads the rest of a body, of at most `max_bytes`.
-    pub async fn read_whole(
-        &mut self,
-        decoder: &mut BodyDecoder,
-        max_bytes: usize,
-    ) -> Result<Vec<u8>> {
-        let mut body = Vec::new();
-
-        while let Some(part) = self.read_body(decoder).await? {
-            if body.len() + part.len() > max_bytes {
-                return Err(HttpError::BodyTooLarge(max_bytes));
-            }
-
-            body.extend_from_slice(&part);
-        }
-
-        Ok(body)
-    }
-
     /// Writes all bytes.
     pub async fn write_all(&self, bytes: &[u8]) -> Result<()> {
         (&self.stream).write_all(bytes).await?;
--- a/grebedeck/src/gateway/options.rs
+++ b/grebedeck/src/gateway/options.rs
@@ -317,7 +317,7 @@
         let pauses = self.targets_poll_interval() + STORE_MIN_BACKOFF;
         let left = millis(self.catch_up_ms).saturating_sub(timeouts + pauses);
 
-        left.clamp(MIN_STORE_WAIT, self.store_wait().max(MIN_STORE_WAIT))
+        left.min(self.store_wait()).max(MIN_STORE_WAIT)
     }
 
     /// How long a relay lets its followers wait for changes by operators, and itself waits for the
--- a/grebedeck/src/gateway/relay.rs
+++ b/grebedeck/src/gateway/relay.rs
@@ -22,9 +22,9 @@
 use grebedeck_core::{Error, Moment, Result, UnixMs};
 use grebedeck_gateway::source::{QuarantineEntry, QuarantineListing};
 use grebedeck_gateway::{
-    ApplyChange, Feed, FeedSize, FeedState, GatewayEntry, GatewayListing, OperatorChange,
-    OperatorState, RelayOptions, RelaySelector, SiteStore, Snapshot, Source, StoreVersion,
-    TargetChange, TargetListing, Watched,
+    ApplyChange, Feed, FeedState, GatewayEntry, GatewayListing, OperatorChange, OperatorState,
+    RelayOptions, RelaySelector, SiteStore, Snapshot, Source, StoreVersion, TargetChange,
+    TargetListing, Watched,
 };
 use grebedeck_http::{Client, RequestHead};
 use grebedeck_kernel::log;
@@ -120,8 +120,8 @@
     /// Memory of the feeds, for a dump.
     pub fn dump(&self) -> serde_json::Value {
         json!({
-            "operator": feed_dump(self.operator.borrow().size()),
-            "targets": feed_dump(self.targets.borrow().size()),
+            "operator": self.operator.borrow().size(),
+            "targets": self.targets.borrow().size(),
         })
     }
 
@@ -202,12 +202,6 @@
     }
 }
 
-fn feed_dump(size: FeedSize) -> serde_json::Value {
-    let FeedSize { changes, changes_bytes, state_bytes } = size;
-
-    json!({ "changes": changes, "changes_bytes": changes_bytes, "state_bytes": state_bytes })
-}
-
 /// State in the store that relays pass on.
 trait Relayable:
     ApplyChange<Change: Serialize + DeserializeOwned> + Serialize + DeserializeOwned
